--- /dev/null
+++ b/cmd/ibisstall/main.go
@@ -0,0 +1,4 @@
+// Command ibisstall is the scheduler for agent programs.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/entity/program.go
@@ -0,0 +1,175 @@
+// Package entity holds the things that ibisstall schedules and stores:
+// programs, turns, intents, VMs, endpoints and the configuration table. Each
+// entity validates and copies itself; none of them performs I/O.
+package entity
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// ProgramID names a program. It is "<data centre>.<root>" for a root program
+// and "<data centre>.<root>.<child>" for a sub-agent, so that the home data
+// centre and the family are known from the id alone.
+type ProgramID string
+
+const idSeparator = "."
+
+// NewProgramID joins the parts of an id; child is empty for a root program.
+func NewProgramID(dc, root, child string) ProgramID {
+	id := dc + idSeparator + root
+	if child != "" {
+		id += idSeparator + child
+	}
+	return ProgramID(id)
+}
+
+// DC returns the home data centre.
+func (id ProgramID) DC() string {
+	dc, _, _ := strings.Cut(string(id), idSeparator)
+	return dc
+}
+
+// Root returns the id of the root program of the family.
+func (id ProgramID) Root() ProgramID {
+	parts := strings.SplitN(string(id), idSeparator, 3)
+	if len(parts) < 3 {
+		return id
+	}
+	return NewProgramID(parts[0], parts[1], "")
+}
+
+// IsRoot reports whether the id names a root program.
+func (id ProgramID) IsRoot() bool { return strings.Count(string(id), idSeparator) == 1 }
+
+// Validate reports a malformed id.
+func (id ProgramID) Validate() error {
+	const maxLength = 128
+	if len(id) > maxLength {
+		return fmt.Errorf("program id is longer than %d bytes", maxLength)
+	}
+	parts := strings.Split(string(id), idSeparator)
+	if len(parts) < 2 || len(parts) > 3 {
+		return fmt.Errorf("program id must have two or three parts")
+	}
+	for _, p := range parts {
+		if !ValidName(p) {
+			return fmt.Errorf("program id part must be lower-case letters, digits and hyphens")
+		}
+	}
+	return nil
+}
+
+// ValidName reports whether s is a non-empty name of at most 64 lower-case
+// letters, digits, hyphens and underscores.
+func ValidName(s string) bool {
+	const maxLength = 64
+	if s == "" || len(s) > maxLength {
+		return false
+	}
+	for _, r := range s {
+		ok := r >= 'a' && r <= 'z' || r >= '0' && r <= '9' || r == '-' || r == '_'
+		if !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// Budget bounds what a program and its sub-agents may use together.
+type Budget struct {
+	Tokens  int64 `json:"tokens"`  // generated tokens
+	Turns   int64 `json:"turns"`   // calls of any kind
+	Seconds int64 `json:"seconds"` // wall-clock time from creation
+}
+
+// Validate reports a bound that is not positive.
+func (b Budget) Validate() error {
+	if b.Tokens <= 0 || b.Turns <= 0 || b.Seconds <= 0 {
+		return fmt.Errorf("budget needs positive tokens, turns and seconds")
+	}
+	return nil
+}
+
+// Usage is what has been drawn from a budget.
+type Usage struct {
+	Tokens int64 `json:"tokens"`
+	Turns  int64 `json:"turns"`
+}
+
+// ProgramState is the life-cycle state of a program.
+type ProgramState string
+
+// The life-cycle states of a program.
+const (
+	ProgramActive    ProgramState = "active"
+	ProgramCancelled ProgramState = "cancelled"
+	ProgramExpired   ProgramState = "expired"
+	ProgramFinished  ProgramState = "finished"
+)
+
+// Program is the durable row of a program. The row of a root program also
+// carries the ownership epoch and the budget of its whole family.
+type Program struct {
+	ID        ProgramID    `json:"id"`
+	Workspace string       `json:"workspace"`
+	Parent    ProgramID    `json:"parent,omitempty"`
+	State     ProgramState `json:"state"`
+	Created   time.Time    `json:"created"`
+
+	// Epoch and Owner fence the family: each adoption raises the epoch.
+	Epoch uint64 `json:"epoch,omitempty"`
+	Owner string `json:"owner,omitempty"`
+
+	// Budget, Used and Reserved cover the family and stand in the root row
+	// only. Reserved is an amount granted to the owner but not yet settled;
+	// an adopter counts it as used, since it may have been spent.
+	Budget   Budget `json:"budget"`
+	Used     Usage  `json:"used"`
+	Reserved Usage  `json:"reserved"`
+
+	// Head is the number of durable turns of this program.
+	Head uint64 `json:"head"`
+	// Compacted is the number of leading turns that stand in the object
+	// CompactedIn instead of in rows of their own.
+	Compacted   uint64 `json:"compacted,omitempty"`
+	CompactedIn string `json:"compacted_in,omitempty"`
+	// Recent lists the latest request ids and the turn that answered each.
+	Recent []AnsweredRequest `json:"recent,omitempty"`
+	// Children counts the sub-agents made so far, for their ids.
+	Children uint64 `json:"children,omitempty"`
+}
+
+// AnsweredRequest maps a request id to the turn that holds its answer.
+type AnsweredRequest struct {
+	RequestID string `json:"request_id"`
+	BodyHash  uint64 `json:"body_hash"`
+	Turn      uint64 `json:"turn"`
+}
+
+// Deadline is the instant at which the time budget of the family ends.
+func (p *Program) Deadline() time.Time {
+	return p.Created.Add(time.Duration(p.Budget.Seconds) * time.Second)
+}
+
+// Copy returns a deep copy.
+func (p *Program) Copy() *Program {
+	c := *p
+	c.Recent = append([]AnsweredRequest(nil), p.Recent...)
+	return &c
+}
+
+// Validate reports a row that breaks the invariants of its type.
+func (p *Program) Validate() error {
+	if err := p.ID.Validate(); err != nil {
+		return err
+	}
+	if p.Workspace == "" {
+		return fmt.Errorf("program %s has no workspace", p.ID)
+	}
+	if p.ID.IsRoot() {
+		return p.Budget.Validate()
+	}
+	return nil
+}
--- /dev/null
+++ b/tools/tools.go
@@ -0,0 +1,2 @@
+// Package tools pins the versions of the development tools that CI runs.
+package tools
