--- /dev/null
+++ b/internal/standin/runner/engine.go
@@ -0,0 +1,245 @@
+package runner
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"ibisstall.example/ibisstall/internal/endpoint"
+	"ibisstall.example/ibisstall/internal/entity"
+)
+
+const (
+	controlPath       = "/_control"
+	defaultSlots      = 16
+	defaultCache      = 1 << 20 // tokens
+	defaultChunk      = 2048    // prompt tokens computed in one step
+	defaultStreamKeep = 30 * time.Second
+)
+
+// EngineOptions set up a model engine.
+type EngineOptions struct {
+	Name   string
+	Models []string
+	// Slots is the largest number of calls that decode together.
+	Slots int
+	// CacheTokens is the capacity of the prefix cache and session memory.
+	CacheTokens int64
+	// PrefillPerToken is the time to compute one prompt token that is not
+	// cached; PrefillChunk is the largest number computed in one step.
+	PrefillPerToken time.Duration
+	PrefillChunk    int64
+	// DecodePerToken is the time of one decode step of a batch of one; each
+	// further call in the batch adds DecodeBatchPenalty.
+	DecodePerToken     time.Duration
+	DecodeBatchPenalty time.Duration
+	// Seed makes the answers deterministic.
+	Seed uint64
+	// Script computes an answer from a request; its second result is false
+	// for the seeded text.
+	Script func(ChatBody) (Script, bool)
+	// ChecksFencing makes the engine refuse orders with an old number.
+	ChecksFencing bool
+	// LoadTime is the time that an order to load takes.
+	LoadTime time.Duration
+	// EventGapEvery loses every so-manieth cache event; 0 loses none.
+	EventGapEvery int
+	// EventLag and LoadLag delay cache events and load reports.
+	EventLag time.Duration
+	LoadLag  time.Duration
+	// TransferPerToken is the time to export or import one KV token.
+	TransferPerToken time.Duration
+	// StreamKeep is the time for which a stream goes on without a reader,
+	// and can be resumed.
+	StreamKeep time.Duration
+}
+
+// EngineCounters count what an engine did.
+type EngineCounters struct {
+	Received        int   `json:"received"` // chat calls
+	Finished        int   `json:"finished"`
+	Cancelled       int   `json:"cancelled"`
+	Resumed         int   `json:"resumed"`
+	PromptTokens    int64 `json:"prompt_tokens"`
+	CachedTokens    int64 `json:"cached_tokens"`
+	GeneratedTokens int64 `json:"generated_tokens"`
+	Fenced          int   `json:"fenced"` // orders refused
+}
+
+// AcceptedOrder is an order that an engine carried out.
+type AcceptedOrder struct {
+	Order   endpoint.Order `json:"order"`
+	Fencing uint64         `json:"fencing"`
+	// Stale tells that the number was lower than one seen before.
+	Stale bool `json:"stale"`
+}
+
+// Engine stands in for a model engine.
+type Engine struct {
+	options EngineOptions
+	mux     *http.ServeMux
+	faults  faults
+	answers answers
+
+	mu        sync.Mutex
+	instance  int
+	cache     *cache
+	waiting   []*sequence          // in order of arrival
+	running   []*sequence          // the batch
+	stepping  bool                 // a goroutine steps the batch
+	sequences map[string]*sequence // by request id
+	forgotten time.Time            // last time old streams were dropped
+	counters  EngineCounters
+
+	models   []string
+	adapters []string
+	version  string
+	role     string
+	loading  string
+	loadedAt time.Time // instant at which loading ends
+	// loadingInto is the list that the loaded name goes to.
+	loadingInto *[]string
+	leaving     bool
+	fencing     uint64 // highest number seen
+	orders      []AcceptedOrder
+	reports     []timedReport
+}
+
+// NewEngine makes an engine.
+func NewEngine(o EngineOptions) *Engine {
+	o.setDefaults()
+	e := &Engine{options: o, mux: http.NewServeMux()}
+	e.reset()
+	e.mux.HandleFunc("POST /v1/chat/completions", e.chat)
+	e.mux.HandleFunc("GET /v1/streams/{id}", e.resume)
+	e.mux.HandleFunc("DELETE /v1/streams/{id}", e.cancel)
+	e.mux.HandleFunc("GET /v1/sessions", e.listSessions)
+	e.mux.HandleFunc("POST /v1/sessions/{id}/release", e.release)
+	e.mux.HandleFunc("GET /v1/cache", e.cacheSnapshot)
+	e.mux.HandleFunc("GET /v1/cache/events", e.cacheEvents)
+	e.mux.HandleFunc("GET /v1/load", e.load)
+	e.mux.HandleFunc("POST /v1/kv/export", e.export)
+	e.mux.HandleFunc("POST /v1/kv/import", e.importKV)
+	e.mux.HandleFunc("POST /v1/orders", e.order)
+	return e
+}
+
+func (o *EngineOptions) setDefaults() {
+	if o.Slots <= 0 {
+		o.Slots = defaultSlots
+	}
+	if o.CacheTokens <= 0 {
+		o.CacheTokens = defaultCache
+	}
+	if o.PrefillChunk <= 0 {
+		o.PrefillChunk = defaultChunk
+	}
+	if o.StreamKeep <= 0 {
+		o.StreamKeep = defaultStreamKeep
+	}
+}
+
+// reset gives the engine the state of a fresh start. Calls of the former
+// instance are cancelled.
+func (e *Engine) reset() {
+	e.instance++
+	for _, s := range e.sequences {
+		s.cancelled = true
+	}
+	e.cache = newCache(&e.options)
+	e.sequences = make(map[string]*sequence)
+	e.models = slices.Clone(e.options.Models)
+	e.adapters, e.version, e.role, e.loading = nil, "", "", ""
+	e.fencing = 0
+	e.reports = nil
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == controlPath {
+		e.control(w, r)
+		return
+	}
+	e.mux.ServeHTTP(w, r)
+}
+
+// instanceName names this start of the engine. The mutex is held.
+func (e *Engine) instanceName() string { return fmt.Sprintf("%s-%d", e.options.Name, e.instance) }
+
+// SetFaults replaces the faults in force; none clears them.
+func (e *Engine) SetFaults(list ...Fault) { e.faults.set(list) }
+
+// SetLeaving makes the engine report that it is leaving.
+func (e *Engine) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
+// Restart loses the engine's memory, as a restart of its process does.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reset()
+}
+
+// Counters returns what the engine did so far.
+func (e *Engine) Counters() EngineCounters {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.counters
+}
+
+// Orders returns the orders that were carried out.
+func (e *Engine) Orders() []AcceptedOrder {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders)
+}
+
+// Sessions returns the sessions that hold memory.
+func (e *Engine) Sessions() []endpoint.Session {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cache.list(time.Now())
+}
+
+// Release frees the memory of a program, as POST .../release does.
+func (e *Engine) Release(id entity.ProgramID) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cache.release(id)
+}
+
+// EngineStatus is the answer of GET /_control.
+type EngineStatus struct {
+	Counters EngineCounters     `json:"counters"`
+	Sessions []endpoint.Session `json:"sessions"`
+	Orders   []AcceptedOrder    `json:"orders"`
+}
+
+// EngineControl is the body of PUT /_control.
+type EngineControl struct {
+	Faults  []Fault `json:"faults"`
+	Leaving *bool   `json:"leaving,omitempty"`
+	Restart bool    `json:"restart,omitempty"`
+}
+
+func (e *Engine) control(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPut {
+		var c EngineControl
+		if !readJSON(w, r, &c) {
+			return
+		}
+		e.SetFaults(c.Faults...)
+		if c.Leaving != nil {
+			e.SetLeaving(*c.Leaving)
+		}
+		if c.Restart {
+			e.Restart()
+		}
+	}
+	writeJSON(w, http.StatusOK, EngineStatus{Counters: e.Counters(), Sessions: e.Sessions(), Orders: e.Orders()})
+}
--- /dev/null
+++ b/internal/standin/runner/generate.go
@@ -0,0 +1,186 @@
+package runner
+
+import (
+	"bytes"
+	"encoding/json"
+	"math/rand/v2"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ibisstall.example/ibisstall/internal/entity"
+)
+
+// Markers in the last user message that script the engine's answer: the rest
+// of the line is the text to answer, or a JSON list of {"name", "arguments"}
+// tool calls.
+const (
+	MarkerSay   = "##say:"
+	MarkerTools = "##tools:"
+	// MarkerTokens is followed by the number of tokens to answer with.
+	MarkerTokens = "##tokens:"
+)
+
+const (
+	runesPerToken        = 4
+	defaultAnswerTokens  = 32
+	finishStop           = "stop"
+	finishLength         = "length"
+	finishToolCalls      = "tool_calls"
+	objectChunk          = "chat.completion.chunk"
+	objectCompletion     = "chat.completion"
+	completionIDPrefix   = "chatcmpl-"
+	anotherRequestsID    = "another-request"
+	defaultScriptedCalls = "call"
+)
+
+// ScriptedCall is a tool call that the stand-in model makes.
+type ScriptedCall struct {
+	Name      string          `json:"name"`
+	Arguments json.RawMessage `json:"arguments"`
+}
+
+// Script is what the stand-in model answers: text, or tool calls.
+type Script struct {
+	Text  string
+	Calls []ScriptedCall
+}
+
+// delta is one generated token, as the delta object of a chunk.
+type delta struct {
+	Role      string      `json:"role,omitempty"`
+	Content   string      `json:"content,omitempty"`
+	ToolCalls []toolDelta `json:"tool_calls,omitempty"`
+}
+
+type toolDelta struct {
+	Index    int          `json:"index"`
+	ID       string       `json:"id,omitempty"`
+	Type     string       `json:"type,omitempty"`
+	Function toolFunction `json:"function"`
+}
+
+type toolFunction struct {
+	Name      string `json:"name,omitempty"`
+	Arguments string `json:"arguments"`
+}
+
+// generation is a whole generated answer: one delta for each token.
+type generation struct {
+	deltas []delta
+	finish string
+}
+
+// message assembles the first n tokens into a message.
+func (g *generation) message(n int) entity.Message {
+	var text strings.Builder
+	var calls []toolDelta
+	for _, d := range g.deltas[:n] {
+		text.WriteString(d.Content)
+		for _, t := range d.ToolCalls {
+			if t.Index == len(calls) {
+				calls = append(calls, t)
+				continue
+			}
+			calls[t.Index].Function.Arguments += t.Function.Arguments
+		}
+	}
+	m := entity.Message{Role: "assistant"}
+	if len(calls) == 0 {
+		m.Content, _ = json.Marshal(text.String())
+		return m
+	}
+	m.Content = json.RawMessage("null")
+	m.ToolCalls = marshalCalls(calls)
+	return m
+}
+
+// marshalCalls writes whole tool calls, which have no index.
+func marshalCalls(calls []toolDelta) json.RawMessage {
+	type whole struct {
+		ID       string       `json:"id"`
+		Type     string       `json:"type"`
+		Function toolFunction `json:"function"`
+	}
+	list := make([]whole, len(calls))
+	for i, c := range calls {
+		list[i] = whole{ID: c.ID, Type: c.Type, Function: c.Function}
+	}
+	out, _ := json.Marshal(list)
+	return out
+}
+
+// generate makes the answer to a request, never longer than its limit.
+func generate(script Script, requestID string, limit int64) generation {
+	g := generation{finish: finishStop}
+	if len(script.Calls) > 0 {
+		g.finish = finishToolCalls
+		g.deltas = callDeltas(script.Calls, requestID)
+	} else {
+		for _, piece := range pieces(script.Text) {
+			g.deltas = append(g.deltas, delta{Content: piece})
+		}
+	}
+	if len(g.deltas) == 0 {
+		g.deltas = []delta{{}}
+	}
+	g.deltas[0].Role = "assistant"
+	if int64(len(g.deltas)) > limit {
+		g.deltas = g.deltas[:limit]
+		g.finish = finishLength
+	}
+	return g
+}
+
+func callDeltas(calls []ScriptedCall, requestID string) []delta {
+	var out []delta
+	for i, c := range calls {
+		id := defaultScriptedCalls + "_" + requestID + "_" + string(rune('a'+i%26))
+		head := toolDelta{Index: i, ID: id, Type: "function", Function: toolFunction{Name: c.Name}}
+		out = append(out, delta{ToolCalls: []toolDelta{head}})
+		for _, piece := range pieces(string(compact(c.Arguments))) {
+			part := toolDelta{Index: i, Function: toolFunction{Arguments: piece}}
+			out = append(out, delta{ToolCalls: []toolDelta{part}})
+		}
+	}
+	return out
+}
+
+func compact(raw json.RawMessage) []byte {
+	var b bytes.Buffer
+	if json.Compact(&b, raw) != nil {
+		return []byte("{}")
+	}
+	return b.Bytes()
+}
+
+// pieces cuts a text into tokens.
+func pieces(text string) []string {
+	runes := []rune(text)
+	var out []string
+	for len(runes) > 0 {
+		n := min(runesPerToken, len(runes))
+		out = append(out, string(runes[:n]))
+		runes = runes[n:]
+	}
+	return out
+}
+
+// seededText is deterministic text of some tokens.
+func seededText(seed uint64, prefix []byte, tokens int) string {
+	const letters = "abcdefghijklmnopqrstuvwxyz"
+	rng := rand.New(rand.NewPCG(seed, xxhash.Sum64(prefix)))
+	var b strings.Builder
+	for range tokens {
+		for range runesPerToken - 1 {
+			b.WriteByte(letters[rng.IntN(len(letters))])
+		}
+		b.WriteByte(' ')
+	}
+	return b.String()
+}
+
+// crossID replaces the request id in an event by another one.
+func crossID(event []byte, id string) []byte {
+	return bytes.ReplaceAll(event, []byte(completionIDPrefix+id), []byte(completionIDPrefix+anotherRequestsID))
+}
