Clients of engines, tools and plain services

A stream that is cut, malformed or silent is resumed over a new connection from the first missing chunk. ErrNotSent is given only if no whole request header was written before the connection closed; calls with an attempt id go over a new connection and can't be sent a second time by the transport.

--- /dev/null
+++ b/internal/endpoint/admin.go
@@ -0,0 +1,123 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"ibisstall.example/ibisstall/internal/entity"
+)
+
+// Sessions lists the programs that the engine holds memory for.
+func (e *Engine) Sessions(ctx context.Context) ([]Session, error) {
+	var out []Session
+	err := e.get(ctx, "/v1/sessions", &out)
+	return out, err
+}
+
+// Release frees the memory that the engine holds for a program; a program
+// without memory is no error.
+func (e *Engine) Release(ctx context.Context, id entity.ProgramID) error {
+	return e.post(ctx, "/v1/sessions/"+url.PathEscape(string(id))+"/release", nil, nil, nil)
+}
+
+// Load returns the engine's load report.
+func (e *Engine) Load(ctx context.Context) (LoadReport, error) {
+	var out LoadReport
+	err := e.get(ctx, "/v1/load", &out)
+	return out, err
+}
+
+// CacheEvents returns the cache events from a number on.
+func (e *Engine) CacheEvents(ctx context.Context, from uint64) (CachePage, error) {
+	var out CachePage
+	err := e.get(ctx, "/v1/cache/events?from="+strconv.FormatUint(from, 10), &out)
+	return out, err
+}
+
+// CacheSnapshot returns the whole prefix cache.
+func (e *Engine) CacheSnapshot(ctx context.Context) (CacheSnapshot, error) {
+	var out CacheSnapshot
+	err := e.get(ctx, "/v1/cache", &out)
+	return out, err
+}
+
+// Order gives an order under a fencing number. ErrFenced means that the
+// engine has seen a higher one.
+func (e *Engine) Order(ctx context.Context, fencing uint64, o Order) error {
+	h := http.Header{HeaderFencing: {strconv.FormatUint(fencing, 10)}}
+	err := e.post(ctx, "/v1/orders", h, o, nil)
+	if isStatus(err, http.StatusConflict) {
+		return fmt.Errorf("%w: %w", ErrFenced, err)
+	}
+	return err
+}
+
+// Export returns the KV cache that the engine holds for a program.
+func (e *Engine) Export(ctx context.Context, id entity.ProgramID) (KV, error) {
+	var out KV
+	err := e.post(ctx, "/v1/kv/export", nil, KV{Program: id}, &out)
+	if err == nil && out.Program != id {
+		return KV{}, fmt.Errorf("%w: KV cache of %.80q", ErrMismatch, out.Program)
+	}
+	return out, err
+}
+
+// Import gives the engine the KV cache of a program, to hold for it.
+func (e *Engine) Import(ctx context.Context, kv KV) error {
+	return e.post(ctx, "/v1/kv/import", nil, kv, nil)
+}
+
+func (e *Engine) get(ctx context.Context, path string, out any) error {
+	return e.do(ctx, http.MethodGet, path, nil, nil, out)
+}
+
+func (e *Engine) post(ctx context.Context, path string, h http.Header, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return e.do(ctx, http.MethodPost, path, h, body, out)
+}
+
+// do makes an administrative request. One that is silent until its deadline
+// drops the idle connections, which may be silent too.
+func (e *Engine) do(ctx context.Context, method, path string, h http.Header, body []byte, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, e.options.AdminDeadline)
+	defer cancel()
+	var sent sending
+	r, err := http.NewRequestWithContext(sent.trace(ctx), method, e.ep.URL+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	for name, values := range h {
+		r.Header[name] = values
+	}
+	r.Header.Set("Content-Type", "application/json")
+	res, err := e.conns.reused.Do(r)
+	if err != nil {
+		if ctx.Err() != nil {
+			e.conns.reused.CloseIdleConnections()
+		}
+		return sent.classify(ctx, err)
+	}
+	if res.StatusCode >= http.StatusMultipleChoices {
+		return e.refusal(res)
+	}
+	defer finishBody(res.Body)
+	answer, err := readAll(res.Body, e.options.MaxAnswer)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnanswered, err)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(answer, out); err != nil {
+		return fmt.Errorf("%w: malformed answer: %w", ErrUnanswered, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/endpoint/caller_test.go
@@ -0,0 +1,153 @@
+package endpoint_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisstall.example/ibisstall/internal/endpoint"
+	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/standin/runner"
+)
+
+func newCaller(t *testing.T, o runner.ServiceOptions) (*runner.ToolService, *endpoint.Caller) {
+	t.Helper()
+	standin := runner.NewToolService(o)
+	server := httptest.NewServer(standin)
+	t.Cleanup(server.Close)
+	return standin, endpoint.NewCaller(entity.Endpoint{URL: server.URL}, newClient(t), endpoint.Options{})
+}
+
+func deposit(callID, attemptID string) endpoint.CallRequest {
+	return endpoint.CallRequest{
+		CallID:    callID,
+		AttemptID: attemptID,
+		Method:    http.MethodPost,
+		Path:      "/v1/tools/deposit",
+		Body:      []byte(`{"amount":40}`),
+		Type:      "application/json",
+	}
+}
+
+func TestCaller_CallWithFaults(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault runner.Fault
+		want  error
+		runs  int // executions at the runner
+	}{
+		{"a healthy tool answers", runner.Fault{}, nil, 1},
+		{"a dropped call is unanswered", runner.Fault{Mode: runner.FaultDown}, endpoint.ErrUnanswered, 0},
+		{"a hung call is unanswered", runner.Fault{Mode: runner.FaultHang}, endpoint.ErrUnanswered, 0},
+		{"a lost answer is unanswered", runner.Fault{Mode: runner.FaultLost}, endpoint.ErrUnanswered, 1},
+		{"a silent answer is unanswered", runner.Fault{Mode: runner.FaultSilent}, endpoint.ErrUnanswered, 1},
+		{"a cut answer is unanswered", runner.Fault{Mode: runner.FaultCut}, endpoint.ErrUnanswered, 1},
+		{"an answer that stalls is unanswered", runner.Fault{Mode: runner.FaultStall}, endpoint.ErrUnanswered, 1},
+		{"an answer shorter than declared is unanswered", runner.Fault{Mode: runner.FaultLength}, endpoint.ErrUnanswered, 1},
+		{"an answer cut at its declared length is unanswered", runner.Fault{Mode: runner.FaultShort}, endpoint.ErrUnanswered, 1},
+		{"another request's answer is a mismatch", runner.Fault{Mode: runner.FaultCrossed}, endpoint.ErrMismatch, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			standin, caller := newCaller(t, runner.ServiceOptions{Repeats: true})
+			standin.SetFaults(c.fault)
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			_, err := caller.Call(ctx, deposit("c-1", "a-1"))
+			is.True(errors.Is(err, c.want))
+			is.Equal(len(standin.Executions()), c.runs)
+			is.Equal(errors.Is(err, endpoint.ErrNotSent), false)
+
+			standin.SetFaults()
+			got, found, err := caller.Lookup(t.Context(), "a-1")
+			is.NoErr(err)
+			is.Equal(found, c.runs == 1)
+			if found {
+				is.Equal(got.Status, http.StatusOK)
+				is.Equal(string(got.Body), `{"path":"/v1/tools/deposit","echo":{"amount":40}}`)
+			}
+		})
+	}
+}
+
+func TestCaller_CallReportsErrorAnswers(t *testing.T) {
+	cases := []struct {
+		name   string
+		notRun bool
+	}{
+		{"a refusal that says so has not run", true},
+		{"any other error may have run", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			standin, caller := newCaller(t, runner.ServiceOptions{})
+			standin.SetFaults(runner.Fault{Mode: runner.FaultStatus, Status: http.StatusServiceUnavailable, NotRun: c.notRun})
+			got, err := caller.Call(t.Context(), deposit("c-1", "a-1"))
+			var status *endpoint.StatusError
+			is.True(errors.As(err, &status))
+			is.Equal(status.Ran, !c.notRun)
+			is.Equal(got.Status, http.StatusServiceUnavailable)
+		})
+	}
+}
+
+func TestCaller_CallNotSent(t *testing.T) {
+	is := is.New(t)
+	gone := httptest.NewServer(nil)
+	gone.Close()
+	caller := endpoint.NewCaller(entity.Endpoint{URL: gone.URL}, newClient(t), endpoint.Options{})
+	_, err := caller.Call(t.Context(), deposit("c-1", ""))
+	is.True(errors.Is(err, endpoint.ErrNotSent))
+}
+
+func TestCaller_CallLimitsTheAnswer(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(runner.NewToolService(runner.ServiceOptions{}))
+	defer server.Close()
+	caller := endpoint.NewCaller(entity.Endpoint{URL: server.URL}, newClient(t), endpoint.Options{MaxAnswer: 10})
+	_, err := caller.Call(t.Context(), deposit("c-1", ""))
+	is.True(errors.Is(err, endpoint.ErrUnanswered))
+}
+
+func TestCaller_RedirectIsNotFollowed(t *testing.T) {
+	is := is.New(t)
+	calls := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls++
+		w.Header().Set(endpoint.HeaderRequestID, r.Header.Get(endpoint.HeaderRequestID))
+		http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+	}))
+	defer server.Close()
+	caller := endpoint.NewCaller(entity.Endpoint{URL: server.URL}, newClient(t), endpoint.Options{})
+	got, err := caller.Call(t.Context(), deposit("c-1", "a-1"))
+	is.NoErr(err)
+	is.Equal(got.Status, http.StatusTemporaryRedirect)
+	is.Equal(calls, 1)
+}
+
+func TestCaller_LookupSwitchedOffIsAnError(t *testing.T) {
+	is := is.New(t)
+	_, caller := newCaller(t, runner.ServiceOptions{NoLookup: true})
+	_, found, err := caller.Lookup(t.Context(), "a-1")
+	var status *endpoint.StatusError
+	is.True(errors.As(err, &status))
+	is.Equal(found, false)
+}
+
+func TestCaller_LookupOfAnotherAttemptIsAMismatch(t *testing.T) {
+	is := is.New(t)
+	standin, caller := newCaller(t, runner.ServiceOptions{})
+	_, err := caller.Call(t.Context(), deposit("c-1", "a-1"))
+	is.NoErr(err)
+	standin.SetFaults(runner.Fault{Mode: runner.FaultCrossed})
+	_, found, err := caller.Lookup(t.Context(), "a-1")
+	is.True(errors.Is(err, endpoint.ErrMismatch))
+	is.Equal(found, false)
+}
--- /dev/null
+++ b/internal/endpoint/transport.go
@@ -0,0 +1,174 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+)
+
+// Defaults of the options.
+const (
+	DefaultSilence       = 2 * time.Second
+	DefaultResumes       = 30
+	DefaultMaxAnswer     = 64 << 20 // bytes
+	DefaultAdminDeadline = 2 * time.Second
+	cancelDeadline       = 2 * time.Second
+	drainBytes           = 16 << 10
+)
+
+// Options set up a client. Zero values stand for the defaults.
+type Options struct {
+	// Silence is the time without bytes after which a stream is probed over
+	// a new connection.
+	Silence time.Duration
+	// Resumes is the number of times that a stream is resumed without a new
+	// chunk in between.
+	Resumes int
+	// MaxAnswer is the largest answer in bytes.
+	MaxAnswer int64
+	// AdminDeadline bounds each request that is not a call.
+	AdminDeadline time.Duration
+	// OnResume is called when a stream is resumed over a new connection.
+	OnResume func(callID string)
+}
+
+func (o *Options) setDefaults() {
+	if o.Silence <= 0 {
+		o.Silence = DefaultSilence
+	}
+	if o.Resumes <= 0 {
+		o.Resumes = DefaultResumes
+	}
+	if o.MaxAnswer <= 0 {
+		o.MaxAnswer = DefaultMaxAnswer
+	}
+	if o.AdminDeadline <= 0 {
+		o.AdminDeadline = DefaultAdminDeadline
+	}
+	if o.OnResume == nil {
+		o.OnResume = func(string) {}
+	}
+}
+
+// connections are two views of one HTTP client: one that reuses connections,
+// and one that opens a new connection for each request, for requests that
+// must not meet a connection that has gone silent. Neither follows redirects,
+// which would send a request twice.
+type connections struct {
+	reused *http.Client
+	fresh  *http.Client
+}
+
+func newConnections(hc *http.Client) connections {
+	reused := *hc
+	reused.CheckRedirect = keepRedirect
+	fresh := reused
+	if t, ok := transportOf(hc); ok {
+		t = t.Clone()
+		t.DisableKeepAlives = true
+		fresh.Transport = t
+	}
+	return connections{reused: &reused, fresh: &fresh}
+}
+
+func transportOf(hc *http.Client) (*http.Transport, bool) {
+	if hc.Transport == nil {
+		t, ok := http.DefaultTransport.(*http.Transport)
+		return t, ok
+	}
+	t, ok := hc.Transport.(*http.Transport)
+	return t, ok
+}
+
+func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// sending follows how far a request got.
+type sending struct {
+	connected atomic.Bool
+	wrote     atomic.Bool
+}
+
+// trace returns a context under which the request reports how far it got.
+func (s *sending) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:      func(httptrace.GotConnInfo) { s.connected.Store(true) },
+		WroteHeaders: func() { s.wrote.Store(true) },
+	})
+}
+
+// classify turns a transport error into ErrNotSent or ErrUnanswered. The last
+// bytes of a request's header leave only after WroteHeaders, and a failed
+// connection is closed before the transport returns, so a request whose
+// header was not written by then has not reached the runner. A cancelled
+// request may still be on its way to the connection that it got.
+func (s *sending) classify(ctx context.Context, err error) error {
+	var timeout net.Error
+	cancelled := ctx.Err() != nil || errors.As(err, &timeout) && timeout.Timeout()
+	notSent := !s.connected.Load() || !s.wrote.Load() && !cancelled
+	if notSent {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return fmt.Errorf("%w: %w", ErrUnanswered, err)
+}
+
+// onceBody is a request body that the transport can't rewind, so that it
+// never sends the request a second time.
+type onceBody struct{ io.Reader }
+
+// Close implements io.Closer.
+func (onceBody) Close() error { return nil }
+
+// readAll reads a body up to a limit.
+func readAll(r io.Reader, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > limit {
+		return nil, errTooLarge
+	}
+	return body, nil
+}
+
+// finishBody reads the short rest of a body, so that its connection can be
+// reused, and closes it.
+func finishBody(body io.ReadCloser) {
+	_, _ = io.CopyN(io.Discard, body, drainBytes)
+	_ = body.Close()
+}
+
+// errSilent means that no byte came for the limit.
+var errSilent = errors.New("no bytes from the runner")
+
+// watch cancels a request when no byte has come for a time.
+type watch struct {
+	timer *time.Timer
+	limit time.Duration
+}
+
+func newWatch(limit time.Duration, cancel context.CancelCauseFunc) *watch {
+	return &watch{timer: time.AfterFunc(limit, func() { cancel(errSilent) }), limit: limit}
+}
+
+func (w *watch) stop() { w.timer.Stop() }
+
+// watchedBody resets the watch with each byte.
+type watchedBody struct {
+	io.Reader
+	watch *watch
+}
+
+// Read implements io.Reader.
+func (b watchedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if n > 0 {
+		b.watch.timer.Reset(b.watch.limit)
+	}
+	return n, err
+}
