Add a stand-in of the platform's services

The table service, the object store and the VM list are needed to run the whole path without the platform. The stand-in keeps rows, objects and the list in memory and serves them over HTTP/JSON or in-process. Its faults are set per service and client data centre: down, delay, answers lost after the write took effect, hang, rate limits; counters tell what was acted on.

--- /dev/null
+++ b/internal/standin/platformsvc/direct.go
@@ -0,0 +1,108 @@
+package platformsvc
+
+import (
+	"context"
+	"fmt"
+
+	"ibisstall.example/ibisstall/internal/platform"
+)
+
+// Direct is an in-process client of a Server: the same services, faults and
+// counters without HTTP. It returns the errors of package platform.
+type Direct struct {
+	server *Server
+	dc     string
+}
+
+var (
+	_ platform.Table  = (*Direct)(nil)
+	_ platform.VMList = (*Direct)(nil)
+)
+
+// Direct returns an in-process client in a data centre.
+func (s *Server) Direct(dc string) *Direct { return &Direct{server: s, dc: dc} }
+
+// run performs act under the faults of a service.
+func (d *Direct) run(ctx context.Context, service Service, write bool, act func() error) error {
+	v := d.server.faults.judge(service, d.dc, write)
+	if v.down || v.limited {
+		return fmt.Errorf("%w: refused", platform.ErrUnavailable)
+	}
+	if !pause(ctx, v) {
+		if write {
+			return fmt.Errorf("%w: %w", platform.ErrUnknown, ctx.Err())
+		}
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
+	}
+	err := act()
+	if v.loseAnswer {
+		return platform.ErrUnknown
+	}
+	return err
+}
+
+// Get implements platform.Table.
+func (d *Direct) Get(ctx context.Context, keys []platform.Key) (rows []platform.Row, err error) {
+	err = d.run(ctx, Table, false, func() (err error) {
+		rows, err = d.server.store.Get(ctx, keys)
+		return err
+	})
+	return rows, err
+}
+
+// Scan implements platform.Table.
+func (d *Direct) Scan(ctx context.Context, table, prefix, after string, limit int) (rows []platform.Row, err error) {
+	err = d.run(ctx, Table, false, func() (err error) {
+		rows, err = d.server.store.Scan(ctx, table, prefix, after, limit)
+		return err
+	})
+	return rows, err
+}
+
+// Commit implements platform.Table.
+func (d *Direct) Commit(ctx context.Context, writes []platform.Write) error {
+	return d.run(ctx, Table, true, func() error {
+		err := d.server.store.Commit(ctx, writes)
+		if err == nil {
+			d.server.faults.countTransaction(len(writes))
+		}
+		return err
+	})
+}
+
+// List implements platform.VMList.
+func (d *Direct) List(ctx context.Context) (vms []platform.ListedVM, err error) {
+	err = d.run(ctx, VMs, false, func() (err error) {
+		vms, err = d.server.store.List(ctx)
+		return err
+	})
+	return vms, err
+}
+
+// Objects returns the object store.
+func (d *Direct) Objects() platform.Objects { return directObjects{d} }
+
+type directObjects struct{ d *Direct }
+
+// Put implements platform.Objects.
+func (o directObjects) Put(ctx context.Context, name string, data []byte) error {
+	return o.d.run(ctx, Objects, true, func() error {
+		return o.d.server.store.Objects().Put(ctx, name, data)
+	})
+}
+
+// Get implements platform.Objects.
+func (o directObjects) Get(ctx context.Context, name string) (data []byte, err error) {
+	err = o.d.run(ctx, Objects, false, func() (err error) {
+		data, err = o.d.server.store.Objects().Get(ctx, name)
+		return err
+	})
+	return data, err
+}
+
+// Delete implements platform.Objects.
+func (o directObjects) Delete(ctx context.Context, name string) error {
+	return o.d.run(ctx, Objects, true, func() error {
+		return o.d.server.store.Objects().Delete(ctx, name)
+	})
+}
--- /dev/null
+++ b/internal/standin/platformsvc/store.go
@@ -0,0 +1,245 @@
+// Package platformsvc is a small in-memory stand-in of the platform's
+// services: the transactional table service, the object store and the VM
+// list. It serves them in-process or over HTTP and can be told to fail.
+package platformsvc
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"ibisstall.example/ibisstall/internal/platform"
+)
+
+// ErrInvalid means that a request breaks a limit of the service.
+var ErrInvalid = errors.New("invalid request")
+
+// Store keeps rows, objects and the VM list in memory. Its zero value is not
+// usable; call NewStore. It is safe for concurrent use.
+type Store struct {
+	now func() time.Time
+
+	mu      sync.RWMutex
+	tables  map[string]*table
+	objects map[string][]byte
+	vms     []listVersion
+	lag     time.Duration
+}
+
+// table holds the rows of one table. ids is sorted and names exactly the keys
+// of rows.
+type table struct {
+	rows map[string]platform.Row
+	ids  []string
+}
+
+// listVersion is the VM list as it was set at an instant.
+type listVersion struct {
+	at  time.Time
+	vms []platform.ListedVM
+}
+
+var (
+	_ platform.Table  = (*Store)(nil)
+	_ platform.VMList = (*Store)(nil)
+)
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		now:     time.Now,
+		tables:  make(map[string]*table),
+		objects: make(map[string][]byte),
+	}
+}
+
+// Get implements platform.Table.
+func (s *Store) Get(_ context.Context, keys []platform.Key) ([]platform.Row, error) {
+	if len(keys) > platform.MaxScanRows {
+		return nil, fmt.Errorf("%w: get of %d keys, at most %d", ErrInvalid, len(keys), platform.MaxScanRows)
+	}
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	rows := make([]platform.Row, len(keys))
+	for i, k := range keys {
+		rows[i] = s.row(k)
+	}
+	return rows, nil
+}
+
+// row returns a row, or one of version 0. Values are never changed in place,
+// so they may be shared with the reader. The caller holds mu.
+func (s *Store) row(k platform.Key) platform.Row {
+	if t := s.tables[k.Table]; t != nil {
+		if r, ok := t.rows[k.ID]; ok {
+			return r
+		}
+	}
+	return platform.Row{Key: k}
+}
+
+// Scan implements platform.Table.
+func (s *Store) Scan(_ context.Context, name, prefix, after string, limit int) ([]platform.Row, error) {
+	if limit <= 0 || limit > platform.MaxScanRows {
+		return nil, fmt.Errorf("%w: scan limit must be 1 to %d", ErrInvalid, platform.MaxScanRows)
+	}
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	t := s.tables[name]
+	if t == nil {
+		return nil, nil
+	}
+	i, _ := slices.BinarySearch(t.ids, prefix)
+	if after >= prefix {
+		j, found := slices.BinarySearch(t.ids, after)
+		if found {
+			j++
+		}
+		i = max(i, j)
+	}
+	var rows []platform.Row
+	for ; i < len(t.ids) && len(rows) < limit && strings.HasPrefix(t.ids[i], prefix); i++ {
+		rows = append(rows, t.rows[t.ids[i]])
+	}
+	return rows, nil
+}
+
+// Commit implements platform.Table.
+func (s *Store) Commit(_ context.Context, writes []platform.Write) error {
+	if err := checkLimits(writes); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var failed []int
+	for i, w := range writes {
+		if w.IfVersion != platform.AnyVersion && s.row(w.Key).Version != w.IfVersion {
+			failed = append(failed, i)
+		}
+	}
+	if len(failed) > 0 {
+		return &platform.ConflictError{Indexes: failed}
+	}
+	for _, w := range writes {
+		s.apply(w)
+	}
+	return nil
+}
+
+func checkLimits(writes []platform.Write) error {
+	if len(writes) > platform.MaxTxnWrites {
+		return fmt.Errorf("%w: transaction of %d writes, at most %d", ErrInvalid, len(writes), platform.MaxTxnWrites)
+	}
+	size := 0
+	seen := make(map[platform.Key]bool, len(writes))
+	for _, w := range writes {
+		if seen[w.Key] {
+			return fmt.Errorf("%w: row %s/%s stands twice in one transaction", ErrInvalid, w.Key.Table, w.Key.ID)
+		}
+		seen[w.Key] = true
+		size += len(w.Key.Table) + len(w.Key.ID) + len(w.Value)
+	}
+	if size > platform.MaxTxnBytes {
+		return fmt.Errorf("%w: transaction of %d bytes, at most %d", ErrInvalid, size, platform.MaxTxnBytes)
+	}
+	return nil
+}
+
+// apply performs one write whose condition holds. The caller holds mu.
+func (s *Store) apply(w platform.Write) {
+	if w.CheckOnly {
+		return
+	}
+	t := s.tables[w.Key.Table]
+	if t == nil {
+		t = &table{rows: make(map[string]platform.Row)}
+		s.tables[w.Key.Table] = t
+	}
+	old, exists := t.rows[w.Key.ID]
+	i, _ := slices.BinarySearch(t.ids, w.Key.ID)
+	switch {
+	case w.Delete && exists:
+		delete(t.rows, w.Key.ID)
+		t.ids = slices.Delete(t.ids, i, i+1)
+		return
+	case w.Delete:
+		return
+	case !exists:
+		t.ids = slices.Insert(t.ids, i, w.Key.ID)
+	}
+	t.rows[w.Key.ID] = platform.Row{Key: w.Key, Version: old.Version + 1, Value: bytes.Clone(w.Value)}
+}
+
+// List implements platform.VMList. It returns the list as it stood one lag
+// ago.
+func (s *Store) List(context.Context) ([]platform.ListedVM, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	seenAt := s.now().Add(-s.lag)
+	for i := len(s.vms) - 1; i >= 0; i-- {
+		if !s.vms[i].at.After(seenAt) {
+			return slices.Clone(s.vms[i].vms), nil
+		}
+	}
+	return nil, nil
+}
+
+// SetVMs sets the VM list; readers see it after the lag.
+func (s *Store) SetVMs(vms []platform.ListedVM) {
+	const keptVersions = 64
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms = append(s.vms, listVersion{at: s.now(), vms: slices.Clone(vms)})
+	if extra := len(s.vms) - keptVersions; extra > 0 {
+		s.vms = slices.Delete(s.vms, 0, extra)
+	}
+}
+
+// SetLag sets how long readers of the VM list see its former state.
+func (s *Store) SetLag(lag time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lag = lag
+}
+
+// Objects returns the object store.
+func (s *Store) Objects() platform.Objects { return objects{s} }
+
+// objects is the object store of a Store; Get stands in both interfaces with
+// different types, so that one type can't implement both.
+type objects struct{ s *Store }
+
+// Put implements platform.Objects.
+func (o objects) Put(_ context.Context, name string, data []byte) error {
+	o.s.mu.Lock()
+	defer o.s.mu.Unlock()
+	if old, ok := o.s.objects[name]; ok && !bytes.Equal(old, data) {
+		return fmt.Errorf("%w: object %s exists with other content", ErrInvalid, name)
+	}
+	o.s.objects[name] = bytes.Clone(data)
+	return nil
+}
+
+// Get implements platform.Objects.
+func (o objects) Get(_ context.Context, name string) ([]byte, error) {
+	o.s.mu.RLock()
+	defer o.s.mu.RUnlock()
+	data, ok := o.s.objects[name]
+	if !ok {
+		return nil, platform.ErrNotFound
+	}
+	return bytes.Clone(data), nil
+}
+
+// Delete implements platform.Objects.
+func (o objects) Delete(_ context.Context, name string) error {
+	o.s.mu.Lock()
+	defer o.s.mu.Unlock()
+	delete(o.s.objects, name)
+	return nil
+}
