Add an HTTP client of the platform's services

Each call has a deadline; an attempt without an answer is cut off with its connection and the idle ones. Errors tell whether a request had no effect or an unknown one. Retries are jittered and stay within a share of the live calls; a breaker per service refuses calls at once while it is down.

--- /dev/null
+++ b/internal/platform/httpclient/client.go
@@ -0,0 +1,272 @@
+// Package httpclient speaks to the platform's services over HTTP. Every call
+// has a deadline; a connection without an answer is dropped and replaced;
+// retries are jittered and bounded by a share of the live traffic; a circuit
+// breaker per service refuses calls at once while the service is down.
+package httpclient
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"ibisstall.example/ibisstall/internal/platform"
+	"ibisstall.example/ibisstall/internal/platform/breaker"
+	"ibisstall.example/ibisstall/internal/platform/wire"
+)
+
+// Options configure a Client. Zero fields but BaseURL take the defaults.
+type Options struct {
+	BaseURL string // without a trailing slash
+	DC      string // data centre of this VM
+	// Timeout bounds a call with its retries.
+	Timeout time.Duration
+	// AttemptTimeout is how long one attempt may stay without its answer
+	// before its connection is dropped.
+	AttemptTimeout time.Duration
+	// MaxTries bounds the attempts of one call.
+	MaxTries uint
+	// RetryShare is how many retries are allowed for each live call.
+	RetryShare float64
+	Breaker    breaker.Settings
+	HTTP       *http.Client
+	Now        func() time.Time
+	// OnReplaced is called when a silent connection was dropped.
+	OnReplaced func(service string)
+}
+
+// Defaults of Options.
+const (
+	DefaultTimeout        = 5 * time.Second
+	DefaultAttemptTimeout = time.Second
+	DefaultMaxTries       = 4
+	DefaultRetryShare     = 0.1
+)
+
+// Client implements platform.Table and platform.VMList; Objects returns its
+// object store. It is safe for concurrent use.
+type Client struct {
+	options Options
+	budget  *retryBudget
+	table   *service
+	objects *service
+	vms     *service
+}
+
+// service is one of the services with its breaker.
+type service struct {
+	name    string
+	breaker *breaker.Breaker
+}
+
+var (
+	_ platform.Table   = (*Client)(nil)
+	_ platform.VMList  = (*Client)(nil)
+	_ platform.Objects = objects{}
+)
+
+// New returns a client. It makes no connection yet.
+func New(o Options) *Client {
+	o.BaseURL = strings.TrimRight(o.BaseURL, "/")
+	if o.Timeout == 0 {
+		o.Timeout = DefaultTimeout
+	}
+	if o.AttemptTimeout == 0 {
+		o.AttemptTimeout = min(DefaultAttemptTimeout, o.Timeout)
+	}
+	if o.MaxTries == 0 {
+		o.MaxTries = DefaultMaxTries
+	}
+	if o.RetryShare == 0 {
+		o.RetryShare = DefaultRetryShare
+	}
+	if o.HTTP == nil {
+		o.HTTP = &http.Client{Transport: newTransport(o.AttemptTimeout)}
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.OnReplaced == nil {
+		o.OnReplaced = func(string) {}
+	}
+	newService := func(name string) *service {
+		return &service{name: name, breaker: breaker.New(o.Breaker)}
+	}
+	return &Client{
+		options: o,
+		budget:  newRetryBudget(o.RetryShare),
+		table:   newService("table"),
+		objects: newService("objects"),
+		vms:     newService("vms"),
+	}
+}
+
+// Reachable reports whether the table service's breaker is closed.
+func (c *Client) Reachable() bool { return c.table.breaker.State() == breaker.Closed }
+
+// Close drops the idle connections.
+func (c *Client) Close() { c.options.HTTP.CloseIdleConnections() }
+
+// Get implements platform.Table.
+func (c *Client) Get(ctx context.Context, keys []platform.Key) ([]platform.Row, error) {
+	if len(keys) == 0 {
+		return nil, nil
+	}
+	var answer wire.RowsResponse
+	check := func() error { return checkGet(keys, answer.Rows) }
+	if err := c.callJSON(ctx, c.table, wire.PathGet, wire.GetRequest{Keys: keys}, &answer, check); err != nil {
+		return nil, fmt.Errorf("get of %d rows: %w", len(keys), err)
+	}
+	return answer.Rows, nil
+}
+
+// Scan implements platform.Table.
+func (c *Client) Scan(ctx context.Context, table, prefix, after string, limit int) ([]platform.Row, error) {
+	request := wire.ScanRequest{Table: table, Prefix: prefix, After: after, Limit: limit}
+	var answer wire.RowsResponse
+	check := func() error { return checkScan(request, answer.Rows) }
+	if err := c.callJSON(ctx, c.table, wire.PathScan, request, &answer, check); err != nil {
+		return nil, fmt.Errorf("scan of %s/%s: %w", table, prefix, err)
+	}
+	return answer.Rows, nil
+}
+
+// callJSON performs a read of the table service whose answer must pass check.
+func (c *Client) callJSON(ctx context.Context, s *service, path string, request, answer any, check func() error) error {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return fmt.Errorf("encode: %w", err)
+	}
+	_, err = c.call(ctx, s, call{
+		method: http.MethodPost,
+		path:   path,
+		body:   body,
+		accept: func(raw []byte) error {
+			if err := json.Unmarshal(raw, answer); err != nil {
+				return err
+			}
+			return check()
+		},
+	})
+	return err
+}
+
+// Commit implements platform.Table.
+func (c *Client) Commit(ctx context.Context, writes []platform.Write) error {
+	if len(writes) == 0 {
+		return nil
+	}
+	body, err := json.Marshal(wire.CommitRequest{Writes: writes})
+	if err != nil {
+		return fmt.Errorf("encode: %w", err)
+	}
+	_, err = c.call(ctx, c.table, call{
+		method: http.MethodPost,
+		path:   wire.PathCommit,
+		body:   body,
+		write:  true,
+	})
+	if err != nil {
+		return fmt.Errorf("commit of %d writes: %w", len(writes), err)
+	}
+	return nil
+}
+
+// List implements platform.VMList.
+func (c *Client) List(ctx context.Context) ([]platform.ListedVM, error) {
+	var answer wire.VMsResponse
+	_, err := c.call(ctx, c.vms, call{
+		method: http.MethodGet,
+		path:   wire.PathVMs,
+		accept: func(raw []byte) error { return json.Unmarshal(raw, &answer) },
+	})
+	if err != nil {
+		return nil, fmt.Errorf("VM list: %w", err)
+	}
+	return answer.VMs, nil
+}
+
+// Objects returns the object store.
+func (c *Client) Objects() platform.Objects { return objects{c} }
+
+type objects struct{ c *Client }
+
+// Put implements platform.Objects. A lost answer is retried, since a second
+// put of the same content has no effect.
+func (o objects) Put(ctx context.Context, name string, data []byte) error {
+	_, err := o.c.call(ctx, o.c.objects, call{
+		method:     http.MethodPut,
+		path:       objectPath(name),
+		body:       data,
+		write:      true,
+		idempotent: true,
+	})
+	if err != nil {
+		return fmt.Errorf("put object %s: %w", name, err)
+	}
+	return nil
+}
+
+// Get implements platform.Objects.
+func (o objects) Get(ctx context.Context, name string) ([]byte, error) {
+	data, err := o.c.call(ctx, o.c.objects, call{method: http.MethodGet, path: objectPath(name)})
+	if err != nil {
+		return nil, fmt.Errorf("get object %s: %w", name, err)
+	}
+	return data, nil
+}
+
+// Delete implements platform.Objects.
+func (o objects) Delete(ctx context.Context, name string) error {
+	_, err := o.c.call(ctx, o.c.objects, call{
+		method:     http.MethodDelete,
+		path:       objectPath(name),
+		write:      true,
+		idempotent: true,
+	})
+	if err != nil {
+		return fmt.Errorf("delete object %s: %w", name, err)
+	}
+	return nil
+}
+
+// objectPath escapes each part of a name and keeps its slashes.
+func objectPath(name string) string {
+	parts := strings.Split(name, "/")
+	for i, p := range parts {
+		parts[i] = url.PathEscape(p)
+	}
+	return wire.PathObjects + strings.Join(parts, "/")
+}
+
+// checkGet reports rows that do not answer the keys.
+func checkGet(keys []platform.Key, rows []platform.Row) error {
+	if len(rows) != len(keys) {
+		return fmt.Errorf("%d rows for %d keys", len(rows), len(keys))
+	}
+	for i := range rows {
+		if rows[i].Key != keys[i] {
+			return fmt.Errorf("row of key %s/%s is that of %s/%s", keys[i].Table, keys[i].ID, rows[i].Key.Table, rows[i].Key.ID)
+		}
+	}
+	return nil
+}
+
+// checkScan reports rows that do not answer the scan.
+func checkScan(q wire.ScanRequest, rows []platform.Row) error {
+	if len(rows) > q.Limit {
+		return fmt.Errorf("%d rows for a limit of %d", len(rows), q.Limit)
+	}
+	after := q.After
+	for _, r := range rows {
+		inside := r.Key.Table == q.Table && strings.HasPrefix(r.Key.ID, q.Prefix)
+		if !inside || r.Key.ID <= after {
+			return fmt.Errorf("row %s/%s is outside the scan or out of order", r.Key.Table, r.Key.ID)
+		}
+		after = r.Key.ID
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/httpclient/client_test.go
@@ -0,0 +1,149 @@
+package httpclient
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisstall.example/ibisstall/internal/platform"
+	"ibisstall.example/ibisstall/internal/platform/breaker"
+	"ibisstall.example/ibisstall/internal/standin/platformsvc"
+)
+
+// newPair starts a stand-in and returns it with a client of it.
+func newPair(t *testing.T, o Options) (*platformsvc.Server, *Client) {
+	t.Helper()
+	service := platformsvc.NewServer(platformsvc.NewStore())
+	server := httptest.NewServer(service)
+	o.BaseURL = server.URL
+	o.DC = "amman-a"
+	client := New(o)
+	t.Cleanup(func() {
+		client.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return service, client
+}
+
+func put(id, value string, version uint64) []platform.Write {
+	return []platform.Write{{Key: platform.Key{Table: "t", ID: id}, IfVersion: version, Value: []byte(value)}}
+}
+
+func TestClient_ServesTableObjectsAndList(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	_, c := newPair(t, Options{})
+
+	is.NoErr(c.Commit(ctx, append(put("a", "1", 0), put("b", "2", 0)...)))
+	var conflict *platform.ConflictError
+	err := c.Commit(ctx, append(put("a", "3", 1), put("b", "4", 0)...))
+	is.True(errors.As(err, &conflict))
+	is.Equal(conflict.Indexes, []int{1})
+
+	rows, err := c.Get(ctx, []platform.Key{{Table: "t", ID: "a"}, {Table: "t", ID: "none"}})
+	is.NoErr(err)
+	is.Equal(string(rows[0].Value), "1") // the failed transaction wrote nothing
+	is.Equal(rows[1].Version, uint64(0))
+	rows, err = c.Scan(ctx, "t", "", "a", 10)
+	is.NoErr(err)
+	is.Equal(len(rows), 1)
+
+	objects := c.Objects()
+	is.NoErr(objects.Put(ctx, "h/x y", []byte("data")))
+	data, err := objects.Get(ctx, "h/x y")
+	is.NoErr(err)
+	is.Equal(string(data), "data")
+	is.NoErr(objects.Delete(ctx, "h/x y"))
+	_, err = objects.Get(ctx, "h/x y")
+	is.True(errors.Is(err, platform.ErrNotFound))
+
+	vms, err := c.List(ctx)
+	is.NoErr(err)
+	is.Equal(len(vms), 0)
+}
+
+func TestClient_TypesFailures(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault platformsvc.Fault
+		want  error
+		rows  uint64 // version of the row afterwards
+	}{
+		{"a service that is down had no effect", platformsvc.Fault{Down: true}, platform.ErrUnavailable, 0},
+		{"a lost answer leaves the effect unknown", platformsvc.Fault{LoseAnswers: 1}, platform.ErrUnknown, 1},
+		{"a hung write leaves the effect unknown", platformsvc.Fault{Hang: true}, platform.ErrUnknown, 0},
+		{"a fault of another data centre does no harm", platformsvc.Fault{DC: "amman-b", Down: true}, nil, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			ctx := context.Background()
+			service, c := newPair(t, Options{AttemptTimeout: 200 * time.Millisecond})
+			tc.fault.Service = platformsvc.Table
+			is.NoErr(service.SetControl(platformsvc.Control{Faults: []platformsvc.Fault{tc.fault}}))
+			err := c.Commit(ctx, put("a", "1", 0))
+			is.True(errors.Is(err, tc.want)) // the typed error of the fault
+			is.NoErr(service.SetControl(platformsvc.Control{}))
+			rows, err := service.Direct("x").Get(ctx, []platform.Key{{Table: "t", ID: "a"}})
+			is.NoErr(err)
+			is.Equal(rows[0].Version, tc.rows)
+		})
+	}
+}
+
+func TestClient_ReplacesASilentConnectionAndBreakerCloses(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	var replaced atomic.Int64
+	service, c := newPair(t, Options{
+		AttemptTimeout: 50 * time.Millisecond,
+		MaxTries:       1,
+		Breaker:        breaker.Settings{Failures: 2, OpenFor: 20 * time.Millisecond},
+		OnReplaced:     func(string) { replaced.Add(1) },
+	})
+	keys := []platform.Key{{Table: "t", ID: "a"}}
+	is.NoErr(service.SetControl(platformsvc.Control{Faults: []platformsvc.Fault{{Service: platformsvc.Table, Hang: true}}}))
+	for range 2 {
+		_, err := c.Get(ctx, keys)
+		is.True(errors.Is(err, platform.ErrUnavailable))
+	}
+	is.Equal(replaced.Load(), int64(2))
+	is.True(!c.Reachable())
+
+	is.NoErr(service.SetControl(platformsvc.Control{}))
+	deadline := time.Now().Add(5 * time.Second)
+	for !c.Reachable() && time.Now().Before(deadline) {
+		_, _ = c.Get(ctx, keys) // refused until the probe
+		time.Sleep(time.Millisecond)
+	}
+	is.True(c.Reachable())
+}
+
+func TestClient_RetriesReadsWithinTheBudget(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	service, c := newPair(t, Options{MaxTries: 2, Breaker: breaker.Settings{Failures: 1 << 20}})
+	is.NoErr(service.SetControl(platformsvc.Control{Faults: []platformsvc.Fault{{Service: platformsvc.Table, Down: true}}}))
+	const calls = 100
+	for range calls {
+		_, err := c.Get(ctx, []platform.Key{{Table: "t", ID: "a"}})
+		is.True(errors.Is(err, platform.ErrUnavailable))
+	}
+	retries := service.Counters().Refused - calls
+	is.True(retries >= budgetCap)                           // saved-up retries are used
+	is.True(retries <= budgetCap+calls*DefaultRetryShare+1) // and no more than the share of live calls after that
+}
+
+func TestClient_RefusesAnAnswerToAnotherRequest(t *testing.T) {
+	is := is.New(t)
+	keys := []platform.Key{{Table: "t", ID: "a"}}
+	is.True(checkGet(keys, []platform.Row{{Key: platform.Key{Table: "t", ID: "b"}}}) != nil)
+	is.True(checkGet(keys, nil) != nil)
+	is.NoErr(checkGet(keys, []platform.Row{{Key: keys[0]}}))
+}
