--- a/internal/entity/program.go
+++ b/internal/entity/program.go
@@ -121,6 +121,9 @@
 	// Epoch and Owner fence the family: each adoption raises the epoch.
 	Epoch uint64 `json:"epoch,omitempty"`
 	Owner string `json:"owner,omitempty"`
+	// Records is the number of the family's last journal record that the
+	// rows contain. It stands in the root row only.
+	Records uint64 `json:"records,omitempty"`
 
 	// Budget, Used and Reserved cover the family and stand in the root row
 	// only. Reserved is an amount granted to the owner but not yet settled;
