--- /dev/null
+++ b/internal/system/journal/intent.go
@@ -0,0 +1,90 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/platform"
+)
+
+// WriteIntent writes the intent of a call that must not be repeated, before it
+// is sent. It takes effect only while this journal owns the family and the
+// request id has no intent yet. Only a nil error allows the call to be sent.
+// Errors: ErrIntentExists, see LookupIntent; ErrUnavailable, since an intent
+// is never buffered; ErrOwnershipLost; ErrUnresolved.
+func (j *Journal) WriteIntent(ctx context.Context, intent *entity.Intent) error {
+	root := intent.Program.Root()
+	f := j.family(root)
+	if f == nil {
+		return fmt.Errorf("%w: %s", ErrOwnershipLost, root)
+	}
+	e, err := f.acceptIntent(intent)
+	if err != nil {
+		return err
+	}
+	j.start(f)
+	_, err = (&Pending{entry: e}).Wait(ctx)
+	return err
+}
+
+func (f *family) acceptIntent(intent *entity.Intent) (*entry, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lost != nil {
+		return nil, f.lost
+	}
+	if f.latest[intent.Program] == nil {
+		return nil, fmt.Errorf("%w: program %s", ErrNotFound, intent.Program)
+	}
+	own := *intent
+	own.Epoch = f.epoch
+	own.State = entity.IntentWritten
+	e := newEntry()
+	e.intent = true
+	if err := e.add(IntentKey(own.Program, own.RequestID), &own); err != nil {
+		return nil, err
+	}
+	f.queue = append(f.queue, e)
+	return e, nil
+}
+
+// RecordOutcome records what became of an intent, without a turn. It is
+// buffered like any change. To record a turn with it, use Append.
+func (j *Journal) RecordOutcome(ctx context.Context, intent *entity.Intent) (Durability, error) {
+	return j.Append(ctx, intent.Program.Root(), Changes{Outcomes: []*entity.Intent{intent}})
+}
+
+// LookupIntent reads the intent of a request, or gives ErrNotFound. An outcome
+// that is still buffered is not seen.
+func (j *Journal) LookupIntent(ctx context.Context, program entity.ProgramID, requestID string) (*entity.Intent, error) {
+	key := IntentKey(program, requestID)
+	rows, err := j.table.Get(ctx, []platform.Key{key})
+	if err != nil {
+		return nil, readError("intent", err)
+	}
+	if rows[0].Version == 0 {
+		return nil, fmt.Errorf("%w: intent %s", ErrNotFound, key.ID)
+	}
+	if f := j.family(program.Root()); f != nil {
+		f.sawIntent(rows[0])
+	}
+	return decodeIntent(rows[0])
+}
+
+// sawIntent notes the version of an intent row for its outcome. A version
+// never goes back.
+func (f *family) sawIntent(r platform.Row) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.intents[r.Key] = max(f.intents[r.Key], r.Version)
+}
+
+// readError turns an error of a platform read.
+func readError(what string, err error) error {
+	if errors.Is(err, platform.ErrUnavailable) {
+		return fmt.Errorf("%w: read %s: %w", ErrUnavailable, what, err)
+	}
+	return fmt.Errorf("read %s: %w", what, err)
+}
--- /dev/null
+++ b/internal/system/journal/load.go
@@ -0,0 +1,242 @@
+package journal
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/klauspost/compress/zstd"
+
+	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/platform"
+)
+
+// Load reads the rows of a family, owned or not. It takes one read, and one
+// more if the root program has sub-agents.
+func (j *Journal) Load(ctx context.Context, root entity.ProgramID) (*Family, error) {
+	rows, err := j.readFamily(ctx, root, nil)
+	if err != nil {
+		return nil, err
+	}
+	family := &Family{Root: root, Programs: make(map[entity.ProgramID]VersionedProgram, len(rows))}
+	for id, r := range rows {
+		family.Programs[id] = VersionedProgram{Program: r.program.Copy(), Version: r.version}
+	}
+	return family, nil
+}
+
+// readFamily reads the program rows of a family; rootRow may be given.
+func (j *Journal) readFamily(ctx context.Context, root entity.ProgramID, rootRow *platform.Row) (map[entity.ProgramID]row, error) {
+	if rootRow == nil {
+		rows, err := j.table.Get(ctx, []platform.Key{ProgramKey(root)})
+		if err != nil {
+			return nil, readError("program", err)
+		}
+		rootRow = &rows[0]
+	}
+	if rootRow.Version == 0 {
+		return nil, fmt.Errorf("%w: program %s", ErrNotFound, root)
+	}
+	p, err := decodeProgram(*rootRow)
+	if err != nil {
+		return nil, err
+	}
+	family := map[entity.ProgramID]row{root: {version: rootRow.Version, program: p}}
+	if p.Children == 0 {
+		return family, nil
+	}
+	children, err := j.scanAll(ctx, TablePrograms, string(root)+".", "")
+	if err != nil {
+		return nil, err
+	}
+	for _, r := range children {
+		child, err := decodeProgram(r)
+		if err != nil {
+			return nil, err
+		}
+		family[child.ID] = row{version: r.Version, program: child}
+	}
+	return family, nil
+}
+
+// scanAll reads all rows of a prefix after an id.
+func (j *Journal) scanAll(ctx context.Context, table, prefix, after string) ([]platform.Row, error) {
+	var all []platform.Row
+	for {
+		rows, err := j.table.Scan(ctx, table, prefix, after, platform.MaxScanRows)
+		if err != nil {
+			return nil, readError(table, err)
+		}
+		all = append(all, rows...)
+		if len(rows) < platform.MaxScanRows {
+			return all, nil
+		}
+		after = rows[len(rows)-1].Key.ID
+	}
+}
+
+// errMoved means that a compaction moved turns while they were read.
+var errMoved = errors.New("turns moved while they were read")
+
+// History reads the turns of a program from a number on, in order: one read
+// for the program, one for its compacted turns and one for each
+// platform.MaxScanRows later ones. Records that are buffered here are included.
+func (j *Journal) History(ctx context.Context, program entity.ProgramID, from uint64) ([]*entity.Turn, error) {
+	const maxTries = 4
+	from = max(from, 1)
+	var err error
+	for range maxTries {
+		var turns []*entity.Turn
+		turns, err = j.readHistory(ctx, program, from)
+		if err == nil {
+			return j.withBuffered(program, from, turns), nil
+		}
+		if !errors.Is(err, errMoved) {
+			return nil, err
+		}
+	}
+	return nil, fmt.Errorf("%w: %w", ErrCorrupt, err)
+}
+
+func (j *Journal) readHistory(ctx context.Context, id entity.ProgramID, from uint64) ([]*entity.Turn, error) {
+	rows, err := j.table.Get(ctx, []platform.Key{ProgramKey(id)})
+	if err != nil {
+		return nil, readError("program", err)
+	}
+	if rows[0].Version == 0 {
+		if j.queued(id) {
+			return nil, nil
+		}
+		return nil, fmt.Errorf("%w: program %s", ErrNotFound, id)
+	}
+	p, err := decodeProgram(rows[0])
+	if err != nil {
+		return nil, err
+	}
+	var turns []*entity.Turn
+	if from <= p.Compacted {
+		compacted, err := j.readCompacted(ctx, p)
+		if err != nil {
+			return nil, err
+		}
+		turns = compacted[from-1:]
+	}
+	if next := from + uint64(len(turns)); next <= p.Head {
+		tail, err := j.readTurnRows(ctx, id, next)
+		if err != nil {
+			return nil, err
+		}
+		turns = append(turns, tail...)
+	}
+	return turns, checkTurns(turns, from, p.Head)
+}
+
+// readTurnRows reads the turns that stand in rows, from a number on.
+func (j *Journal) readTurnRows(ctx context.Context, id entity.ProgramID, from uint64) ([]*entity.Turn, error) {
+	rows, err := j.scanAll(ctx, TableTurns, string(id)+"/", TurnKey(id, from-1).ID)
+	if err != nil {
+		return nil, err
+	}
+	turns := make([]*entity.Turn, len(rows))
+	for i, r := range rows {
+		if turns[i], err = decodeTurn(r); err != nil {
+			return nil, err
+		}
+	}
+	return turns, nil
+}
+
+// checkTurns reports turns that are not from..head without a gap. More than
+// head may be there, appended since the head was read.
+func checkTurns(turns []*entity.Turn, from, head uint64) error {
+	for i, t := range turns {
+		if t.Number != from+uint64(i) {
+			return fmt.Errorf("%w: turn %d stands in place of %d", errMoved, t.Number, from+uint64(i))
+		}
+	}
+	if last := from + uint64(len(turns)) - 1; last < head {
+		return fmt.Errorf("%w: %d of %d turns", errMoved, last, head)
+	}
+	return nil
+}
+
+// readCompacted reads the compacted turns of a program.
+func (j *Journal) readCompacted(ctx context.Context, p *entity.Program) ([]*entity.Turn, error) {
+	data, err := j.objects.Get(ctx, p.CompactedIn)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, fmt.Errorf("%w: object %s", errMoved, p.CompactedIn)
+	}
+	if err != nil {
+		return nil, readError("compacted turns", err)
+	}
+	turns, err := decodeSegment(data)
+	if err != nil {
+		return nil, fmt.Errorf("object %s: %w", p.CompactedIn, err)
+	}
+	if err := checkTurns(turns, 1, p.Compacted); err != nil || uint64(len(turns)) != p.Compacted {
+		return nil, fmt.Errorf("%w: object %s holds %d turns, not %d", ErrCorrupt, p.CompactedIn, len(turns), p.Compacted)
+	}
+	return turns, nil
+}
+
+// withBuffered appends the turns of queued records that follow.
+func (j *Journal) withBuffered(id entity.ProgramID, from uint64, turns []*entity.Turn) []*entity.Turn {
+	f := j.family(id.Root())
+	if f == nil {
+		return turns
+	}
+	for _, e := range f.bufferedEntries() {
+		for _, t := range e.record.Turns {
+			if t.Program == id && t.Number == from+uint64(len(turns)) {
+				turns = append(turns, t)
+			}
+		}
+	}
+	return turns
+}
+
+// queued reports whether a program is known from its queued records.
+func (j *Journal) queued(id entity.ProgramID) bool {
+	f := j.family(id.Root())
+	if f == nil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.latest[id] != nil
+}
+
+// maxSegmentBytes bounds a decoded segment.
+const maxSegmentBytes = 256 << 20
+
+// encodeSegment returns turns as zstd-compressed JSON.
+func encodeSegment(turns []*entity.Turn) ([]byte, error) {
+	raw, err := json.Marshal(turns)
+	if err != nil {
+		return nil, fmt.Errorf("encode segment: %w", err)
+	}
+	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
+	if err != nil {
+		return nil, fmt.Errorf("encode segment: %w", err)
+	}
+	defer encoder.Close()
+	return encoder.EncodeAll(raw, nil), nil
+}
+
+func decodeSegment(data []byte) ([]*entity.Turn, error) {
+	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxSegmentBytes))
+	if err != nil {
+		return nil, fmt.Errorf("decode segment: %w", err)
+	}
+	defer decoder.Close()
+	raw, err := decoder.DecodeAll(data, nil)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrCorrupt, err)
+	}
+	var turns []*entity.Turn
+	if err := json.Unmarshal(raw, &turns); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrCorrupt, err)
+	}
+	return turns, nil
+}
--- /dev/null
+++ b/internal/system/journal/record.go
@@ -0,0 +1,131 @@
+package journal
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/platform"
+)
+
+// Tables of the journal.
+const (
+	TablePrograms = "programs" // id: program id
+	TableTurns    = "turns"    // id: "<program>/<turn, 20 digits>"
+	TableIntents  = "intents"  // id: "<program>/<request id>"
+)
+
+// ProgramKey names the row of a program.
+func ProgramKey(id entity.ProgramID) platform.Key {
+	return platform.Key{Table: TablePrograms, ID: string(id)}
+}
+
+// TurnKey names the row of a turn.
+func TurnKey(id entity.ProgramID, turn uint64) platform.Key {
+	return platform.Key{Table: TableTurns, ID: fmt.Sprintf("%s/%020d", id, turn)}
+}
+
+// IntentKey names the row of an intent.
+func IntentKey(id entity.ProgramID, requestID string) platform.Key {
+	return platform.Key{Table: TableIntents, ID: string(id) + "/" + requestID}
+}
+
+// Durability tells how safe accepted changes are.
+type Durability uint8
+
+// The durabilities.
+const (
+	// Durable means that the platform has the changes.
+	Durable Durability = iota + 1
+	// Buffered means that the owner and the mirror have the changes until
+	// the platform returns.
+	Buffered
+)
+
+// Changes are what one call changes in a family. They take effect together.
+// The journal keeps what it is given: the caller must not change it later.
+type Changes struct {
+	// Programs are the new states of program rows; a row that is not known
+	// yet is made. The journal sets Head, Epoch, Owner, Records, Compacted
+	// and CompactedIn itself.
+	Programs []*entity.Program
+	// Turns follow the last turn of their program.
+	Turns []*entity.Turn
+	// Outcomes are the new states of intents written earlier.
+	Outcomes []*entity.Intent
+	// Reservation, if set, is the room kept for these changes; the journal
+	// takes it over.
+	Reservation *Reservation
+}
+
+// Record is one accepted Changes with its place in the family's order. It is
+// what the mirror keeps.
+type Record struct {
+	Number   uint64            `json:"number"` // from 1, without gaps
+	Epoch    uint64            `json:"epoch"`
+	Programs []*entity.Program `json:"programs,omitempty"`
+	Turns    []*entity.Turn    `json:"turns,omitempty"`
+	Outcomes []*entity.Intent  `json:"outcomes,omitempty"`
+}
+
+// row is a durable program row. The program is never changed in place.
+type row struct {
+	version uint64
+	program *entity.Program
+}
+
+// Family is a snapshot of the rows of a family.
+type Family struct {
+	Root     entity.ProgramID
+	Programs map[entity.ProgramID]VersionedProgram
+}
+
+// VersionedProgram is a program with the version of its row. While records are
+// buffered, the program is ahead of its row.
+type VersionedProgram struct {
+	Program *entity.Program
+	Version uint64
+}
+
+// RootProgram returns the root program, or nil.
+func (f *Family) RootProgram() *entity.Program { return f.Programs[f.Root].Program }
+
+func decodeProgram(r platform.Row) (*entity.Program, error) {
+	p := new(entity.Program)
+	if err := json.Unmarshal(r.Value, p); err != nil {
+		return nil, fmt.Errorf("%w: program row %s: %w", ErrCorrupt, r.Key.ID, err)
+	}
+	if string(p.ID) != r.Key.ID {
+		return nil, fmt.Errorf("%w: row %s holds program %s", ErrCorrupt, r.Key.ID, p.ID)
+	}
+	return p, nil
+}
+
+func decodeTurn(r platform.Row) (*entity.Turn, error) {
+	t := new(entity.Turn)
+	if err := json.Unmarshal(r.Value, t); err != nil {
+		return nil, fmt.Errorf("%w: turn row %s: %w", ErrCorrupt, r.Key.ID, err)
+	}
+	if TurnKey(t.Program, t.Number) != r.Key {
+		return nil, fmt.Errorf("%w: row %s holds turn %d of %s", ErrCorrupt, r.Key.ID, t.Number, t.Program)
+	}
+	return t, nil
+}
+
+func decodeIntent(r platform.Row) (*entity.Intent, error) {
+	i := new(entity.Intent)
+	if err := json.Unmarshal(r.Value, i); err != nil {
+		return nil, fmt.Errorf("%w: intent row %s: %w", ErrCorrupt, r.Key.ID, err)
+	}
+	return i, nil
+}
+
+// encode returns the value of a row. Entities hold nothing that can't be
+// encoded but raw JSON of callers.
+func encode(v any) ([]byte, error) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	return raw, nil
+}
