Keys of workspaces and operators

A workspace may have several at once, so that a key is replaced without a gap. A look-up compares with every hash in constant time.

--- /dev/null
+++ b/internal/keys/keys.go
@@ -0,0 +1,116 @@
+// Package keys makes and checks the keys of workspaces and operators. Only
+// hashes of keys are kept; a key itself is never stored or logged.
+package keys
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"ibisstall.example/ibisstall/internal/entity"
+)
+
+// Hash is the SHA-256 hash of a key. Keys are random and long, so that no
+// salt and no slow hash is needed.
+type Hash [sha256.Size]byte
+
+// HashOf returns the hash of a key.
+func HashOf(key string) Hash { return sha256.Sum256([]byte(key)) }
+
+// String returns the hash in lower-case hex, as it stands in settings and in
+// the table of weights and limits.
+func (h Hash) String() string { return hex.EncodeToString(h[:]) }
+
+// ParseHash reads a hash in hex.
+func ParseHash(text string) (Hash, bool) {
+	var h Hash
+	if len(text) != hex.EncodedLen(len(h)) {
+		return h, false
+	}
+	_, err := hex.Decode(h[:], []byte(text))
+	return h, err == nil
+}
+
+// Prefix starts every generated key, so that scanners for leaked secrets can
+// find it.
+const Prefix = "ibis_"
+
+// Generate returns a new random key.
+func Generate() string {
+	const keyBytes = 32
+	var b [keyBytes]byte
+	_, _ = rand.Read(b[:]) // never fails, see crypto/rand
+	return Prefix + base64.RawURLEncoding.EncodeToString(b[:])
+}
+
+// MaxKey is the length of the longest key that is looked at, in bytes.
+const MaxKey = 512
+
+// Bearer returns the key of a request's Authorization header.
+func Bearer(h http.Header) (string, bool) {
+	const scheme = "bearer "
+	value := h.Get("Authorization")
+	if len(value) <= len(scheme) || !strings.EqualFold(value[:len(scheme)], scheme) {
+		return "", false
+	}
+	key := strings.TrimSpace(value[len(scheme):])
+	return key, key != "" && len(key) <= MaxKey
+}
+
+// Set is an immutable set of accepted keys, each with the name of its holder.
+type Set struct{ entries []entry }
+
+type entry struct {
+	hash   Hash
+	holder string
+}
+
+// Operators returns the set of operators' keys from their hashes in hex. Hashes
+// that don't parse are left out; settings are checked before.
+func Operators(hashes []string) *Set {
+	s := &Set{}
+	s.add("operator", hashes)
+	return s
+}
+
+// Workspaces returns the set of the workspaces' keys of a table. A workspace
+// may have several keys at once, so that a key can be replaced without a gap.
+func Workspaces(c *entity.Config) *Set {
+	s := &Set{}
+	for i := range c.Rows {
+		if row := &c.Rows[i]; row.Kind == entity.RowWorkspace {
+			s.add(row.Name, row.KeyHashes)
+		}
+	}
+	return s
+}
+
+func (s *Set) add(holder string, hashes []string) {
+	for _, text := range hashes {
+		if h, ok := ParseHash(text); ok {
+			s.entries = append(s.entries, entry{h, holder})
+		}
+	}
+}
+
+// Holder returns whose key it is. It compares with every entry whatever is
+// found, so that the time taken doesn't tell which entry matched.
+func (s *Set) Holder(key string) (string, bool) {
+	h := HashOf(key)
+	found := -1
+	for i := range s.entries {
+		equal := subtle.ConstantTimeCompare(h[:], s.entries[i].hash[:])
+		found = subtle.ConstantTimeSelect(equal, i, found)
+	}
+	if found < 0 {
+		return "", false
+	}
+	return s.entries[found].holder, true
+}
+
+// Len returns the number of accepted keys.
+func (s *Set) Len() int { return len(s.entries) }
--- /dev/null
+++ b/internal/keys/keys_test.go
@@ -0,0 +1,76 @@
+package keys
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"ibisstall.example/ibisstall/internal/entity"
+)
+
+func TestSet_HolderAcceptsEveryKeyOfAWorkspaceDuringRotation(t *testing.T) {
+	is := is.New(t)
+	old, fresh, other := Generate(), Generate(), Generate()
+	table := &entity.Config{Rows: []entity.ConfigRow{
+		{Kind: entity.RowWorkspace, Name: "couples", KeyHashes: []string{HashOf(old).String(), HashOf(fresh).String()}},
+		{Kind: entity.RowWorkspace, Name: "bakers", KeyHashes: []string{HashOf(other).String()}},
+		{Kind: entity.RowTool, Name: "deposit"},
+	}}
+	s := Workspaces(table)
+	is.Equal(s.Len(), 3)
+	for key, want := range map[string]string{old: "couples", fresh: "couples", other: "bakers"} {
+		holder, ok := s.Holder(key)
+		is.True(ok)
+		is.Equal(holder, want)
+	}
+	table.Rows[0].KeyHashes = table.Rows[0].KeyHashes[1:] // revoke the old key
+	_, ok := Workspaces(table).Holder(old)
+	is.True(!ok)
+}
+
+func TestSet_HolderRefusesUnknownAndEmptyKeys(t *testing.T) {
+	is := is.New(t)
+	s := Operators([]string{HashOf(Generate()).String(), "not a hash"})
+	is.Equal(s.Len(), 1)
+	for _, key := range []string{"", Generate(), HashOf("x").String()} {
+		_, ok := s.Holder(key)
+		is.True(!ok)
+	}
+	_, ok := Operators(nil).Holder("")
+	is.True(!ok)
+}
+
+func TestBearer(t *testing.T) {
+	cases := []struct {
+		name, header, key string
+		ok                bool
+	}{
+		{"a bearer token is found", "Bearer abc", "abc", true},
+		{"the scheme has any case", "bEARER abc", "abc", true},
+		{"another scheme is refused", "Basic abc", "", false},
+		{"an empty token is refused", "Bearer   ", "", false},
+		{"no header is refused", "", "", false},
+		{"a token that is too long is refused", "Bearer " + strings.Repeat("a", MaxKey+1), "", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			key, ok := Bearer(http.Header{"Authorization": {c.header}})
+			is.Equal(ok, c.ok)
+			if ok {
+				is.Equal(key, c.key)
+			}
+		})
+	}
+}
+
+func TestGenerate_KeysDifferAndHashesAreReadBack(t *testing.T) {
+	is := is.New(t)
+	a, b := Generate(), Generate()
+	is.True(a != b && strings.HasPrefix(a, Prefix))
+	h, ok := ParseHash(HashOf(a).String())
+	is.True(ok)
+	is.Equal(h, HashOf(a))
+}
