--- /dev/null
+++ b/internal/metric/metric_test.go
@@ -0,0 +1,56 @@
+package metric
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestCounterVec_BoundsTheLabelValues(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry()
+	v := r.CounterVec("ibisstall_calls_total", "workspace", 3)
+	var wg sync.WaitGroup
+	for worker := range 4 {
+		wg.Go(func() {
+			for i := range 100 {
+				v.With(fmt.Sprint("w", (i+worker)%10)).Inc()
+			}
+		})
+	}
+	wg.Wait()
+	v.With("line\nbreak").Inc()
+	var out strings.Builder
+	r.set.WritePrometheus(&out)
+	lines := strings.Count(out.String(), "ibisstall_calls_total{")
+	is.Equal(lines, 4) // three values and other
+	is.Equal(v.With(Other).Get(), uint64(4*70+1))
+}
+
+func TestRegistry_RefusesNamesWithoutPrefixOrUnit(t *testing.T) {
+	for _, name := range []string{"calls_total", "ibisstall_calls", "ibisstall_Calls_total", `ibisstall_calls_total{a="b"}`} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			defer func() { is.True(recover() != nil) }()
+			NewRegistry().Counter(name)
+		})
+	}
+}
+
+func TestRegistry_ServesAllMetrics(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry()
+	r.Counter("ibisstall_turns_total").Add(7)
+	r.Gauge("ibisstall_buffer_bytes", func() float64 { return 5 })
+	r.Histogram("ibisstall_turn_seconds").Update(0.5)
+	r.HistogramVec("ibisstall_call_seconds", "kind", 3).With("tool").Update(1)
+	rec := httptest.NewRecorder()
+	r.ServeHTTP(rec, nil)
+	for _, want := range []string{"ibisstall_turns_total 7", "ibisstall_buffer_bytes 5", "ibisstall_turn_seconds_count 1", `ibisstall_call_seconds_count{kind="tool"} 1`, "process_resident_memory_bytes"} {
+		is.True(strings.Contains(rec.Body.String(), want))
+	}
+}
