--- a/internal/settings/secret.go
+++ b/internal/settings/secret.go
@@ -49,7 +49,7 @@
 		if file == "" {
 			return
 		}
-		secret, err := readSecret(s.path(file))
+		secret, err := ReadSecret(s.path(file))
 		if err != nil {
 			errs = append(errs, s.fail(section, key, err.Error(), secretFileRule))
 			return
@@ -91,8 +91,8 @@
 	}
 }
 
-// readSecret reads a secret from a file that nobody but its owner can access.
-func readSecret(file string) (Secret, error) {
+// ReadSecret reads a secret from a file that nobody but its owner can access.
+func ReadSecret(file string) (Secret, error) {
 	info, err := os.Stat(file)
 	if err != nil {
 		return Secret{}, err
