Subcommands table, program, vm, timeline and key

Operators speak to any VM. An edit of the table carries an id, so that it takes effect once when its answer is lost, and the version that it is based on, so that a stale one is refused with who changed the table. Exit codes tell wrong use from failure. Tests run the real binary against a small HTTP fake.

--- /dev/null
+++ b/cmd/ibisstall/key.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"ibisstall.example/ibisstall/internal/keys"
+)
+
+func init() {
+	register(command{
+		name:  "key",
+		short: "make keys of workspaces and operators",
+		long:  "Makes keys. Only their hashes go into the table of weights and limits and into settings.",
+		sub: []command{{
+			name: "generate", short: "make a key and its hash", data: &keyGenerate{},
+			long: "Makes a random key. Give the key to its holder, and put the hash into the key_hashes cell of the workspace's row " +
+				"or, for an operator, into [keys] operator_key_hashes. To replace a key, add the new hash first and remove the old one " +
+				"when its holder has changed over.",
+			examples: []string{"ibisstall key generate", "ibisstall key generate --output operator.key"},
+		}},
+	})
+}
+
+type keyGenerate struct {
+	Output string `long:"output" short:"o" value-name:"FILE" description:"write the key to a new file closed to others, and print only the hash"`
+	JSON   bool   `long:"json" description:"print JSON"`
+}
+
+// Execute implements flags.Commander.
+func (c *keyGenerate) Execute([]string) error {
+	key := keys.Generate()
+	hash := keys.HashOf(key).String()
+	if c.Output != "" {
+		if err := writeNewSecret(c.Output, key); err != nil {
+			return err
+		}
+		key = ""
+	}
+	if c.JSON {
+		return printJSON(struct {
+			Key  string `json:"key,omitempty"`
+			Hash string `json:"hash"`
+		}{key, hash})
+	}
+	if key != "" {
+		fmt.Println("key: ", key)
+	}
+	fmt.Println("hash:", hash)
+	return nil
+}
+
+// writeNewSecret writes a file that only its owner can access; it never
+// overwrites one.
+func writeNewSecret(name, secret string) error {
+	const ownerOnly = 0o600
+	f, err := os.OpenFile(name, os.O_WRONLY|os.O_CREATE|os.O_EXCL, ownerOnly)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintln(f, secret); err != nil {
+		_ = f.Close()
+		return err
+	}
+	return f.Close()
+}
--- a/cmd/ibisstall/main.go
+++ b/cmd/ibisstall/main.go
@@ -53,7 +53,8 @@
 // run executes one command line and returns the exit code.
 func run(args []string, stdout, stderr io.Writer) int {
 	var global globalOptions
-	parser, err := newParser(&global)
+	started := false
+	parser, err := newParser(&global, &started)
 	if err != nil {
 		fmt.Fprintln(stderr, "ibisstall:", err)
 		return exitFailed
@@ -66,14 +67,23 @@
 	if parser.Active == nil && err == nil {
 		err = &usageError{"no subcommand given"}
 	}
+	var flagErr *flags.Error
+	if err != nil && !started && !errors.As(err, &flagErr) {
+		err = &usageError{err.Error()} // an argument that can't be parsed
+	}
 	return report(err, stdout, stderr)
 }
 
-func newParser(global *globalOptions) (*flags.Parser, error) {
+// newParser returns the parser of the command line. It sets started when it
+// hands over to a subcommand.
+func newParser(global *globalOptions, started *bool) (*flags.Parser, error) {
 	parser := flags.NewNamedParser("ibisstall", flags.HelpFlag|flags.PassDoubleDash)
 	parser.SubcommandsOptional = true
 	parser.ShortDescription = "scheduler for agent programs"
-	parser.CommandHandler = execute
+	parser.CommandHandler = func(c flags.Commander, args []string) error {
+		*started = true
+		return execute(c, args)
+	}
 	if _, err := parser.AddGroup("Options", "", global); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/cmd/ibisstall/remote_test.go
@@ -0,0 +1,300 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const operatorKey = "ibis_operator-key-for-tests"
+
+// fakeVM answers the operators' part of the HTTP interface from memory.
+type fakeVM struct {
+	mu       sync.Mutex // held during each answer
+	versions []map[string]any
+	edits    map[string]bool
+	drained  string
+	// lose is the number of answers to edits that are cut off after the edit
+	// took effect.
+	lose int
+}
+
+func newFakeVM(t *testing.T) (*fakeVM, []string) {
+	t.Helper()
+	f := &fakeVM{edits: make(map[string]bool)}
+	f.add("first", []any{map[string]any{"kind": "tool", "name": "deposit", "timeout": "30s", "max_concurrent": 4}})
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/table", func(w http.ResponseWriter, _ *http.Request) { f.answerTable(w) })
+	mux.HandleFunc("PUT /v1/table", func(w http.ResponseWriter, r *http.Request) {
+		f.edit(w, r, func(body map[string]any) []any { return body["rows"].([]any) })
+	})
+	mux.HandleFunc("GET /v1/table/history", func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, f.versions) })
+	mux.HandleFunc("POST /v1/table/revert", func(w http.ResponseWriter, r *http.Request) {
+		f.edit(w, r, func(body map[string]any) []any { return f.versions[int(body["version"].(float64))-1]["rows"].([]any) })
+	})
+	mux.HandleFunc("GET /v1/programs", programs)
+	mux.HandleFunc("GET /v1/programs/{id}", oneProgram("active"))
+	mux.HandleFunc("DELETE /v1/programs/{id}", oneProgram("cancelled"))
+	mux.HandleFunc("GET /v1/programs/{id}/history", turns)
+	mux.HandleFunc("GET /v1/vms", f.vms)
+	mux.HandleFunc("POST /v1/vms/{id}/drain", func(w http.ResponseWriter, r *http.Request) {
+		f.drained = r.PathValue("id")
+		w.WriteHeader(http.StatusAccepted)
+	})
+	mux.HandleFunc("GET /v1/timeline", events)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != "Bearer "+operatorKey {
+			fail(w, http.StatusUnauthorized, "unauthorized", "the key is missing or not accepted", "")
+			return
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		mux.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	keyFile := filepath.Join(t.TempDir(), "operator.key")
+	is.New(t).NoErr(os.WriteFile(keyFile, []byte(operatorKey+"\n"), 0o600))
+	return f, []string{"IBISSTALL_SERVER=" + server.URL, "IBISSTALL_KEY_FILE=" + keyFile}
+}
+
+func (f *fakeVM) add(author string, rows []any) {
+	f.versions = append(f.versions, map[string]any{
+		"version": len(f.versions) + 1, "author": author, "at": "2026-03-01T04:00:00Z", "rows": rows, "etag": fmt.Sprintf(`"%d"`, len(f.versions)+1),
+	})
+}
+
+// loseNextAnswer cuts off the next answer to an edit.
+func (f *fakeVM) loseNextAnswer() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lose = 1
+}
+
+func (f *fakeVM) latest() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.versions)
+}
+
+func (f *fakeVM) answerTable(w http.ResponseWriter) {
+	latest := f.versions[len(f.versions)-1]
+	w.Header().Set("ETag", latest["etag"].(string))
+	answer(w, http.StatusOK, latest)
+}
+
+// edit applies an edit once for each id, if it is based on the latest version.
+func (f *fakeVM) edit(w http.ResponseWriter, r *http.Request, rows func(body map[string]any) []any) {
+	var body map[string]any
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		fail(w, http.StatusBadRequest, "bad_request", err.Error(), "")
+		return
+	}
+	id := r.Header.Get("Idempotency-Key")
+	if !f.edits[id] {
+		if r.Header.Get("If-Match") != f.versions[len(f.versions)-1]["etag"] {
+			fail(w, http.StatusPreconditionFailed, "stale", "the table changed since it was read", "tool deposit")
+			return
+		}
+		f.add(body["author"].(string), rows(body))
+		f.edits[id] = true
+	}
+	if f.lose > 0 {
+		f.lose--
+		panic(http.ErrAbortHandler)
+	}
+	f.answerTable(w)
+}
+
+func (f *fakeVM) vms(w http.ResponseWriter, _ *http.Request) {
+	list := []map[string]any{}
+	for _, id := range []string{"amman-a-1", "amman-b-1"} {
+		if id != f.drained {
+			list = append(list, map[string]any{"id": id, "dc": id[:7], "state": "alive", "mesh_addr": "10.0.0.1:8081", "config_version": 7, "platform_reachable": id == "amman-a-1"})
+		}
+	}
+	answer(w, http.StatusOK, list)
+}
+
+func programJSON(id, state string) map[string]any {
+	return map[string]any{
+		"id": id, "workspace": "rounds", "state": state, "created": "2026-03-01T04:00:00Z", "turns": 2, "owner": "amman-a-1", "epoch": 3,
+		"budget": map[string]any{"tokens": 1000, "turns": 20, "seconds": 600}, "used": map[string]any{"tokens": 77, "turns": 5},
+	}
+}
+
+// programs serves 1,500 programs in pages.
+func programs(w http.ResponseWriter, r *http.Request) {
+	const all = 1500
+	list := []map[string]any{}
+	for i := range all {
+		id := fmt.Sprintf("amman-a.p%04d", i)
+		if id > r.URL.Query().Get("after") && len(list) < 1000 {
+			list = append(list, programJSON(id, "active"))
+		}
+	}
+	answer(w, http.StatusOK, list)
+}
+
+func oneProgram(state string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.PathValue("id"), "gone") {
+			fail(w, http.StatusNotFound, "not_found", "there is no such program", "")
+			return
+		}
+		answer(w, http.StatusOK, programJSON(r.PathValue("id"), state))
+	}
+}
+
+// turns serves three turns, two at a time.
+func turns(w http.ResponseWriter, r *http.Request) {
+	list := []map[string]any{}
+	for n := 1; n <= 3; n++ {
+		if fmt.Sprint(n) >= r.URL.Query().Get("from") && len(list) < 2 {
+			list = append(list, map[string]any{"number": n, "request_id": fmt.Sprint("r", n), "kind": "tool", "target": "dispatch", "at": "2026-03-01T04:00:00Z", "outcome": "done", "tokens": 0, "answer": "secret street"})
+		}
+	}
+	answer(w, http.StatusOK, list)
+}
+
+func events(w http.ResponseWriter, r *http.Request) {
+	program := r.URL.Query().Get("program")
+	answer(w, http.StatusOK, []map[string]any{
+		{"wall": 1000, "logical": 1, "vm": "amman-b-1", "kind": "program adopted", "program": program, "detail": "epoch 4"},
+		{"wall": 1000, "logical": 0, "vm": "amman-a-1", "kind": "VM died"},
+	})
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func fail(w http.ResponseWriter, status int, kind, message, row string) {
+	answer(w, status, map[string]any{"error": map[string]any{"type": kind, "message": message, "row": row}})
+}
+
+func TestTable_GetEditDiffApplyAndRevert(t *testing.T) {
+	is := is.New(t)
+	f, env := newFakeVM(t)
+	file := filepath.Join(t.TempDir(), "table.csv")
+	is.Equal(runBinary(t, env, "table", "get", "--output", file).code, exitDone)
+	text, err := os.ReadFile(file)
+	is.NoErr(err)
+	edited := strings.Replace(string(text), "tool,deposit,,,4", "tool,deposit,,,9", 1)
+	is.True(edited != string(text))
+	is.NoErr(os.WriteFile(file, []byte(edited), 0o600))
+
+	diff := runBinary(t, env, "table", "diff", file)
+	is.Equal(diff.code, exitDone)
+	is.Equal(diff.stdout, "~ tool \"deposit\"  max_concurrent: \"4\" -> \"9\"\n")
+
+	f.loseNextAnswer() // the edit takes effect once although its answer is lost
+	applied := runBinary(t, env, "table", "apply", "--author", "carla", file)
+	is.Equal(applied.code, exitDone)
+	is.True(strings.Contains(applied.stderr, "Version 2 is in force"))
+	is.Equal(f.latest(), 2)
+
+	stale := runBinary(t, env, "table", "apply", file)
+	is.Equal(stale.code, exitFailed)
+	is.True(strings.Contains(stale.stderr, "based on version 1, in force is version 2, by carla"))
+	is.Equal(f.latest(), 2)
+
+	history := runBinary(t, env, "table", "history")
+	is.True(strings.Contains(history.stdout, "carla"))
+	reverted := runBinary(t, env, "table", "revert", "1")
+	is.Equal(reverted.code, exitDone)
+	is.True(strings.Contains(reverted.stdout, `max_concurrent: "9" -> "4"`))
+	is.Equal(f.latest(), 3)
+	old := runBinary(t, env, "table", "get", "--version", "2")
+	is.True(strings.HasPrefix(old.stdout, "# version 2\n") && strings.Contains(old.stdout, "tool,deposit,,,9"))
+}
+
+func TestTable_ApplyNamesABadCell(t *testing.T) {
+	is := is.New(t)
+	f, env := newFakeVM(t)
+	file := filepath.Join(t.TempDir(), "table.csv")
+	text := runBinary(t, env, "table", "get").stdout
+	is.NoErr(os.WriteFile(file, []byte(strings.Replace(text, "30s", "30", 1)), 0o600))
+	r := runBinary(t, env, "table", "apply", file)
+	is.Equal(r.code, exitFailed)
+	is.True(strings.Contains(r.stderr, "table.csv: line 3, column timeout"))
+	is.Equal(f.latest(), 1)
+}
+
+func TestProgram_ListShowAndCancel(t *testing.T) {
+	_, env := newFakeVM(t)
+	cases := []struct {
+		name   string
+		args   []string
+		code   int
+		stdout string // contained
+		stderr string // contained
+	}{
+		{"list reads all pages", []string{"list", "--limit", "5000"}, exitDone, "amman-a.p1499", ""},
+		{"list is bounded", []string{"list", "--limit", "1", "--json"}, exitDone, `"id": "amman-a.p0000"`, ""},
+		{"list selects by workspace", []string{"list", "--workspace", "none", "--json"}, exitDone, "[]", ""},
+		{"show prints the budget", []string{"show", "amman-a.p1"}, exitDone, "77/1000", ""},
+		{"show reads the whole history", []string{"show", "--history", "amman-a.p1"}, exitDone, "\n3     ", ""},
+		{"cancel takes several programs", []string{"cancel", "amman-a.p1", "amman-a.p2"}, exitDone, "", "amman-a.p2: cancelled (2 of 2)"},
+		{"cancel tells how far it came", []string{"cancel", "amman-a.p1", "amman-a.gone"}, exitFailed, "", "amman-a.gone: there is no such program (status 404); 1 of 2 cancelled"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := runBinary(t, env, append([]string{"program"}, c.args...)...)
+			is.Equal(r.code, c.code)
+			is.True(strings.Contains(r.stdout, c.stdout))
+			is.True(strings.Contains(r.stderr, c.stderr))
+			is.True(!strings.Contains(r.stdout, "secret street")) // text only with --json
+		})
+	}
+}
+
+func TestVM_ListAndDrain(t *testing.T) {
+	is := is.New(t)
+	_, env := newFakeVM(t)
+	list := runBinary(t, env, "vm", "list")
+	is.Equal(list.code, exitDone)
+	is.True(strings.Contains(list.stdout, "unreachable"))
+	drained := runBinary(t, env, "vm", "drain", "--wait", "20s", "amman-b-1")
+	is.Equal(drained.code, exitDone)
+	is.True(strings.Contains(drained.stderr, "amman-b-1: dead"))
+}
+
+func TestTimeline_TextJSONAndHTML(t *testing.T) {
+	is := is.New(t)
+	_, env := newFakeVM(t)
+	text := runBinary(t, env, "timeline", "--program", "amman-a.p1")
+	is.Equal(text.code, exitDone)
+	is.True(strings.Index(text.stdout, "VM died") < strings.Index(text.stdout, "program adopted")) // in causal order
+	one := runBinary(t, env, "timeline", "--kind", "VM died", "--json")
+	is.True(!strings.Contains(one.stdout, "adopted"))
+	page := filepath.Join(t.TempDir(), "timeline.html")
+	is.Equal(runBinary(t, env, "timeline", "--html", page).code, exitDone)
+	html, err := os.ReadFile(page)
+	is.NoErr(err)
+	is.True(strings.Contains(string(html), "program adopted"))
+}
+
+func TestRemote_RefusesAKeyFileOpenToOthersAndReportsAWrongKey(t *testing.T) {
+	is := is.New(t)
+	_, env := newFakeVM(t)
+	keyFile := filepath.Join(t.TempDir(), "other.key")
+	is.NoErr(os.WriteFile(keyFile, []byte("wrong"), 0o644))
+	open := runBinary(t, env, "vm", "list", "--key-file", keyFile)
+	is.Equal(open.code, exitFailed)
+	is.True(strings.Contains(open.stderr, "open to others"))
+	is.NoErr(os.Chmod(keyFile, 0o600))
+	wrong := runBinary(t, env, "vm", "list", "--key-file", keyFile)
+	is.Equal(wrong.code, exitFailed)
+	is.True(strings.Contains(wrong.stderr, "not accepted (status 401)"))
+}
--- /dev/null
+++ b/cmd/ibisstall/vm.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"ibisstall.example/ibisstall/internal/client"
+	"ibisstall.example/ibisstall/internal/entity"
+)
+
+func init() {
+	register(command{
+		name:     "vm",
+		short:    "list and drain VMs",
+		long:     "Lists the VMs and drains them before they are replaced.",
+		examples: []string{"ibisstall vm list", "ibisstall vm drain amman-a-1f00c2"},
+		sub: []command{
+			{
+				name: "list", short: "list the VMs", data: &vmList{},
+				long:     "Lists the VMs as the asked one sees them, with the version of the table that each has in force.",
+				examples: []string{"ibisstall vm list", "ibisstall vm list --json"},
+			},
+			{
+				name: "drain", short: "make a VM hand over its programs and end", data: &vmDrain{},
+				long: "A drained VM takes no new programs, hands over those that it owns, lets its calls end and then ends itself. " +
+					"With --wait the command ends when the VM is gone.",
+				examples: []string{"ibisstall vm drain amman-a-1f00c2", "ibisstall vm drain --wait 2m amman-a-1f00c2"},
+			},
+		},
+	})
+}
+
+type vmList struct{ remoteOptions }
+
+// Execute implements flags.Commander.
+func (c *vmList) Execute([]string) error {
+	return c.ask(func(ctx context.Context, api *client.Client) error {
+		list, err := api.VMs(ctx)
+		if err != nil {
+			return err
+		}
+		if c.JSON {
+			return printJSON(list)
+		}
+		return printColumns("VM\tDC\tREGION\tSTATE\tMESH ADDRESS\tTABLE VERSION\tPLATFORM", func(w io.Writer) {
+			for _, v := range list {
+				platform := "reachable"
+				if !v.PlatformReachable {
+					platform = "unreachable"
+				}
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s\n", v.ID, v.DC, dash(v.Region), v.State, v.MeshAddr, v.ConfigVersion, platform)
+			}
+		})
+	})
+}
+
+type vmDrain struct {
+	remoteOptions
+	Wait time.Duration `long:"wait" value-name:"DURATION" description:"wait until the VM is gone, at most so long"`
+	Args struct {
+		ID string `positional-arg-name:"VM"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *vmDrain) Execute([]string) error {
+	return c.ask(func(ctx context.Context, api *client.Client) error {
+		if err := api.DrainVM(ctx, c.Args.ID); err != nil {
+			return err
+		}
+		fmt.Fprintf(os.Stderr, "%s: draining\n", c.Args.ID)
+		if c.Wait <= 0 {
+			return nil
+		}
+		ctx, cancel := context.WithTimeout(ctx, c.Wait)
+		defer cancel()
+		return c.waitUntilGone(ctx, api)
+	})
+}
+
+// waitUntilGone asks for the VM's state until it is gone and prints each change.
+func (c *vmDrain) waitUntilGone(ctx context.Context, api *client.Client) error {
+	const pollInterval = time.Second
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	last := ""
+	for {
+		state, err := c.state(ctx, api)
+		if err == nil && state != last {
+			fmt.Fprintf(os.Stderr, "%s: %s\n", c.Args.ID, state)
+			last = state
+		}
+		if err == nil && state == entity.VMDead.String() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s is not gone after %v (last state: %s)", c.Args.ID, c.Wait, dash(last))
+		case <-ticker.C:
+		}
+	}
+}
+
+// state returns the VM's state; a VM that is not listed any more counts as dead.
+func (c *vmDrain) state(ctx context.Context, api *client.Client) (string, error) {
+	list, err := api.VMs(ctx)
+	if err != nil {
+		return "", err
+	}
+	for _, v := range list {
+		if v.ID == c.Args.ID {
+			return v.State, nil
+		}
+	}
+	return entity.VMDead.String(), nil
+}
--- a/internal/client/table.go
+++ b/internal/client/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"time"
@@ -15,6 +16,11 @@
 	ETag string
 }
 
+// MarshalJSON implements json.Marshaler with the form of the HTTP interface.
+func (t *Table) MarshalJSON() ([]byte, error) {
+	return json.Marshal(tableBody{Version: t.Version, Author: t.Author, At: t.At, Rows: encodeRows(t.Rows), ETag: t.ETag})
+}
+
 // row is the JSON form of a row: its timeout has a unit.
 type row struct {
 	Kind          entity.RowKind `json:"kind"`
