--- /dev/null
+++ b/internal/table/index.go
@@ -0,0 +1,65 @@
+package table
+
+// Index finds the keys of a table's rows by a property of theirs. It changes
+// together with the table.
+type Index[K comparable, V any, P comparable] struct {
+	table    *Table[K, V]
+	property func(V) P
+	keys     map[P]map[K]struct{} // guarded by table.mu
+}
+
+// NewIndex adds an index to a table. The property must depend on the row only.
+func NewIndex[K comparable, V any, P comparable](t *Table[K, V], property func(V) P) *Index[K, V, P] {
+	x := &Index[K, V, P]{table: t, property: property, keys: make(map[P]map[K]struct{})}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, shard := range t.shards {
+		for k, v := range shard {
+			x.add(k, property(v))
+		}
+	}
+	t.observers = append(t.observers, x)
+	return x
+}
+
+// Keys returns the keys of the rows with a property, in no particular order.
+func (x *Index[K, V, P]) Keys(p P) []K {
+	x.table.mu.RLock()
+	defer x.table.mu.RUnlock()
+	keys := make([]K, 0, len(x.keys[p]))
+	for k := range x.keys[p] {
+		keys = append(keys, k)
+	}
+	return keys
+}
+
+// Count returns the number of rows with a property.
+func (x *Index[K, V, P]) Count(p P) int {
+	x.table.mu.RLock()
+	defer x.table.mu.RUnlock()
+	return len(x.keys[p])
+}
+
+// changed keeps the index in step; the table calls it under its lock.
+func (x *Index[K, V, P]) changed(key K, before, after *V) {
+	if before != nil {
+		x.remove(key, x.property(*before))
+	}
+	if after != nil {
+		x.add(key, x.property(*after))
+	}
+}
+
+func (x *Index[K, V, P]) add(key K, p P) {
+	if x.keys[p] == nil {
+		x.keys[p] = make(map[K]struct{})
+	}
+	x.keys[p][key] = struct{}{}
+}
+
+func (x *Index[K, V, P]) remove(key K, p P) {
+	delete(x.keys[p], key)
+	if len(x.keys[p]) == 0 {
+		delete(x.keys, p)
+	}
+}
