Order calls by weighted workspace and attained service

Between workspaces start-time fair queuing bounds the difference in service per weight by the largest cost over each weight; the test checks it for 550 backlogged workspaces. Within one, the family with the least service goes first; ageing bounds how long a call can be overtaken, and calls near their deadlines at most double that. First come, first served stays as a baseline.

--- /dev/null
+++ b/internal/policy/order/order_test.go
@@ -0,0 +1,175 @@
+package order
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 12, 1, 4, 0, 0, 0, time.UTC)
+
+func TestFair_PopChoosesTheNextCall(t *testing.T) {
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	cfg := FairConfig{AgeingRate: 100, AttainedCap: 1000, UrgentFactor: 3}
+	cases := []struct {
+		name  string
+		items []Item
+		want  string
+	}{
+		{"the family with the least service goes first", []Item{
+			{ID: "old", Attained: 500, Enqueued: at(0)},
+			{ID: "new", Attained: 0, Enqueued: at(1)},
+		}, "new"},
+		{"waiting makes up for service had", []Item{
+			{ID: "old", Attained: 500, Enqueued: at(0)},
+			{ID: "new", Attained: 0, Enqueued: at(6)},
+		}, "old"},
+		{"a call near its deadline goes before less served ones", []Item{
+			{ID: "new", Attained: 0, Enqueued: at(0)},
+			{ID: "late", Attained: 900, Enqueued: at(1), Deadline: at(14), Expected: 2 * time.Second},
+		}, "late"},
+		{"a deadline that can't be met any more gives no preference", []Item{
+			{ID: "new", Attained: 0, Enqueued: at(0)},
+			{ID: "lost", Attained: 900, Enqueued: at(1), Deadline: at(11), Expected: 2 * time.Second},
+		}, "new"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			q := New(KindFair, cfg)
+			for _, it := range c.items {
+				it.Workspace, it.Weight, it.Cost = "w", 1, 10
+				q.Push(it)
+			}
+			it, found := q.Pop(at(10))
+			is.True(found)
+			is.Equal(it.ID, c.want)
+			is.Equal(q.Len(), len(c.items)-1)
+		})
+	}
+}
+
+// TestFair_SharesByWeight checks the stated bound between any two of 550
+// backlogged workspaces after every grant.
+func TestFair_SharesByWeight(t *testing.T) {
+	is := is.New(t)
+	const workspaces, maxCost, grants = 550, 1000, 20_000
+	weight := func(w int) float64 { return float64(1 + w%4) }
+	q := New(KindFair, DefaultFairConfig())
+	serial := 0
+	push := func(w int) {
+		serial++
+		q.Push(Item{
+			ID: fmt.Sprint(serial), Workspace: fmt.Sprint(w), Weight: weight(w),
+			Cost: int64(1 + (serial*7919)%maxCost), Enqueued: start,
+		})
+	}
+	index := make(map[string]int)
+	for w := range workspaces {
+		index[fmt.Sprint(w)] = w
+		push(w)
+		push(w)
+	}
+	share := make([]float64, workspaces)
+	for n := range grants {
+		it, found := q.Pop(start)
+		is.True(found)
+		w := index[it.Workspace]
+		share[w] += float64(it.Cost) / weight(w)
+		push(w)
+		if n%500 != 0 {
+			continue
+		}
+		for i := range workspaces {
+			for _, j := range []int{0, 1, 2, 3, (i * 31) % workspaces} {
+				bound := maxCost/weight(i) + maxCost/weight(j)
+				is.True(math.Abs(share[i]-share[j]) <= bound)
+			}
+		}
+	}
+}
+
+// TestFair_NobodyStarves feeds new programs without end beside one call of a
+// program that has had much service, and checks the bound on overtaking.
+func TestFair_NobodyStarves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		cfg := DefaultFairConfig()
+		q := New(KindFair, cfg)
+		step := time.Duration(rapid.IntRange(10, 500).Draw(t, "step")) * time.Millisecond
+		q.Push(Item{ID: "old", Workspace: "w", Weight: 1, Attained: math.MaxInt32, Cost: 10, Enqueued: start})
+		now := start
+		for n := 0; ; n++ {
+			now = now.Add(step)
+			it := Item{ID: fmt.Sprint(n), Workspace: "w", Weight: 1, Cost: 10, Enqueued: now}
+			if n%3 == 0 { // some newcomers are always near their deadlines
+				it.Deadline, it.Expected = now.Add(2*time.Second), time.Second
+			}
+			q.Push(it)
+			got, _ := q.Pop(now)
+			if got.ID == "old" {
+				break
+			}
+			is.True(now.Sub(start) <= 2*cfg.OvertakeBound()+2*step)
+		}
+	})
+}
+
+func TestFair_IdleWorkspaceSavesNoCredit(t *testing.T) {
+	is := is.New(t)
+	q := New(KindFair, DefaultFairConfig())
+	push := func(id, workspace string) {
+		q.Push(Item{ID: id, Workspace: workspace, Weight: 1, Cost: 100, Enqueued: start})
+	}
+	for n := range 20 {
+		push(fmt.Sprint("busy", n), "busy")
+	}
+	for range 10 {
+		q.Pop(start)
+	}
+	for n := range 10 {
+		push(fmt.Sprint("back", n), "back")
+	}
+	served := make(map[string]int)
+	for range 10 {
+		it, _ := q.Pop(start)
+		served[it.Workspace]++
+	}
+	is.True(served["back"] <= 6) // half of them, and one for the start
+	is.True(served["back"] >= 4)
+}
+
+func TestFair_ChargeCorrectsTheShare(t *testing.T) {
+	is := is.New(t)
+	q := New(KindFair, DefaultFairConfig())
+	for n := range 10 {
+		q.Push(Item{ID: fmt.Sprint("a", n), Workspace: "a", Weight: 1, Cost: 100, Enqueued: start})
+		q.Push(Item{ID: fmt.Sprint("b", n), Workspace: "b", Weight: 1, Cost: 100, Enqueued: start})
+	}
+	first, _ := q.Pop(start)
+	q.Charge(first.Workspace, 400) // the call was five times as long as estimated
+	for range 4 {
+		it, _ := q.Pop(start)
+		is.True(it.Workspace != first.Workspace)
+	}
+}
+
+func TestFCFS_KeepsArrivalOrder(t *testing.T) {
+	is := is.New(t)
+	q := New(KindFCFS, FairConfig{})
+	for _, n := range []int{2, 1, 3} {
+		q.Push(Item{ID: fmt.Sprint(n), Enqueued: start.Add(time.Duration(n))})
+	}
+	_, found := q.Remove("2")
+	is.True(found)
+	for _, want := range []string{"1", "3"} {
+		it, _ := q.Pop(start)
+		is.Equal(it.ID, want)
+	}
+	_, found = q.Pop(start)
+	is.True(!found)
+}
