--- /dev/null
+++ b/internal/policy/estimate/estimate_test.go
@@ -0,0 +1,165 @@
+package estimate
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var (
+	start   = time.Date(2026, 12, 1, 4, 0, 0, 0, time.UTC)
+	errCall = errors.New("call failed")
+)
+
+func everyBlock() PrefixConfig {
+	cfg := DefaultPrefixConfig()
+	cfg.SampleEvery = 1
+	return cfg
+}
+
+func TestPrefixes_LateNews(t *testing.T) {
+	prompt := []uint64{1, 2, 3, 4}
+	later := start.Add(time.Minute)
+	cases := []struct {
+		name   string
+		news   func(p *Prefixes)
+		held   int
+		synced bool
+	}{
+		{"what was sent is held", func(p *Prefixes) {}, 4, true},
+		{"an old removal doesn't undo what was just sent", func(p *Prefixes) {
+			p.Apply("i", []Event{{Seq: 7, Removed: true, Blocks: prompt}}, start)
+		}, 4, true},
+		{"a removal after the lag counts", func(p *Prefixes) {
+			p.Apply("i", []Event{{Seq: 7, Removed: true, Blocks: prompt[2:]}}, later)
+		}, 2, true},
+		{"a gap makes a resync due and keeps what is known", func(p *Prefixes) {
+			p.Apply("i", []Event{{Seq: 9, Blocks: []uint64{5}}}, later)
+		}, 4, false},
+		{"a restarted engine makes a resync due", func(p *Prefixes) {
+			p.Apply("j", nil, later)
+		}, 4, false},
+		{"a resync replaces what is known", func(p *Prefixes) {
+			p.Resync("j", 1, []uint64{1}, later)
+		}, 1, true},
+		{"a call that found nothing drops older beliefs", func(p *Prefixes) {
+			p.Finished(4, 0, later)
+		}, 0, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := NewPrefixes(everyBlock())
+			p.Resync("i", 7, nil, start)
+			p.Sent(prompt, start)
+			c.news(p)
+			is.Equal(p.Held(prompt), c.held)
+			_, synced := p.Next()
+			is.Equal(synced, c.synced)
+		})
+	}
+}
+
+// TestPrefixes_ConvergesOnTheEngine loses random events and checks that the
+// estimate equals the engine's cache after a resync, and is never larger than
+// its bound.
+func TestPrefixes_ConvergesOnTheEngine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		cfg := everyBlock()
+		cfg.MaxBlocks = 50
+		p := NewPrefixes(cfg)
+		p.Resync("i", 0, nil, start)
+		engine := make(map[uint64]bool)
+		now, seq := start, uint64(0)
+		for range rapid.IntRange(1, 50).Draw(t, "events") {
+			now = now.Add(time.Second)
+			e := Event{Seq: seq, Removed: rapid.Bool().Draw(t, "removed"), Blocks: []uint64{rapid.Uint64Range(1, 30).Draw(t, "block")}}
+			seq++
+			engine[e.Blocks[0]] = !e.Removed
+			if rapid.IntRange(0, 4).Draw(t, "lost") > 0 {
+				p.Apply("i", []Event{e}, now)
+			}
+			is.True(p.Len() <= cfg.MaxBlocks)
+		}
+		next, synced := p.Next()
+		if !synced || next != seq {
+			var blocks []uint64
+			for h, held := range engine {
+				if held {
+					blocks = append(blocks, h)
+				}
+			}
+			p.Resync("i", seq, blocks, now.Add(time.Minute))
+		}
+		for h, held := range engine {
+			is.Equal(p.Held([]uint64{h}) == 1, held)
+		}
+	})
+}
+
+func TestPrefixes_KeepsTheMostRecentlyUsed(t *testing.T) {
+	is := is.New(t)
+	cfg := everyBlock()
+	cfg.MaxBlocks = 4
+	p := NewPrefixes(cfg)
+	p.Sent([]uint64{1, 2}, start)
+	p.Sent([]uint64{3, 4}, start)
+	p.Sent([]uint64{1, 2}, start)
+	p.Sent([]uint64{5, 6}, start)
+	is.Equal(p.Held([]uint64{1, 2}), 2)
+	is.Equal(p.Held([]uint64{3, 4}), 0)
+}
+
+func TestRates_FollowTheMeasurements(t *testing.T) {
+	is := is.New(t)
+	r := DefaultRates()
+	for range 100 {
+		r = r.Observe(Call{FirstToken: time.Second, Total: 3 * time.Second, Prefilled: 1000, Generated: 41})
+	}
+	is.True(r.PrefillRate > 990 && r.PrefillRate < 1010)
+	is.Equal(r.TokenTime.Round(time.Millisecond), 50*time.Millisecond)
+	is.Equal(r.CallTime.Round(time.Millisecond), 3*time.Second)
+}
+
+func TestHealth_SickEndpointIsProbedAndTakenBack(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultHealthConfig()
+	var h Health
+	for range 4 {
+		h = h.Observe(cfg, errCall != nil, start)
+	}
+	is.True(h.Sick())
+	is.True(!h.ProbeDue(cfg, start))
+	due := start.Add(cfg.ProbeEvery)
+	is.True(h.ProbeDue(cfg, due))
+	h = h.Probed(due)
+	is.True(!h.ProbeDue(cfg, due))
+	for range cfg.Recover {
+		h = h.Observe(cfg, false, due)
+	}
+	is.True(!h.Sick())
+}
+
+func TestPenalty_SlowEndpointIsGivenLess(t *testing.T) {
+	rates := func(ms int) Rates { return Rates{TokenTime: time.Duration(ms) * time.Millisecond, Samples: 1} }
+	peers := []Rates{rates(30), rates(32), rates(28), rates(90)}
+	cases := []struct {
+		name string
+		own  Rates
+		want float64
+	}{
+		{"a peer like the others has none", rates(32), 1},
+		{"a slow one has its ratio to the median", rates(96), 3},
+		{"one without samples has none", Rates{}, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(Penalty(DefaultHealthConfig(), c.own, peers), c.want)
+		})
+	}
+}
--- /dev/null
+++ b/internal/policy/estimate/health.go
@@ -0,0 +1,101 @@
+package estimate
+
+import (
+	"sort"
+	"time"
+)
+
+// HealthConfig sets the detection of slow and sick endpoints.
+type HealthConfig struct {
+	// SickFailures is the share of failed calls above which an endpoint is
+	// sick, if it had MinCalls.
+	SickFailures float64
+	MinCalls     int
+	// SlowFactor is the multiple of its peers' median token time above which
+	// an endpoint counts as slow; the excess multiplies its estimated times.
+	SlowFactor float64
+	// ProbeEvery is the time between two probes of a sick endpoint; Recover
+	// is the number of successes in a row that take it back.
+	ProbeEvery time.Duration
+	Recover    int
+}
+
+// DefaultHealthConfig returns the settings in use.
+func DefaultHealthConfig() HealthConfig {
+	return HealthConfig{SickFailures: 0.5, MinCalls: 3, SlowFactor: 1.5, ProbeEvery: time.Second, Recover: 2}
+}
+
+// Health is what is known of one endpoint's failures. It is a value: Observe
+// and Probed return the next one.
+type Health struct {
+	calls    int
+	failures float64 // moving share of failed calls
+	good     int     // successes in a row
+	sick     bool
+	probed   time.Time
+}
+
+// Observe takes in the end of a call.
+func (h Health) Observe(cfg HealthConfig, failed bool, now time.Time) Health {
+	const weight = 0.3
+	h.calls++
+	h.failures = blend(h.failures, share(failed), weight)
+	if failed {
+		h.good = 0
+	} else {
+		h.good++
+	}
+	switch {
+	case !h.sick && h.calls >= cfg.MinCalls && h.failures > cfg.SickFailures:
+		h.sick, h.probed = true, now
+	case h.sick && h.good >= cfg.Recover:
+		h = Health{calls: h.calls}
+	}
+	return h
+}
+
+func share(failed bool) float64 {
+	if failed {
+		return 1
+	}
+	return 0
+}
+
+// Sick reports whether the endpoint gets no calls but probes.
+func (h Health) Sick() bool { return h.sick }
+
+// ProbeDue reports whether a sick endpoint may be given one call.
+func (h Health) ProbeDue(cfg HealthConfig, now time.Time) bool {
+	return h.sick && now.Sub(h.probed) >= cfg.ProbeEvery
+}
+
+// Probed notes that a probe is under way.
+func (h Health) Probed(now time.Time) Health {
+	h.probed = now
+	return h
+}
+
+// Penalty returns the factor by which the times of an endpoint are raised for
+// being slower than its peers; 1 if it is not. Endpoints without samples are
+// left out.
+func Penalty(cfg HealthConfig, own Rates, peers []Rates) float64 {
+	var times []time.Duration
+	for _, r := range peers {
+		if r.Samples > 0 {
+			times = append(times, r.TokenTime)
+		}
+	}
+	if own.Samples == 0 || len(times) < 3 {
+		return 1
+	}
+	sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
+	median := times[len(times)/2]
+	if median <= 0 {
+		return 1
+	}
+	factor := float64(own.TokenTime) / float64(median)
+	if factor < cfg.SlowFactor {
+		return 1
+	}
+	return factor
+}
