Queue calls for the endpoints of one process

Local places a call, waits in that endpoint's queue and places it anew while it waits, so that it spills when the wait turns out too long.

--- a/internal/policy/estimate/prefixes.go
+++ b/internal/policy/estimate/prefixes.go
@@ -86,25 +86,13 @@
 	p.trim()
 }
 
-// Finished takes in what a call found in the cache: the engine's own word on
-// the prompt at the time of its admission. Blocks that were believed to be
-// held but were not found are held now, since the prompt was computed; if
-// nothing of a prompt was found, the beliefs from before it are doubtful and
-// are dropped unless they were sent since.
-func (p *Prefixes) Finished(believed, found int, sent time.Time) {
-	if found > 0 || believed == 0 {
-		return
-	}
-	p.dropOlder(sent)
-}
-
-func (p *Prefixes) dropOlder(sent time.Time) {
-	for e := p.use.Front(); e != nil; {
-		next := e.Next()
-		if e.Value.(heldBlock).sent.Before(sent) {
+// Withdrawn notes that a prompt of which the engine held the first blocks was
+// not sent after all.
+func (p *Prefixes) Withdrawn(blocks []uint64, held int) {
+	for _, h := range blocks[min(held, len(blocks)):] {
+		if e := p.blocks[h]; e != nil {
 			p.drop(e)
 		}
-		e = next
 	}
 }
 
--- /dev/null
+++ b/internal/system/queue/policy.go
@@ -0,0 +1,59 @@
+package queue
+
+import (
+	"time"
+
+	"ibisstall.example/ibisstall/internal/policy/admission"
+	"ibisstall.example/ibisstall/internal/policy/order"
+	"ibisstall.example/ibisstall/internal/policy/permits"
+	policyplacement "ibisstall.example/ibisstall/internal/policy/placement"
+	"ibisstall.example/ibisstall/internal/system/placement"
+)
+
+// Policy is the set of decisions that a scheduler makes.
+type Policy struct {
+	Queue     QueueConfig
+	Placement placement.Options
+	Admission admission.Config
+	// Admit switches early refusal on.
+	Admit bool
+	// Recheck is the time after which a waiting call is placed anew; it moves
+	// if the rest here costs MoveMargin times as much as the whole elsewhere.
+	Recheck    time.Duration
+	MoveMargin float64
+	// RenewEvery is the time between two renewals of permits held from other
+	// VMs.
+	RenewEvery time.Duration
+}
+
+// DefaultPolicy returns the policy in use.
+func DefaultPolicy() Policy {
+	const renewEvery = 2 * time.Second
+	return Policy{
+		Queue: QueueConfig{
+			Order:       order.KindFair,
+			Fair:        order.DefaultFairConfig(),
+			Permits:     permits.DefaultConfig(),
+			Lease:       3 * renewEvery,
+			Cold:        renewEvery + renewEvery/2,
+			ColdPermits: 2,
+		},
+		Placement:  placement.DefaultOptions(),
+		Admission:  admission.DefaultConfig(),
+		Admit:      true,
+		Recheck:    500 * time.Millisecond,
+		MoveMargin: 1.3,
+		RenewEvery: renewEvery,
+	}
+}
+
+// BaselinePolicy returns the plain policy: round robin, first come first
+// served, no knowledge of prefixes. Only a full queue refuses.
+func BaselinePolicy() Policy {
+	p := DefaultPolicy()
+	p.Queue.Order = order.KindFCFS
+	p.Placement.Placer = policyplacement.KindRoundRobin
+	p.Admit = false
+	p.Recheck = 0
+	return p
+}
--- a/internal/system/queue/queue.go
+++ b/internal/system/queue/queue.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"ibisstall.example/ibisstall/internal/entity"
@@ -22,10 +23,15 @@
 )
 
 // OverloadError is an ErrOverloaded with the time after which to retry.
-type OverloadError struct{ RetryAfter time.Duration }
+type OverloadError struct {
+	RetryAfter time.Duration
+	Reason     string
+}
 
 // Error implements error.
-func (e *OverloadError) Error() string { return ErrOverloaded.Error() }
+func (e *OverloadError) Error() string {
+	return fmt.Sprintf("call refused: %s; come back after %s", e.Reason, e.RetryAfter)
+}
 
 // Unwrap makes errors.Is(err, ErrOverloaded) true.
 func (e *OverloadError) Unwrap() error { return ErrOverloaded }
--- /dev/null
+++ b/internal/system/queue/wait.go
@@ -0,0 +1,133 @@
+package queue
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"ibisstall.example/ibisstall/internal/system/placement"
+)
+
+const (
+	// unreachablePause is the time before a call asks again whose queue
+	// can't be reached.
+	unreachablePause = 50 * time.Millisecond
+	// maxAvoided bounds the endpoints that a waiting call avoids because
+	// their queues sent it away.
+	maxAvoided = 8
+)
+
+// wait gets a permit for a call, and moves it to another endpoint when the
+// wait turns out too long, or its queue is closed or lost. On an error the
+// call is in no queue.
+func (d *dispatcher) wait(ctx context.Context, h *heldCall) (granted time.Time, err error) {
+	d.sys.Sent(h.endpoint, h.call, time.Now())
+	avoid := slices.Clone(h.call.Avoid)
+	for {
+		reply, err := d.lines.acquire(ctx, h.endpoint, h.item, d.poll())
+		switch {
+		case ctx.Err() != nil:
+			d.abandon(h)
+			return time.Time{}, ctx.Err()
+		case err != nil:
+			avoid = d.avoid(avoid, h)
+			if !pause(ctx, unreachablePause) {
+				d.abandon(h)
+				return time.Time{}, ctx.Err()
+			}
+			err = d.replace(h, avoid)
+		case reply.State == AcquireGranted:
+			return reply.Granted, nil
+		case reply.State == AcquireSentAway:
+			avoid = d.avoid(avoid, h)
+			err = d.replace(h, avoid)
+			if err == nil && !pause(ctx, unreachablePause) {
+				err = ctx.Err()
+			}
+		default:
+			d.reconsider(h)
+		}
+		if err != nil {
+			d.abandon(h)
+			return time.Time{}, err
+		}
+	}
+}
+
+// poll is the longest wait between two looks at a call's place.
+func (d *dispatcher) poll() time.Duration {
+	if d.policy.Recheck > 0 {
+		return d.policy.Recheck
+	}
+	return MaxPoll
+}
+
+func (d *dispatcher) avoid(avoid []string, h *heldCall) []string {
+	if len(avoid) >= maxAvoided {
+		avoid = slices.Clone(h.call.Avoid)
+	}
+	return append(avoid, h.endpoint)
+}
+
+// abandon takes a call out of its queue, with a permit that it may hold.
+func (d *dispatcher) abandon(h *heldCall) {
+	d.lines.release(h.endpoint, h.item.ID, Finish{})
+	d.sys.Withdrawn(h.endpoint, h.call, h.decision.Held, time.Now())
+}
+
+// replace places a call anew, away from endpoints whose queues refused it.
+func (d *dispatcher) replace(h *heldCall, avoid []string) error {
+	call := h.call
+	call.Avoid = avoid
+	now := time.Now()
+	decision, err := d.sys.Place(call, now)
+	if err != nil {
+		return ErrNoEndpoint
+	}
+	if decision.Endpoint.Name != h.endpoint {
+		d.lines.release(h.endpoint, h.item.ID, Finish{})
+		d.move(h, decision, now)
+	}
+	return nil
+}
+
+// reconsider moves a waiting call if it would be done clearly earlier
+// elsewhere.
+func (d *dispatcher) reconsider(h *heldCall) {
+	if d.policy.Recheck <= 0 {
+		return
+	}
+	now := time.Now()
+	here, usable := d.sys.Look(h.endpoint, h.call, now)
+	there, err := d.sys.Place(h.call, now)
+	if err != nil || there.Endpoint.Name == h.endpoint {
+		return
+	}
+	if usable && there.Seconds*d.policy.MoveMargin >= here.Seconds {
+		return
+	}
+	if d.lines.leave(h.endpoint, h.item.ID) {
+		return // granted meanwhile
+	}
+	d.move(h, there, now)
+}
+
+// move joins another endpoint's queue with the age that the call has.
+func (d *dispatcher) move(h *heldCall, to placement.Decision, now time.Time) {
+	d.sys.Withdrawn(h.endpoint, h.call, h.decision.Held, now)
+	h.endpoint = to.Endpoint.Name
+	h.decision = to
+	h.item.Expected = to.Run
+	d.sys.Sent(h.endpoint, h.call, now)
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
