--- a/internal/system/queue/endpointqueue.go
+++ b/internal/system/queue/endpointqueue.go
@@ -37,8 +37,8 @@
 	// has renewed is dropped; 0 means never.
 	Lease time.Duration
 	// Cold is the time after its start in which a queue gives at most
-	// ColdPermits new permits, since permits of a former queue of the
-	// endpoint may be held that have not been registered here yet.
+	// ColdPermits more permits than it has taken back, since permits of a
+	// former queue of the endpoint may be held that are not registered yet.
 	Cold        time.Duration
 	ColdPermits int
 }
@@ -157,6 +157,9 @@
 		return
 	}
 	delete(q.held, id)
+	if now.Before(q.coldUntil) {
+		q.coldLeft++ // one call less runs, whoever let it in
+	}
 	if f.Cost > 0 {
 		q.order.Charge(p.item.Workspace, f.Cost-p.item.Cost)
 	}
@@ -168,16 +171,17 @@
 
 // Renew extends the lease of a permit. A permit that is not known here was
 // given by a former queue of the endpoint: it is registered, also above the
-// limit, because its call is running.
-func (q *EndpointQueue) Renew(it order.Item, now time.Time) {
+// limit, because its call is running, and Renew returns true.
+func (q *EndpointQueue) Renew(it order.Item, now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if p := q.held[it.ID]; p != nil {
 		p.renewed = now
-		return
+		return false
 	}
 	q.leave(it.ID)
 	q.held[it.ID] = &permit{item: it, granted: now, renewed: now}
+	return true
 }
 
 // Report takes in a load report of the engine.
--- a/internal/system/queue/local.go
+++ b/internal/system/queue/local.go
@@ -60,9 +60,6 @@
 }
 
 func (l localLines) release(endpoint, callID string, f Finish) {
-	q := l.server.queue(endpoint)
-	if q.Leave(callID) {
-		return
-	}
-	q.Release(callID, f, time.Now())
+	var reply ReleaseReply
+	_ = l.server.Release(&ReleaseArgs{Endpoint: endpoint, CallID: callID, Finish: f}, &reply)
 }
--- a/internal/system/queue/server.go
+++ b/internal/system/queue/server.go
@@ -126,12 +126,16 @@
 	Finish   Finish
 }
 
-// Empty is the answer of methods that have none.
-type Empty struct{}
+// ReleaseReply tells whether the call was waiting still.
+type ReleaseReply struct{ Waited bool }
 
-// Release takes a permit back.
-func (s *Server) Release(args *ReleaseArgs, _ *Empty) error {
-	s.queue(args.Endpoint).Release(args.CallID, args.Finish, time.Now())
+// Release takes a permit back, or a call out that is waiting still.
+func (s *Server) Release(args *ReleaseArgs, reply *ReleaseReply) error {
+	q := s.queue(args.Endpoint)
+	reply.Waited = q.Leave(args.CallID)
+	if !reply.Waited {
+		q.Release(args.CallID, args.Finish, time.Now())
+	}
 	return nil
 }
 
@@ -144,20 +148,28 @@
 // RenewArgs renews all permits that a VM holds from another one.
 type RenewArgs struct{ Permits []HeldPermit }
 
+// RenewReply counts the permits that were given by a former queue.
+type RenewReply struct{ Registered int }
+
 // Renew extends the leases of permits, and registers those of a former queue.
-func (s *Server) Renew(args *RenewArgs, _ *Empty) error {
+func (s *Server) Renew(args *RenewArgs, reply *RenewReply) error {
 	now := time.Now()
 	for _, p := range args.Permits {
-		s.queue(p.Endpoint).Renew(p.Item, now)
+		if s.queue(p.Endpoint).Renew(p.Item, now) {
+			reply.Registered++
+		}
 	}
 	return nil
 }
 
+// SnapshotArgs names the VM that asks.
+type SnapshotArgs struct{ VM string }
+
 // SnapshotReply is the load of a Server's queues by endpoint.
 type SnapshotReply struct{ Loads map[string]estimate.Load }
 
 // Snapshot returns the load of the queues.
-func (s *Server) Snapshot(_ *Empty, reply *SnapshotReply) error {
+func (s *Server) Snapshot(_ *SnapshotArgs, reply *SnapshotReply) error {
 	reply.Loads = make(map[string]estimate.Load)
 	for name, q := range s.all() {
 		reply.Loads[name] = q.Load()
