--- a/cmd/ibisstall/main.go
+++ b/cmd/ibisstall/main.go
@@ -59,13 +59,13 @@
 		fmt.Fprintln(stderr, "ibisstall:", err)
 		return exitFailed
 	}
-	_, err = parser.ParseArgs(args)
+	rest, err := parser.ParseArgs(args)
 	if global.Version && err == nil {
 		fmt.Fprintln(stdout, versionText())
 		return exitDone
 	}
 	if parser.Active == nil && err == nil {
-		err = &usageError{"no subcommand given"}
+		err = noSubcommand(rest)
 	}
 	var flagErr *flags.Error
 	if err != nil && !started && !errors.As(err, &flagErr) {
@@ -127,6 +127,13 @@
 	return c.Execute(args)
 }
 
+func noSubcommand(args []string) error {
+	if len(args) > 0 {
+		return &usageError{fmt.Sprintf("unknown subcommand %q", args[0])}
+	}
+	return &usageError{"no subcommand given"}
+}
+
 // report prints an error and returns the exit code for it.
 func report(err error, stdout, stderr io.Writer) int {
 	var flagErr *flags.Error
