--- a/cmd/ibisstall/main.go
+++ b/cmd/ibisstall/main.go
@@ -53,27 +53,37 @@
 // run executes one command line and returns the exit code.
 func run(args []string, stdout, stderr io.Writer) int {
 	var global globalOptions
-	parser, err := newParser(&global)
+	started := false
+	parser, err := newParser(&global, &started)
 	if err != nil {
 		fmt.Fprintln(stderr, "ibisstall:", err)
 		return exitFailed
 	}
-	_, err = parser.ParseArgs(args)
+	rest, err := parser.ParseArgs(args)
 	if global.Version && err == nil {
 		fmt.Fprintln(stdout, versionText())
 		return exitDone
 	}
 	if parser.Active == nil && err == nil {
-		err = &usageError{"no subcommand given"}
+		err = noSubcommand(rest)
+	}
+	var flagErr *flags.Error
+	if err != nil && !started && !errors.As(err, &flagErr) {
+		err = &usageError{err.Error()} // an argument that can't be parsed
 	}
 	return report(err, stdout, stderr)
 }
 
-func newParser(global *globalOptions) (*flags.Parser, error) {
+// newParser returns the parser of the command line. It sets started when it
+// hands over to a subcommand.
+func newParser(global *globalOptions, started *bool) (*flags.Parser, error) {
 	parser := flags.NewNamedParser("ibisstall", flags.HelpFlag|flags.PassDoubleDash)
 	parser.SubcommandsOptional = true
 	parser.ShortDescription = "scheduler for agent programs"
-	parser.CommandHandler = execute
+	parser.CommandHandler = func(c flags.Commander, args []string) error {
+		*started = true
+		return execute(c, args)
+	}
 	if _, err := parser.AddGroup("Options", "", global); err != nil {
 		return nil, err
 	}
@@ -117,6 +127,13 @@
 	return c.Execute(args)
 }
 
+func noSubcommand(args []string) error {
+	if len(args) > 0 {
+		return &usageError{fmt.Sprintf("unknown subcommand %q", args[0])}
+	}
+	return &usageError{"no subcommand given"}
+}
+
 // report prints an error and returns the exit code for it.
 func report(err error, stdout, stderr io.Writer) int {
 	var flagErr *flags.Error
