--- a/internal/system/journal/adopt.go
+++ b/internal/system/journal/adopt.go
@@ -113,6 +113,8 @@
 	if len(families) == 0 {
 		return nil, nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, j.options.Timeout)
+	defer cancel()
 	mirrored, err := j.options.Mirror.Fetch(ctx, families)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotMirrored, err)
@@ -164,6 +166,8 @@
 	j.track(a.family)
 	if len(mirrored) > 0 {
 		last := mirrored[len(mirrored)-1]
+		ctx, cancel := j.request()
+		defer cancel()
 		j.options.Mirror.Drop(ctx, a.Root, last.Epoch, last.Number)
 	}
 	a.Family = a.family.snapshot()
--- a/internal/system/journal/intent.go
+++ b/internal/system/journal/intent.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/platform"
@@ -12,6 +13,8 @@
 // WriteIntent writes the intent of a call that must not be repeated, before it
 // is sent. It takes effect only while this journal owns the family and the
 // request id has no intent yet. Only a nil error allows the call to be sent.
+// The attempt id must be new for each WriteIntent: after a lost answer it tells
+// whose intent stands in the row.
 // Errors: ErrIntentExists, see LookupIntent; ErrUnavailable, since an intent
 // is never buffered; ErrOwnershipLost; ErrUnresolved.
 func (j *Journal) WriteIntent(ctx context.Context, intent *entity.Intent) error {
@@ -38,6 +41,9 @@
 	if f.latest[intent.Program] == nil {
 		return nil, fmt.Errorf("%w: program %s", ErrNotFound, intent.Program)
 	}
+	if f.intentKnown(IntentKey(intent.Program, intent.RequestID)) {
+		return nil, ErrIntentExists
+	}
 	own := *intent
 	own.Epoch = f.epoch
 	own.State = entity.IntentWritten
@@ -50,6 +56,17 @@
 	return e, nil
 }
 
+// intentKnown reports whether an intent row exists or is being written. The
+// caller holds mu.
+func (f *family) intentKnown(key platform.Key) bool {
+	entries := f.queue
+	if f.pending != nil {
+		entries = append(slices.Clone(entries), f.pending.entries...)
+	}
+	underWay := slices.ContainsFunc(entries, func(e *entry) bool { return e.intent && e.writes[0].Key == key })
+	return underWay || f.intents[key] > 0
+}
+
 // RecordOutcome records what became of an intent, without a turn. It is
 // buffered like any change. To record a turn with it, use Append.
 func (j *Journal) RecordOutcome(ctx context.Context, intent *entity.Intent) (Durability, error) {
--- a/internal/system/journal/journal.go
+++ b/internal/system/journal/journal.go
@@ -136,8 +136,8 @@
 		o.Mirror = noMirror{}
 	}
 	j := &Journal{
-		table:    o.Table,
-		objects:  o.Objects,
+		table:    deadlineTable{o.Table, o.Timeout},
+		objects:  deadlineObjects{o.Objects, o.Timeout},
 		options:  o,
 		room:     &room{maxBytes: o.MaxBufferBytes, maxRecords: o.MaxBufferRecords},
 		families: make(map[entity.ProgramID]*family),
--- /dev/null
+++ b/internal/system/journal/property_test.go
@@ -0,0 +1,306 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/platform/batch"
+	"ibisstall.example/ibisstall/internal/standin/platformsvc"
+)
+
+// opKind is a kind of step in a drawn run.
+type opKind int
+
+const (
+	opAppend opKind = iota
+	opAppendMore
+	opIntent
+	opAdopt
+	opFlush
+	opCompact
+	opFault
+	opMirrorFault
+	opRestart
+	opKinds
+)
+
+const vmCount = 2
+
+// op is one step, made after a pause and not waited for.
+type op struct {
+	kind   opKind
+	vm     int
+	pause  time.Duration
+	fault  platformsvc.Fault
+	number int // request of an intent, or the mirror's failure
+}
+
+func drawOp(t *rapid.T) op {
+	return op{
+		kind:  opKind(rapid.IntRange(0, int(opKinds)-1).Draw(t, "kind")),
+		vm:    rapid.IntRange(0, vmCount-1).Draw(t, "vm"),
+		pause: time.Duration(rapid.IntRange(0, 40).Draw(t, "pause")) * time.Millisecond,
+		fault: platformsvc.Fault{
+			Service:     rapid.SampledFrom([]platformsvc.Service{platformsvc.Table, platformsvc.Objects}).Draw(t, "service"),
+			Down:        rapid.Bool().Draw(t, "down"),
+			Hang:        rapid.IntRange(0, 5).Draw(t, "hang") == 0,
+			LoseAnswers: rapid.IntRange(0, 4).Draw(t, "lose"),
+			DelayMS:     int64(rapid.IntRange(0, 20).Draw(t, "delay")),
+		},
+		number: rapid.IntRange(0, 2).Draw(t, "number"),
+	}
+}
+
+// run is a world with two VMs that both try to own one family, and the log of
+// what they were told.
+type run struct {
+	world  *world
+	faults [vmCount]platformsvc.Fault
+	vms    [vmCount]*simulatedVM
+	names  int
+	// unbatched has the journals write without a batch.Committer, so that
+	// they settle lost answers themselves.
+	unbatched bool
+	wait      sync.WaitGroup
+
+	mu       sync.Mutex
+	requests int
+	// acknowledged maps each turn's number to the request that was told
+	// that the turn is durable or buffered.
+	acknowledged map[uint64]string
+	sent         [3]int // calls allowed by each intent
+	errs         []error
+}
+
+// simulatedVM is one VM of a run.
+type simulatedVM struct {
+	name      string
+	journal   *Journal
+	committer *batch.Committer
+	mirror    *flakyMirror
+}
+
+// flakyMirror loses calls before or after they take effect.
+type flakyMirror struct {
+	Mirror
+	mu      sync.Mutex
+	failure int // 0 none, 1 before, 2 after the effect
+}
+
+func (m *flakyMirror) set(failure int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failure = failure
+}
+
+func (m *flakyMirror) now() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.failure
+}
+
+func (m *flakyMirror) Put(ctx context.Context, root entity.ProgramID, first uint64, records []Record) error {
+	if m.now() == 1 {
+		return errMirrorGone
+	}
+	err := m.Mirror.Put(ctx, root, first, records)
+	if m.now() == 2 {
+		return errMirrorGone
+	}
+	return err
+}
+
+func (m *flakyMirror) Drop(ctx context.Context, root entity.ProgramID, epoch, upTo uint64) {
+	if m.now() == 0 {
+		m.Mirror.Drop(ctx, root, epoch, upTo)
+	}
+}
+
+func (r *run) start(i int) {
+	r.names++
+	vm := &simulatedVM{name: fmt.Sprintf("vm-%d-%d", i, r.names), mirror: &flakyMirror{Mirror: r.world.mirror}}
+	direct := r.world.server.Direct(fmt.Sprint(i))
+	vm.committer = batch.New(direct, batch.Options{Timeout: time.Second})
+	o := Options{Table: vm.committer, Objects: direct.Objects(), Mirror: vm.mirror, Timeout: 3 * time.Second}
+	if r.unbatched {
+		o.Table = direct
+	}
+	vm.journal = New(o)
+	r.vms[i] = vm
+}
+
+func (vm *simulatedVM) stop() {
+	vm.journal.Close()
+	vm.committer.Close()
+}
+
+func (r *run) fail(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.errs = append(r.errs, err)
+}
+
+// do makes one step.
+func (r *run) do(o op) {
+	time.Sleep(o.pause) // on the fake clock
+	vm := r.vms[o.vm]
+	ctx := context.Background()
+	switch o.kind {
+	case opAppend:
+		r.appendTurns(vm, 1)
+	case opAppendMore:
+		r.appendTurns(vm, KeepRows) // so that there is something to compact
+	case opIntent:
+		r.requests++
+		attempt := r.requests
+		r.wait.Go(func() { r.writeIntent(vm, o.number, attempt) })
+	case opAdopt:
+		r.wait.Go(func() { vm.journal.Adopt(ctx, []entity.ProgramID{testRoot}, vm.name) })
+	case opFlush:
+		r.wait.Go(func() { vm.journal.Flush(ctx) })
+	case opCompact:
+		r.wait.Go(func() { _, _ = vm.journal.Compact(ctx, testRoot) })
+	case opFault:
+		o.fault.DC = fmt.Sprint(o.vm)
+		r.faults[o.vm] = o.fault
+		r.setFaults(r.faults[:]...)
+	case opMirrorFault:
+		vm.mirror.set(o.number)
+	case opRestart:
+		vm.stop()
+		r.start(o.vm)
+	}
+}
+
+func (r *run) setFaults(faults ...platformsvc.Fault) {
+	if err := r.world.server.SetControl(platformsvc.Control{Faults: faults}); err != nil {
+		r.fail(err)
+	}
+}
+
+// appendTurns submits the next turns as the VM sees them, as one change, and
+// logs its result.
+func (r *run) appendTurns(vm *simulatedVM, count int) {
+	f := vm.journal.family(testRoot)
+	if f == nil {
+		return
+	}
+	head := f.snapshot().RootProgram().Head
+	var turns []*entity.Turn
+	for i := range count {
+		r.requests++
+		turn := newTurn(testRoot, head+1+uint64(i))
+		turn.RequestID = fmt.Sprintf("%s/%d", vm.name, r.requests)
+		turns = append(turns, turn)
+	}
+	p, err := vm.journal.Submit(testRoot, Changes{Turns: turns})
+	if err != nil {
+		return
+	}
+	r.wait.Go(func() {
+		if _, err := p.Wait(context.Background()); err != nil {
+			return
+		}
+		for _, turn := range turns {
+			r.acknowledge(turn.Number, turn.RequestID)
+		}
+	})
+}
+
+func (r *run) acknowledge(number uint64, request string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if other, taken := r.acknowledged[number]; taken {
+		r.errs = append(r.errs, fmt.Errorf("turn %d acknowledged to %s and %s", number, other, request))
+	}
+	r.acknowledged[number] = request
+}
+
+func (r *run) writeIntent(vm *simulatedVM, number, attempt int) {
+	err := vm.journal.WriteIntent(context.Background(), &entity.Intent{
+		Program:   testRoot,
+		RequestID: fmt.Sprint(number),
+		AttemptID: fmt.Sprintf("%s/%d", vm.name, attempt),
+	})
+	if err == nil {
+		r.mu.Lock()
+		r.sent[number]++
+		r.mu.Unlock()
+	}
+}
+
+// check compares what a last adopter reads with the log.
+func (r *run) check() error {
+	r.wait.Wait()
+	r.setFaults()
+	time.Sleep(time.Minute) // requests that hang are over
+	r.vms[1].stop()
+	r.start(1)
+	last := r.vms[1]
+	defer last.stop()
+	defer r.vms[0].stop()
+	ctx := context.Background()
+	if a := last.journal.Adopt(ctx, []entity.ProgramID{testRoot}, last.name)[0]; a.Err != nil {
+		return fmt.Errorf("last adoption: %w", a.Err)
+	}
+	r.vms[0].journal.Flush(ctx)
+	history, err := last.journal.History(ctx, testRoot, 1)
+	if err != nil {
+		return err
+	}
+	for number, request := range r.acknowledged {
+		if number > uint64(len(history)) || history[number-1].RequestID != request {
+			return fmt.Errorf("acknowledged turn %d of %s is lost; %d turns stand", number, request, len(history))
+		}
+	}
+	for number, n := range r.sent {
+		if n > 1 {
+			return fmt.Errorf("intent %d allowed %d calls", number, n)
+		}
+		_, err := last.journal.LookupIntent(ctx, testRoot, fmt.Sprint(number))
+		if n == 1 && err != nil {
+			return fmt.Errorf("intent %d of a sent call: %w", number, err)
+		}
+	}
+	return errors.Join(r.errs...)
+}
+
+func play(ops []op, unbatched bool) error {
+	r := &run{unbatched: unbatched, world: newWorld(), acknowledged: make(map[uint64]string)}
+	for i := range vmCount {
+		r.start(i)
+		r.faults[i] = platformsvc.Fault{Service: platformsvc.Table, DC: fmt.Sprint(i)}
+	}
+	_, err := r.vms[0].journal.Create(context.Background(), newProgram(testRoot), r.vms[0].name)
+	if err != nil {
+		return err
+	}
+	for _, o := range ops {
+		r.do(o)
+	}
+	return r.check()
+}
+
+// Two VMs append, adopt, compact, flush, write intents and restart in drawn
+// order, while answers are lost, the platform goes down or hangs for either,
+// and the mirror's calls fail. History never forks, no acknowledged turn is
+// lost or out of order, and an intent allows one call at most.
+func TestJournal_PropertyHistoryNeverForksOrLosesTurns(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		ops := rapid.SliceOfN(rapid.Custom(drawOp), 5, 60).Draw(rt, "ops")
+		unbatched := rapid.Bool().Draw(rt, "unbatched")
+		var err error
+		synctest.Test(t, func(*testing.T) { err = play(ops, unbatched) })
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
