Require a fleet key beyond loopback; read operators' hashes anew

Without a key any machine that reaches the mesh or gossip address could pose as a VM. Operators' keys can be added and revoked while a VM runs. program list takes only an empty page as the last one.

--- a/cmd/ibisstall/program.go
+++ b/cmd/ibisstall/program.go
@@ -66,7 +66,8 @@
 	})
 }
 
-// fetch reads page after page until enough programs match.
+// fetch reads page after page until enough programs match. Only an empty page
+// is the last one.
 func (c *programList) fetch(ctx context.Context, api *client.Client) ([]client.Program, error) {
 	list := []client.Program{}
 	after := entity.ProgramID("")
@@ -75,6 +76,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if len(page) == 0 {
+			return list, nil
+		}
 		for _, p := range page {
 			if c.match(&p) {
 				list = append(list, p)
@@ -83,9 +87,6 @@
 		if len(list) >= c.Limit {
 			return list[:c.Limit], nil
 		}
-		if len(page) < client.MaxPage {
-			return list, nil
-		}
 		after = page[len(page)-1].ID
 	}
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -49,11 +49,26 @@
 	if s.Fleet.PreviousKeyFile != "" && s.Fleet.KeyFile == "" {
 		add("fleet", "previous_key_file", "set without key_file", "nothing, or key_file as well")
 	}
+	if s.Fleet.KeyFile == "" && !s.onLoopback() {
+		add("fleet", "key_file", "missing, but other machines can reach this VM's mesh or gossip address", "a file with a key, or loopback addresses")
+	}
 	errs = append(errs, s.addressErrors()...)
 	errs = append(errs, s.endpointErrors()...)
 	return errs
 }
 
+// onLoopback reports whether only processes of this machine can reach the
+// addresses that VMs talk over. Traffic between VMs may go unsigned only then.
+func (s *Settings) onLoopback() bool {
+	for _, a := range []string{s.VM.MeshListen, s.VM.GossipListen} {
+		addr, err := netip.ParseAddrPort(a)
+		if err != nil || !addr.Addr().IsLoopback() {
+			return false
+		}
+	}
+	return true
+}
+
 // addressErrors reports addresses that others can't use: an unspecified IP
 // number (0.0.0.0) must not be advertised.
 func (s *Settings) addressErrors() []error {
--- a/internal/settings/secret.go
+++ b/internal/settings/secret.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 )
 
@@ -68,7 +69,17 @@
 			errs = append(errs, s.fail("fleet", key, "key is too short", fmt.Sprintf("at least %d bytes", minFleetKey)))
 		}
 	}
-	for i, line := range strings.Split(string(hashFile.value), "\n") {
+	fromFile, hashErrs := s.parseHashes(hashFile)
+	errs = append(errs, hashErrs...)
+	s.Keys.inline = slices.Clone(s.Keys.OperatorKeyHashes)
+	s.Keys.OperatorKeyHashes = append(s.Keys.OperatorKeyHashes, fromFile...)
+	s.resolvePaths()
+	return errors.Join(errs...)
+}
+
+// parseHashes reads the hashes of operators' keys, one a line.
+func (s *Settings) parseHashes(file Secret) (list []string, errs []error) {
+	for i, line := range strings.Split(string(file.value), "\n") {
 		if line = strings.TrimSpace(line); line == "" || strings.HasPrefix(line, "#") {
 			continue
 		}
@@ -76,10 +87,23 @@
 			errs = append(errs, s.fail("keys", "operator_keys_file", fmt.Sprintf("line %d is not a hash", i+1), "lower-case hex SHA-256"))
 			continue
 		}
-		s.Keys.OperatorKeyHashes = append(s.Keys.OperatorKeyHashes, line)
+		list = append(list, line)
 	}
-	s.resolvePaths()
-	return errors.Join(errs...)
+	return list, errs
+}
+
+// ReadOperatorHashes reads the operators' key hashes anew, so that keys can be
+// added and revoked while the VM runs. It leaves the settings as they are.
+func (s *Settings) ReadOperatorHashes() ([]string, error) {
+	if s.Keys.OperatorKeysFile == "" {
+		return slices.Clone(s.Keys.OperatorKeyHashes), nil
+	}
+	file, err := ReadSecret(s.path(s.Keys.OperatorKeysFile))
+	if err != nil {
+		return nil, s.fail("keys", "operator_keys_file", err.Error(), secretFileRule)
+	}
+	fromFile, errs := s.parseHashes(file)
+	return slices.Concat(s.Keys.inline, fromFile), errors.Join(errs...)
 }
 
 // resolvePaths makes the paths of the certificate files independent of the
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -88,6 +88,8 @@
 type Keys struct {
 	OperatorKeyHashes []string
 	OperatorKeysFile  string
+
+	inline []string // the hashes from the settings alone
 }
 
 // Limits bound what callers may send and hold.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -101,13 +101,24 @@
 
 func TestParse_RefusesAnUnspecifiedAdvertisedAddress(t *testing.T) {
 	is := is.New(t)
-	text := strings.Replace(minimal, "[vm]", "[vm]\nmesh_listen = 0.0.0.0:8081", 1)
+	text := strings.Replace(minimal, "[vm]", "[vm]\nmesh_listen = 0.0.0.0:8081", 1) + "[fleet]\nkey_file = k\n"
 	_, err := Parse("a.ini", []byte(text))
 	var bad *Error
 	is.True(errors.As(err, &bad))
 	is.Equal(bad.Key, "mesh_listen")
 }
 
+func TestParse_RequiresAFleetKeyBeyondLoopback(t *testing.T) {
+	is := is.New(t)
+	text := strings.Replace(minimal, "[vm]", "[vm]\ngossip_listen = 10.0.0.1:8081", 1)
+	_, err := Parse("a.ini", []byte(text))
+	var bad *Error
+	is.True(errors.As(err, &bad))
+	is.Equal(bad.Key, "key_file")
+	_, err = Parse("a.ini", []byte(text+"[fleet]\nkey_file = k\n"))
+	is.NoErr(err)
+}
+
 func TestLoad_ChecksAccessToSecretsAndNeverPrintsThem(t *testing.T) {
 	is := is.New(t)
 	dir := t.TempDir()
@@ -148,6 +159,12 @@
 	is.NoErr(err)
 	is.Equal(s.Keys.OperatorKeyHashes, []string{hash})
 
+	replaced := strings.Repeat("cd", 32) // a replaced key needs no restart
+	is.NoErr(os.WriteFile(hashFile, []byte(replaced+"\n"), 0o600))
+	now, err := s.ReadOperatorHashes()
+	is.NoErr(err)
+	is.Equal(now, []string{replaced})
+
 	is.NoErr(os.WriteFile(hashFile, []byte("nonsense\n"), 0o600))
 	_, err = Load(file)
 	is.True(err != nil && strings.Contains(err.Error(), "line 1"))
