--- a/internal/metric/metric_test.go
+++ b/internal/metric/metric_test.go
@@ -6,8 +6,11 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"ibisstall.example/ibisstall/internal/timeline"
 )
 
 func TestCounterVec_BoundsTheLabelValues(t *testing.T) {
@@ -54,3 +57,26 @@
 		is.True(strings.Contains(rec.Body.String(), want))
 	}
 }
+
+func TestCountEvents_CountsByKindAndPassesOn(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry()
+	ring := timeline.NewRing("vm1", 10, timeline.NewClock(time.Now))
+	rec := CountEvents(r, ring)
+	rec.Record(timeline.Event{Kind: timeline.LeaseLost})
+	rec.Record(timeline.Event{Kind: timeline.LeaseLost})
+	is.Equal(len(ring.Events(timeline.Filter{})), 2)
+	var out strings.Builder
+	r.Write(&out)
+	is.True(strings.Contains(out.String(), `ibisstall_events_total{kind="lease lost"} 2`))
+}
+
+func TestVMGauges_RegistersThoseThatAreGiven(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry()
+	VMGauges{VMs: func() float64 { return 24 }}.Register(r)
+	var out strings.Builder
+	r.Write(&out)
+	is.True(strings.Contains(out.String(), NameVMs+" 24"))
+	is.True(!strings.Contains(out.String(), NameQueued))
+}
