--- a/cmd/ibisstall/remote_test.go
+++ b/cmd/ibisstall/remote_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"encoding/pem"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -298,3 +299,16 @@
 	is.Equal(wrong.code, exitFailed)
 	is.True(strings.Contains(wrong.stderr, "not accepted (status 401)"))
 }
+
+func TestRemote_VerifiesTheServersCertificate(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, []any{}) }))
+	defer server.Close()
+	ca := filepath.Join(t.TempDir(), "ca.pem")
+	block := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw})
+	is.NoErr(os.WriteFile(ca, block, 0o600))
+	is.Equal(runBinary(t, nil, "vm", "list", "--json", "--server", server.URL, "--ca-file", ca).code, exitDone)
+	unknown := runBinary(t, nil, "vm", "list", "--server", server.URL)
+	is.Equal(unknown.code, exitFailed)
+	is.True(strings.Contains(unknown.stderr, "certificate"))
+}
