--- /dev/null
+++ b/internal/policy/ownership/isolation.go
@@ -0,0 +1,122 @@
+package ownership
+
+import (
+	"fmt"
+	"time"
+
+	"ibisstall.example/ibisstall/internal/entity"
+)
+
+// Limits order what an isolated data centre and the others do:
+//
+//	last renewal ── Isolation ── (drift, Margin) ── Adoption
+//	      isolated side serves │     nobody serves   │ others adopt
+type Limits struct {
+	// Isolation is how long after its lease was last renewed a data centre
+	// serves programs that others know.
+	Isolation time.Duration
+	// Adoption is how long a data centre's lease must have stood unchanged
+	// before others adopt its programs.
+	Adoption time.Duration
+	// Margin is added to the time that drift may take: a call that was let in
+	// just before the limit must be over.
+	Margin time.Duration
+	// Drift is the relative error of a VM's clock rate.
+	Drift float64
+}
+
+// DefaultLimits returns limits for clocks that err by at most one in a
+// thousand.
+func DefaultLimits() Limits {
+	return Limits{Isolation: 30 * time.Second, Adoption: 45 * time.Second, Margin: 10 * time.Second, Drift: 0.001}
+}
+
+// Validate reports limits by which an isolated data centre could still serve
+// what others adopt.
+func (l Limits) Validate() error {
+	if l.Isolation <= 0 || l.Margin < 0 || l.Drift < 0 || l.Drift >= 0.1 {
+		return fmt.Errorf("isolation limit must be positive, margin not negative and drift 0 to 0.1")
+	}
+	if earliest := slow(l.Adoption, l.Drift); earliest < fast(l.Isolation, l.Drift)+l.Margin {
+		return fmt.Errorf("adoption limit %s is not above isolation limit %s by margin %s and drift %g", l.Adoption, l.Isolation, l.Margin, l.Drift)
+	}
+	return nil
+}
+
+// slow is the least true time that passes while a clock shows d.
+func slow(d time.Duration, drift float64) time.Duration {
+	return time.Duration(float64(d) / (1 + drift))
+}
+
+// fast is the most true time that passes while a clock shows d.
+func fast(d time.Duration, drift float64) time.Duration {
+	return time.Duration(float64(d) / (1 - drift))
+}
+
+// Contact is what a VM knows of its data centre's ties to the rest.
+type Contact struct {
+	// SinceRenewal bounds from above the time since the data centre's lease
+	// was renewed, by the monotonic clock of the VM.
+	SinceRenewal time.Duration
+	// Platform tells that the platform answers, directly or relayed.
+	Platform bool
+}
+
+// MayServe reports whether a VM may serve a program of its own data centre. A
+// program that was created here since the lease was last renewed is unknown to
+// others and served without limit.
+func MayServe(createdIsolated bool, c Contact, l Limits) bool {
+	return createdIsolated || c.SinceRenewal < l.Isolation
+}
+
+// DCEvidence is what a VM knows of another data centre.
+type DCEvidence struct {
+	// Unchanged bounds from below the time that the data centre's lease row
+	// has stood unchanged in the platform, by the VM's monotonic clock.
+	Unchanged time.Duration
+	// Readable tells that the row was read lately. A row that can't be read
+	// proves nothing.
+	Readable bool
+	// Released tells that the data centre's last VM gave the lease back.
+	Released bool
+	// Living is the number of VMs there that membership holds for not dead.
+	Living int
+}
+
+// Verdict is whether a data centre's programs may be adopted, and why not.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Adoptable       Verdict = iota + 1
+	StillReached            // membership reaches VMs there, they own their programs
+	LeaseNotLapsed          // the adoption limit has not passed
+	PlatformUnknown         // the lease row can't be read
+)
+
+// AdoptDC decides whether a data centre's programs may be adopted by others. A
+// data centre that is cut off from here but renews its lease, perhaps through a
+// third one, keeps its programs.
+func AdoptDC(e DCEvidence, l Limits) Verdict {
+	switch {
+	case e.Living > 0:
+		return StillReached
+	case !e.Readable:
+		return PlatformUnknown
+	case e.Released, e.Unchanged >= l.Adoption:
+		return Adoptable
+	default:
+		return LeaseNotLapsed
+	}
+}
+
+// Living counts the VMs of each data centre that are not dead.
+func Living(view []entity.VM) map[string]int {
+	n := make(map[string]int)
+	for i := range view {
+		if view[i].State != entity.VMDead {
+			n[view[i].DC]++
+		}
+	}
+	return n
+}
