--- a/internal/timeline/page/page.js
+++ b/internal/timeline/page/page.js
@@ -195,10 +195,17 @@
     if (row) row.scrollIntoView({ block: "nearest" });
   }
 
+  // Drawing waits for the next frame and the list for a pause in moving, so
+  // that dragging stays smooth.
+  let frame = 0, pause = 0;
+  function redraw() {
+    if (!frame) frame = requestAnimationFrame(() => { frame = 0; draw(); });
+    clearTimeout(pause);
+    pause = setTimeout(fillRows, 100);
+  }
   function refresh() {
     visible = events.filter(shown);
-    draw();
-    fillRows();
+    redraw();
   }
 
   function nearest(ev) {
@@ -222,7 +229,7 @@
     const from = Math.max(whole.from, Math.min(at - share * Math.max(5, span), whole.to - Math.max(5, span)));
     state.from = from;
     state.to = from + Math.max(5, span);
-    refresh();
+    redraw();
   }
   const timeAt = ev => {
     const box = canvas.getBoundingClientRect();
@@ -249,7 +256,7 @@
       const by = (drag.x - ev.clientX) / (canvas.clientWidth - laneNames.width - 12) * (drag.to - drag.from);
       const bounded = Math.max(whole.from - drag.from, Math.min(by, whole.to - drag.to));
       state.from = drag.from + bounded; state.to = drag.to + bounded;
-      refresh();
+      redraw();
       return;
     }
     const e = nearest(ev);
@@ -300,7 +307,7 @@
   }
   byId("program").oninput = ev => { state.program = ev.target.value.trim(); refresh(); };
   byId("text").oninput = ev => { state.text = ev.target.value.trim().toLowerCase(); refresh(); };
-  byId("reset").onclick = () => { state.from = whole.from; state.to = whole.to; refresh(); };
+  byId("reset").onclick = () => { state.from = whole.from; state.to = whole.to; redraw(); };
   window.addEventListener("resize", draw);
 
   const measure = canvas.getContext("2d");
