--- /dev/null
+++ b/internal/standin/faultproxy/proxy.go
@@ -0,0 +1,220 @@
+// Package faultproxy is a TCP proxy that brings about the faults of a network:
+// refused, reset, silent, one-way and slow connections. Tests put it between
+// two processes.
+package faultproxy
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+)
+
+// Mode is what a proxy does with connections and bytes.
+type Mode string
+
+// The modes. Blackhole, DropUp and DropDown hold bytes back as a network that
+// loses packets does: a connection that outlives the fault delivers them
+// later.
+const (
+	Pass      Mode = "pass"
+	Refuse    Mode = "refuse"    // refuses new connections; open ones go on
+	Blackhole Mode = "blackhole" // accepts connections, passes no bytes, no reset
+	DropUp    Mode = "drop up"   // passes no bytes from the client to the target
+	DropDown  Mode = "drop down" // passes no bytes from the target to the client
+	Reset     Mode = "reset"     // resets open and new connections
+)
+
+const (
+	bufferBytes   = 32 << 10
+	queuedChunks  = 64 // for each direction
+	dialTimeout   = 2 * time.Second
+	listenRetries = 50
+	listenPause   = 20 * time.Millisecond
+)
+
+// Proxy passes TCP connections on to a target.
+type Proxy struct {
+	target string
+	addr   string
+	wg     sync.WaitGroup
+
+	mu       sync.Mutex
+	listener net.Listener // nil while refusing
+	mode     Mode
+	delay    time.Duration // of each direction
+	links    map[*link]struct{}
+	accepted int
+	changed  chan struct{} // closed when mode, delay or a link's state changes
+	closed   bool
+}
+
+// New starts a proxy to a target, host:port, on a free port of the loopback
+// interface.
+func New(target string) (*Proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listening: %w", err)
+	}
+	p := &Proxy{
+		target:   target,
+		addr:     l.Addr().String(),
+		listener: l,
+		mode:     Pass,
+		links:    make(map[*link]struct{}),
+		changed:  make(chan struct{}),
+	}
+	p.wg.Add(1)
+	go p.accept(l)
+	return p, nil
+}
+
+// Addr returns the host:port that clients connect to.
+func (p *Proxy) Addr() string { return p.addr }
+
+// Accepted returns the number of connections accepted so far.
+func (p *Proxy) Accepted() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.accepted
+}
+
+// Set changes the mode, for open connections too.
+func (p *Proxy) Set(m Mode) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return errors.New("proxy is closed")
+	}
+	p.mode = m
+	p.notify()
+	if m == Reset {
+		for l := range p.links {
+			l.reset()
+		}
+	}
+	if m == Refuse {
+		return p.stopListening()
+	}
+	return p.startListening()
+}
+
+// SetDelay delays each direction by a time.
+func (p *Proxy) SetDelay(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = d
+	p.notify()
+}
+
+// Silence makes the connections that are open now go silent for good, without
+// a reset, while new ones work: what happens when something in between loses
+// track of them.
+func (p *Proxy) Silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.links {
+		l.silent = true
+	}
+	p.notify()
+}
+
+// Close ends the proxy and its connections.
+func (p *Proxy) Close() error {
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil
+	}
+	p.closed = true
+	err := p.stopListening()
+	for l := range p.links {
+		l.close()
+	}
+	p.notify()
+	p.mu.Unlock()
+	p.wg.Wait()
+	return err
+}
+
+// notify wakes what waits for a change. The mutex is held.
+func (p *Proxy) notify() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *Proxy) stopListening() error {
+	if p.listener == nil {
+		return nil
+	}
+	l := p.listener
+	p.listener = nil
+	return l.Close()
+}
+
+// startListening listens on the same port again.
+func (p *Proxy) startListening() error {
+	if p.listener != nil {
+		return nil
+	}
+	var l net.Listener
+	var err error
+	for range listenRetries {
+		if l, err = net.Listen("tcp", p.addr); err == nil {
+			p.listener = l
+			p.wg.Add(1)
+			go p.accept(l)
+			return nil
+		}
+		time.Sleep(listenPause)
+	}
+	return fmt.Errorf("listening again on %s: %w", p.addr, err)
+}
+
+func (p *Proxy) accept(l net.Listener) {
+	defer p.wg.Done()
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		p.wg.Add(1)
+		go p.serve(c.(*net.TCPConn))
+	}
+}
+
+// serve connects a client to the target.
+func (p *Proxy) serve(client *net.TCPConn) {
+	defer p.wg.Done()
+	l := &link{proxy: p, client: client}
+	if !p.add(l) {
+		l.reset()
+		return
+	}
+	defer p.remove(l)
+	target, err := net.DialTimeout("tcp", p.target, dialTimeout)
+	if err != nil {
+		l.reset()
+		return
+	}
+	l.run(target.(*net.TCPConn))
+}
+
+// add registers a link unless it is to be reset.
+func (p *Proxy) add(l *link) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.accepted++
+	if p.closed || p.mode == Reset {
+		return false
+	}
+	p.links[l] = struct{}{}
+	return true
+}
+
+func (p *Proxy) remove(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.links, l)
+}
