--- a/cmd/ibisstall/remote_test.go
+++ b/cmd/ibisstall/remote_test.go
@@ -271,6 +271,21 @@
 	is.True(strings.Contains(drained.stderr, "amman-b-1: dead"))
 }
 
+func TestVM_DrainSaysThatItCanNotTell(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			w.WriteHeader(http.StatusAccepted)
+			return
+		}
+		panic(http.ErrAbortHandler) // gone since the drain
+	}))
+	defer server.Close()
+	r := runBinary(t, nil, "vm", "drain", "--server", server.URL, "--wait", "1s", "amman-a-1")
+	is.Equal(r.code, exitFailed)
+	is.True(strings.Contains(r.stderr, "it is not known whether amman-a-1 is gone"))
+}
+
 func TestTimeline_TextJSONAndHTML(t *testing.T) {
 	is := is.New(t)
 	_, env := newFakeVM(t)
--- a/cmd/ibisstall/vm.go
+++ b/cmd/ibisstall/vm.go
@@ -26,7 +26,7 @@
 			{
 				name: "drain", short: "make a VM hand over its programs and end", data: &vmDrain{},
 				long: "A drained VM takes no new programs, hands over those that it owns, lets its calls end and then ends itself. " +
-					"With --wait the command ends when the VM is gone.",
+					"With --wait the command ends when the VM is gone; ask the balancer or another VM then.",
 				examples: []string{"ibisstall vm drain amman-a-1f00c2", "ibisstall vm drain --wait 2m amman-a-1f00c2"},
 			},
 		},
@@ -98,12 +98,21 @@
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("%s is not gone after %v (last state: %s)", c.Args.ID, c.Wait, dash(last))
+			return c.notGone(last, err)
 		case <-ticker.C:
 		}
 	}
 }
 
+// notGone tells why the wait ended in vain; err is that of the last question.
+// The VM that was asked may be the one that ended.
+func (c *vmDrain) notGone(lastState string, err error) error {
+	if err != nil {
+		return fmt.Errorf("it is not known whether %s is gone (last state: %s); ask another VM with --server: %w", c.Args.ID, dash(lastState), err)
+	}
+	return fmt.Errorf("%s is not gone after %v (last state: %s)", c.Args.ID, c.Wait, dash(lastState))
+}
+
 // state returns the VM's state; a VM that is not listed any more counts as dead.
 func (c *vmDrain) state(ctx context.Context, api *client.Client) (string, error) {
 	list, err := api.VMs(ctx)
