Resume streams over a network that resets; tests of silence and resets

A resume that was reset before its header was written ended the call, although the engine still had the stream. Only a refused connection ends it now: then the process is gone. 400 calls through a proxy that flaps between pass, reset and refuse: none reported as not sent has run, none ran twice.

--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -165,9 +166,12 @@
 	if errors.As(err, &status) {
 		return fmt.Errorf("%w: not resumable, status %d", ErrUnanswered, status.Status)
 	}
-	if errors.Is(err, ErrNotSent) {
+	if errors.Is(err, syscall.ECONNREFUSED) { // the process is gone, and the stream with it
 		return fmt.Errorf("%w: not resumable: %s", ErrUnanswered, err)
 	}
+	if errors.Is(err, ErrNotSent) {
+		return &interruption{cause: errors.New(err.Error())}
+	}
 	return err
 }
 
--- /dev/null
+++ b/internal/endpoint/silence_test.go
@@ -0,0 +1,134 @@
+package endpoint_test
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisstall.example/ibisstall/internal/endpoint"
+	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/standin/faultproxy"
+	"ibisstall.example/ibisstall/internal/standin/runner"
+)
+
+// newProxied starts a handler behind a fault-injecting proxy.
+func newProxied(t *testing.T, server *httptest.Server) (*faultproxy.Proxy, entity.Endpoint) {
+	t.Helper()
+	t.Cleanup(server.Close)
+	p, err := faultproxy.New(server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = p.Close() })
+	return p, entity.Endpoint{Name: "e1", URL: "http://" + p.Addr()}
+}
+
+func TestEngine_ChatOverFaultyNetwork(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(*faultproxy.Proxy) error
+		heals bool // the fault is taken back after a time
+	}{
+		{"a connection that goes silent for good", func(p *faultproxy.Proxy) error { p.Silence(); return nil }, false},
+		{"a connection that is reset", func(p *faultproxy.Proxy) error { return p.Set(faultproxy.Reset) }, true},
+		{"a network that drops everything for a time", func(p *faultproxy.Proxy) error { return p.Set(faultproxy.Blackhole) }, true},
+		{"a network that drops one way for a time", func(p *faultproxy.Proxy) error { return p.Set(faultproxy.DropDown) }, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			standin := runner.NewEngine(runner.EngineOptions{Models: []string{model}, DecodePerToken: 2 * time.Millisecond})
+			p, ep := newProxied(t, httptest.NewServer(standin))
+			client := endpoint.NewEngine(ep, newClient(t), endpoint.Options{Silence: 60 * time.Millisecond})
+			rec := &recorder{t: t}
+			var healing *time.Timer
+			got, err := client.Chat(t.Context(), chatRequest("c-1", runner.MarkerSay+sentence), func(chunk endpoint.Chunk) error {
+				if chunk.Seq == 3 {
+					is.NoErr(c.fault(p))
+					if c.heals {
+						healing = time.AfterFunc(150*time.Millisecond, func() { is.NoErr(p.Set(faultproxy.Pass)) })
+					}
+				}
+				return rec.take(chunk)
+			})
+			if healing != nil {
+				healing.Stop()
+			}
+			is.NoErr(err)
+			is.Equal(rec.text.String(), sentence)
+			is.Equal(got.Usage.CompletionTokens, int64(len(sentence)/4))
+			is.Equal(standin.Counters().Received, 1)
+			is.True(standin.Counters().Resumed > 0)
+		})
+	}
+}
+
+// TestCaller_IdleConnectionsThatWentSilent shows why a call that must not be
+// repeated goes over a new connection.
+func TestCaller_IdleConnectionsThatWentSilent(t *testing.T) {
+	is := is.New(t)
+	standin := runner.NewToolService(runner.ServiceOptions{})
+	p, ep := newProxied(t, httptest.NewServer(standin))
+	caller := endpoint.NewCaller(ep, newClient(t), endpoint.Options{})
+	_, err := caller.Call(t.Context(), deposit("c-1", ""))
+	is.NoErr(err)
+	p.Silence()
+
+	_, err = caller.Call(t.Context(), deposit("c-2", "a-2"))
+	is.NoErr(err)
+
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err = caller.Call(ctx, deposit("c-3", "")) // over the silent connection
+	is.True(errors.Is(err, endpoint.ErrUnanswered))
+	_, err = caller.Call(t.Context(), deposit("c-4", "")) // which was dropped
+	is.NoErr(err)
+	is.Equal(len(standin.Executions()), 3)
+}
+
+// TestCaller_NotSentIsTrue resets connections at random moments and checks
+// that no call reported as not sent, or sent more than once, has run.
+func TestCaller_NotSentIsTrue(t *testing.T) {
+	is := is.New(t)
+	standin := runner.NewToolService(runner.ServiceOptions{Repeats: true})
+	p, ep := newProxied(t, httptest.NewServer(standin))
+	caller := endpoint.NewCaller(ep, newClient(t), endpoint.Options{})
+	modes := []faultproxy.Mode{faultproxy.Pass, faultproxy.Reset, faultproxy.Refuse, faultproxy.Pass}
+	var stop atomic.Bool
+	flapped := make(chan error, 1)
+	go func() {
+		for i := 0; !stop.Load(); i++ {
+			if err := p.Set(modes[i%len(modes)]); err != nil {
+				flapped <- err
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+		flapped <- p.Set(faultproxy.Pass)
+	}()
+	notSent := make(map[string]bool)
+	for i := range 400 {
+		id := "a-" + string(rune('a'+i%26)) + string(rune('a'+i/26))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i%7+1)*time.Millisecond)
+		_, err := caller.Call(ctx, deposit(id, id))
+		cancel()
+		if errors.Is(err, endpoint.ErrNotSent) {
+			notSent[id] = true
+		}
+	}
+	stop.Store(true)
+	is.NoErr(<-flapped)
+	runs := make(map[string]int)
+	for _, e := range standin.Executions() {
+		runs[e.AttemptID]++
+		is.Equal(runs[e.AttemptID], 1) // at most once
+		is.True(!notSent[e.AttemptID]) // not sent is true
+	}
+	is.True(len(notSent) > 0)
+	is.True(len(runs) > 0)
+}
