Stand-in cache: never evict blocks of the chain being stored

A property test found a chain evicting its own middle block when its head was pinned, so that events and content differed. A block remembers the store call that last touched it.

--- a/internal/standin/runner/cache.go
+++ b/internal/standin/runner/cache.go
@@ -14,9 +14,10 @@
 // block is one cached prefix block. A pinned block belongs to sessions and is
 // not evicted.
 type block struct {
-	hash uint64
-	pins int
-	use  *list.Element // place in the order of use, nil while pinned
+	hash  uint64
+	pins  int
+	touch uint64        // the store call that last used it
+	use   *list.Element // place in the order of use, nil while pinned
 }
 
 // session is the memory held for a program.
@@ -41,6 +42,7 @@
 	lru      *list.List // unpinned blocks, least recently used first
 	sessions map[entity.ProgramID]*session
 
+	stores   uint64 // calls of store so far
 	seq      uint64 // number of the next event
 	events   []timedEvent
 	lag      time.Duration
@@ -73,12 +75,15 @@
 	return len(hashes)
 }
 
-// store caches blocks, evicting the least recently used ones. Blocks that
-// don't fit are left out from the first one on.
+// store caches a chain of blocks, evicting the least recently used ones but
+// none that it has stored or found itself. It returns how many leading blocks
+// of the chain are cached then.
 func (c *cache) store(hashes []uint64) (stored int) {
+	c.stores++
 	var added, removed []uint64
 	for _, h := range hashes {
 		if b, ok := c.blocks[h]; ok {
+			b.touch = c.stores
 			if b.use != nil {
 				c.lru.MoveToBack(b.use)
 			}
@@ -87,12 +92,12 @@
 		}
 		if len(c.blocks) >= c.capacity {
 			victim := c.lru.Front()
-			if victim == nil || c.ownBlock(victim, hashes[:stored]) {
+			if victim == nil || victim.Value.(*block).touch == c.stores {
 				break
 			}
 			removed = append(removed, c.evict(victim))
 		}
-		b := &block{hash: h}
+		b := &block{hash: h, touch: c.stores}
 		b.use = c.lru.PushBack(b)
 		c.blocks[h] = b
 		added = append(added, h)
@@ -103,12 +108,6 @@
 	return stored
 }
 
-// ownBlock reports whether the least recently used block is the first of the
-// chain being stored, so that a chain never evicts its own head.
-func (c *cache) ownBlock(e *list.Element, chain []uint64) bool {
-	return len(chain) > 0 && e.Value.(*block).hash == chain[0]
-}
-
 func (c *cache) evict(e *list.Element) uint64 {
 	b := c.lru.Remove(e).(*block)
 	delete(c.blocks, b.hash)
