--- /dev/null
+++ b/internal/mesh/errors.go
@@ -0,0 +1,98 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/rpc"
+	"time"
+)
+
+// Errors of the mesh layer.
+var (
+	// ErrNotSent means that the call did not reach the other VM.
+	ErrNotSent = errors.New("mesh call not sent")
+	// ErrLost means that the call may have run on the other VM.
+	ErrLost = errors.New("mesh answer lost")
+)
+
+// Code is the kind of a Fault, the same on both sides of a call.
+type Code string
+
+// The codes of faults. CodeNone stands for success.
+const (
+	CodeNone           Code = ""
+	CodeNotOwner       Code = "not_owner"
+	CodeNotFound       Code = "not_found"
+	CodeBadRequest     Code = "bad_request"
+	CodeForbidden      Code = "forbidden"
+	CodeConflict       Code = "conflict"
+	CodeUnprocessable  Code = "unprocessable"
+	CodeBudget         Code = "budget_exhausted"
+	CodeOverloaded     Code = "overloaded"
+	CodeNotRun         Code = "not_run"
+	CodeOutcomeUnknown Code = "outcome_unknown"
+	CodeFailed         Code = "failed"
+	CodeStale          Code = "stale"
+	CodeInternal       Code = "internal"
+)
+
+// Fault is an error that keeps its type over net/rpc, which carries errors as
+// strings only. Replies hold it as a value; Err turns it back into an error.
+type Fault struct {
+	Code       Code
+	Message    string
+	Param      string
+	Row        string
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (f *Fault) Error() string { return fmt.Sprintf("%s: %s", f.Code, f.Message) }
+
+// Err returns nil for success and the fault itself otherwise.
+func (f *Fault) Err() error {
+	if f == nil || f.Code == CodeNone {
+		return nil
+	}
+	return f
+}
+
+// NewFault makes a fault with a formatted message.
+func NewFault(code Code, format string, args ...any) *Fault {
+	return &Fault{Code: code, Message: fmt.Sprintf(format, args...)}
+}
+
+// AsFault returns err as a fault; an error of another type becomes
+// CodeInternal.
+func AsFault(err error) Fault {
+	if err == nil {
+		return Fault{}
+	}
+	var f *Fault
+	if errors.As(err, &f) {
+		return *f
+	}
+	return Fault{Code: CodeInternal, Message: err.Error()}
+}
+
+// HasCode reports whether err is a fault with the code.
+func HasCode(err error, code Code) bool {
+	var f *Fault
+	return errors.As(err, &f) && f.Code == code
+}
+
+// callError turns an error of net/rpc into one of this layer.
+func callError(ctx context.Context, method string, err error) error {
+	var remote rpc.ServerError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &remote):
+		return fmt.Errorf("%s: %w", method, NewFault(CodeInternal, "%s", string(remote)))
+	case ctx.Err() != nil:
+		return fmt.Errorf("%s: %w: %w", method, ErrLost, ctx.Err())
+	default:
+		return fmt.Errorf("%s: %w: %w", method, ErrLost, err)
+	}
+}
