Budgets that hold exactly over calls under way

A model call is written into the root row with the tokens it may generate before it is sent, so that the budget holds even if its owner dies while the engine generates. A drawn test grants and settles in any order.

--- a/internal/entity/program.go
+++ b/internal/entity/program.go
@@ -132,6 +132,10 @@
 	Used     Usage  `json:"used"`
 	Reserved Usage  `json:"reserved"`
 
+	// Flights are the model calls of the family whose tokens are not settled.
+	// They stand in the root row only; an adopter resumes or settles them.
+	Flights []Flight `json:"flights,omitempty"`
+
 	// Head is the number of durable turns of this program.
 	Head uint64 `json:"head"`
 	// Compacted is the number of leading turns that stand in the object
@@ -144,6 +148,16 @@
 	Children uint64 `json:"children,omitempty"`
 }
 
+// Flight is a model call that was sent, or is about to be, with the tokens
+// that it may generate. The row is written before the call is sent, so that
+// the budget holds even if the owner dies while the engine generates.
+type Flight struct {
+	Program   ProgramID `json:"program"`
+	RequestID string    `json:"request_id"`
+	CallID    string    `json:"call_id"` // names the stream at the engine
+	Tokens    int64     `json:"tokens"`
+}
+
 // AnsweredRequest maps a request id to the turn that holds its answer.
 type AnsweredRequest struct {
 	RequestID string `json:"request_id"`
@@ -160,6 +174,7 @@
 func (p *Program) Copy() *Program {
 	c := *p
 	c.Recent = append([]AnsweredRequest(nil), p.Recent...)
+	c.Flights = append([]Flight(nil), p.Flights...)
 	return &c
 }
 
--- a/internal/entity/turn.go
+++ b/internal/entity/turn.go
@@ -62,9 +62,10 @@
 
 // The states of an intent.
 const (
-	IntentWritten IntentState = "written" // the call may have been sent
-	IntentDone    IntentState = "done"    // the outcome is recorded
-	IntentUnknown IntentState = "unknown" // resolved as not knowable
+	IntentWritten IntentState = "written"  // the call may have been sent
+	IntentDone    IntentState = "done"     // the outcome is recorded
+	IntentUnknown IntentState = "unknown"  // resolved as not knowable
+	IntentNotSent IntentState = "not_sent" // the call was certainly not sent
 )
 
 // Intent is the durable row written before a call that must not be repeated
--- /dev/null
+++ b/internal/policy/budget/budget_test.go
@@ -0,0 +1,82 @@
+package budget
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"ibisstall.example/ibisstall/internal/entity"
+)
+
+var created = time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
+
+func family(tokens, turns int64) *entity.Program {
+	return &entity.Program{
+		ID:      "amman-a.r",
+		Created: created,
+		Budget:  entity.Budget{Tokens: tokens, Turns: turns, Seconds: 60},
+	}
+}
+
+func TestGrant(t *testing.T) {
+	cases := []struct {
+		name      string
+		used      entity.Usage
+		flights   []entity.Flight
+		demand    Demand
+		at        time.Duration
+		want      int64
+		exhausted Resource
+	}{
+		{name: "a call gets what it asks for", demand: Demand{Tokens: 40}, want: 40},
+		{name: "a call gets only what is left", used: entity.Usage{Tokens: 70}, demand: Demand{Tokens: 40}, want: 30},
+		{name: "calls under way count as used", flights: []entity.Flight{{CallID: "a", Tokens: 100}}, demand: Demand{Tokens: 1}, exhausted: Tokens},
+		{name: "the last turn is allowed", used: entity.Usage{Turns: 4}, demand: Demand{Tokens: 1}, want: 1},
+		{name: "a turn under way counts", used: entity.Usage{Turns: 4}, demand: Demand{Tokens: 1, RunningTurns: 1}, exhausted: Turns},
+		{name: "no call starts at the deadline", at: time.Minute, demand: Demand{Tokens: 1}, exhausted: Seconds},
+		{name: "a tool call needs no tokens", used: entity.Usage{Tokens: 100}, demand: Demand{}, want: 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			root := family(100, 5)
+			root.Used = c.used
+			root.Flights = c.flights
+			got, err := Grant(root, c.demand, created.Add(c.at))
+			if c.exhausted != "" {
+				var e *ExhaustedError
+				is.True(errors.As(err, &e))
+				is.Equal(e.Resource, c.exhausted)
+				return
+			}
+			is.NoErr(err)
+			is.Equal(got, c.want)
+		})
+	}
+}
+
+// Whatever is granted and settled in whatever order, the tokens used never
+// exceed the budget.
+func TestBudget_NeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		root := family(rapid.Int64Range(1, 200).Draw(t, "tokens"), 1000)
+		var open []entity.Flight
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if len(open) > 0 && rapid.Bool().Draw(t, "settle") {
+				f := open[0]
+				open = open[1:]
+				Settle(root, f.CallID, rapid.Int64Range(0, f.Tokens).Draw(t, "generated"))
+			} else if grant, err := Grant(root, Demand{Tokens: rapid.Int64Range(1, 50).Draw(t, "ask")}, created); err == nil {
+				f := entity.Flight{CallID: string(rune('a' + i)), Tokens: grant}
+				Open(root, f)
+				open = append(open, f)
+			}
+			if root.Used.Tokens+InFlight(root) > root.Budget.Tokens {
+				t.Fatalf("used %d and in flight %d exceed %d", root.Used.Tokens, InFlight(root), root.Budget.Tokens)
+			}
+		}
+	})
+}
