--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -52,7 +52,21 @@
 		return ChatAnswer{}, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	a := &assembly{callID: req.CallID, maxTokens: req.MaxTokens, onChunk: onChunk}
-	err = e.stream(ctx, &req, body, a)
+	return e.conclude(ctx, &req, a, e.open(ctx, &req, body, a))
+}
+
+// Resume takes over the stream of a call that another process opened, and
+// hands its chunks from the first one on to onChunk, as Chat does. The body of
+// the request is not sent. An engine that doesn't have the stream any more
+// gives ErrUnanswered.
+func (e *Engine) Resume(ctx context.Context, req ChatRequest, onChunk func(Chunk) error) (ChatAnswer, error) {
+	a := &assembly{callID: req.CallID, maxTokens: req.MaxTokens, onChunk: onChunk}
+	return e.conclude(ctx, &req, a, e.resume(ctx, a))
+}
+
+// conclude reads the rest of a stream whose first reading ended with err.
+func (e *Engine) conclude(ctx context.Context, req *ChatRequest, a *assembly, err error) (ChatAnswer, error) {
+	err = e.finish(ctx, req, a, err)
 	if err == nil {
 		return a.answer()
 	}
@@ -86,9 +100,8 @@
 	return json.Marshal(fields)
 }
 
-// stream opens the stream and resumes it until it is whole.
-func (e *Engine) stream(ctx context.Context, req *ChatRequest, body []byte, a *assembly) error {
-	err := e.open(ctx, req, body, a)
+// finish resumes a stream until it is whole; err is how its reading ended.
+func (e *Engine) finish(ctx context.Context, req *ChatRequest, a *assembly, err error) error {
 	idle := 0
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval = firstPause
