--- a/internal/system/journal/family.go
+++ b/internal/system/journal/family.go
@@ -24,6 +24,9 @@
 	latest map[entity.ProgramID]*entity.Program // durable and queued
 	// intents holds the row versions of intents seen.
 	intents map[platform.Key]uint64
+	// unsent holds those of them whose call was not sent, so that a new
+	// attempt may take the row over.
+	unsent  map[platform.Key]uint64
 	records uint64   // number of the last accepted record
 	queue   []*entry // not durable yet, in order; buffered ones first
 	active  bool
@@ -88,6 +91,7 @@
 		owner:   owner,
 		rows:    rows,
 		intents: make(map[platform.Key]uint64),
+		unsent:  make(map[platform.Key]uint64),
 	}
 	f.recompute()
 	return f
--- a/internal/system/journal/intent.go
+++ b/internal/system/journal/intent.go
@@ -12,9 +12,10 @@
 
 // WriteIntent writes the intent of a call that must not be repeated, before it
 // is sent. It takes effect only while this journal owns the family and the
-// request id has no intent yet. Only a nil error allows the call to be sent.
-// The attempt id must be new for each WriteIntent: after a lost answer it tells
-// whose intent stands in the row.
+// request id has no intent yet, or one whose call is known not to have been
+// sent. Only a nil error allows the call to be sent. The attempt id must be new
+// for each WriteIntent: after a lost answer it tells whose intent stands in the
+// row.
 // Errors: ErrIntentExists, see LookupIntent; ErrUnavailable, since an intent
 // is never buffered; ErrOwnershipLost; ErrUnresolved.
 func (j *Journal) WriteIntent(ctx context.Context, intent *entity.Intent) error {
@@ -56,15 +57,15 @@
 	return e, nil
 }
 
-// intentKnown reports whether an intent row exists or is being written. The
-// caller holds mu.
+// intentKnown reports whether an intent row that can't be taken over exists, or
+// one is being written. The caller holds mu.
 func (f *family) intentKnown(key platform.Key) bool {
 	entries := f.queue
 	if f.pending != nil {
 		entries = append(slices.Clone(entries), f.pending.entries...)
 	}
 	underWay := slices.ContainsFunc(entries, func(e *entry) bool { return e.intent && e.writes[0].Key == key })
-	return underWay || f.intents[key] > 0
+	return underWay || f.intents[key] > f.unsent[key]
 }
 
 // RecordOutcome records what became of an intent, without a turn. It is
@@ -90,12 +91,24 @@
 	return decodeIntent(rows[0])
 }
 
-// sawIntent notes the version of an intent row for its outcome. A version
-// never goes back.
+// sawIntent notes an intent row for its outcome.
 func (f *family) sawIntent(r platform.Row) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.intents[r.Key] = max(f.intents[r.Key], r.Version)
+	f.sawIntentRow(r)
+}
+
+// sawIntentRow notes the version of an intent row, which never goes back, and
+// whether a new attempt may take it over. The caller holds mu.
+func (f *family) sawIntentRow(r platform.Row) {
+	if r.Version < f.intents[r.Key] {
+		return
+	}
+	f.intents[r.Key] = r.Version
+	delete(f.unsent, r.Key)
+	if i, err := decodeIntent(r); err == nil && i.State == entity.IntentNotSent {
+		f.unsent[r.Key] = r.Version
+	}
 }
 
 // readError turns an error of a platform read.
--- a/internal/system/journal/record.go
+++ b/internal/system/journal/record.go
@@ -42,6 +42,18 @@
 	Buffered
 )
 
+// String returns the name that callers see.
+func (d Durability) String() string {
+	switch d {
+	case Durable:
+		return "durable"
+	case Buffered:
+		return "buffered"
+	default:
+		return ""
+	}
+}
+
 // Changes are what one call changes in a family. They take effect together.
 // The journal keeps what it is given: the caller must not change it later.
 type Changes struct {
--- a/internal/system/journal/transaction.go
+++ b/internal/system/journal/transaction.go
@@ -42,7 +42,10 @@
 	}
 	for _, e := range txn.entries {
 		for _, w := range e.writes {
-			if w.Key.Table == TableIntents && !e.intent {
+			switch {
+			case e.intent:
+				w.IfVersion = f.unsent[w.Key]
+			case w.Key.Table == TableIntents:
 				w.IfVersion = max(1, f.intents[w.Key])
 			}
 			txn.add(w, e)
@@ -186,7 +189,7 @@
 	}
 	for _, w := range txn.writes {
 		if w.Key.Table == TableIntents {
-			f.intents[w.Key] = w.IfVersion + 1
+			f.sawIntentRow(platform.Row{Key: w.Key, Version: w.IfVersion + 1, Value: w.Value})
 		}
 	}
 	f.queue = slices.DeleteFunc(f.queue, func(e *entry) bool { return slices.Contains(txn.entries, e) })
