--- /dev/null
+++ b/internal/system/directory/directory.go
@@ -0,0 +1,152 @@
+// Package directory knows the endpoints: the static ones of the settings and
+// those of the VM list. The list lags, so that a sign of leaving from any
+// other source counts at once and stays until the list shows the endpoint
+// gone.
+package directory
+
+import (
+	"context"
+	"sync"
+
+	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/platform"
+	"ibisstall.example/ibisstall/internal/timeline"
+)
+
+// Directory holds the known endpoints. It is safe for concurrent use.
+type Directory struct {
+	list     platform.VMList
+	recorder timeline.Recorder
+	static   []entity.Endpoint
+
+	mu       sync.Mutex
+	listed   []entity.Endpoint   // from the VM list
+	leaving  map[string]struct{} // names with a sign of leaving
+	snapshot []entity.Endpoint   // never changed once published
+	changed  chan struct{}       // closed and replaced at each change
+}
+
+// New makes a Directory of the static endpoints; list may be nil.
+func New(static []entity.Endpoint, list platform.VMList, recorder timeline.Recorder) *Directory {
+	d := &Directory{
+		list:     list,
+		recorder: recorder,
+		static:   static,
+		leaving:  make(map[string]struct{}),
+		changed:  make(chan struct{}),
+	}
+	d.publish()
+	return d
+}
+
+// Endpoints returns all endpoints, leaving ones included. The caller must not
+// change them.
+func (d *Directory) Endpoints() []entity.Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.snapshot
+}
+
+// Changed returns a channel that closes at the next change.
+func (d *Directory) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changed
+}
+
+// Find returns an endpoint by name.
+func (d *Directory) Find(name string) (entity.Endpoint, bool) {
+	for _, ep := range d.Endpoints() {
+		if ep.Name == name {
+			return ep, true
+		}
+	}
+	return entity.Endpoint{}, false
+}
+
+// Leaving takes in a sign that an endpoint is leaving.
+func (d *Directory) Leaving(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, known := d.leaving[name]; known {
+		return
+	}
+	d.leaving[name] = struct{}{}
+	d.publish()
+	d.recorder.Record(timeline.Event{Kind: timeline.EndpointLeaving, Endpoint: name})
+}
+
+// Tick reads the VM list. An unreachable list changes nothing.
+func (d *Directory) Tick(ctx context.Context) error {
+	if d.list == nil {
+		return nil
+	}
+	vms, err := d.list.List(ctx)
+	if err != nil {
+		return err
+	}
+	listed := make([]entity.Endpoint, 0, len(vms))
+	for i := range vms {
+		if vms[i].Role == platform.RoleRunner && vms[i].Runner != "" {
+			listed = append(listed, endpointOf(&vms[i]))
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listed = listed
+	d.forgetGone()
+	d.publish()
+	return nil
+}
+
+func endpointOf(vm *platform.ListedVM) entity.Endpoint {
+	return entity.Endpoint{
+		Name:          vm.Runner,
+		Kind:          entity.EndpointKind(vm.Kind),
+		Target:        vm.Target,
+		Models:        vm.Models,
+		DC:            vm.DC,
+		URL:           vm.URL,
+		Leaving:       vm.Leaving,
+		ChecksFencing: vm.ChecksFencing,
+	}
+}
+
+// forgetGone drops the signs for endpoints that are not known any more, so
+// that a new one of the same name starts afresh. The caller holds mu.
+func (d *Directory) forgetGone() {
+	for name := range d.leaving {
+		if !contains(d.listed, name) && !contains(d.static, name) {
+			delete(d.leaving, name)
+		}
+	}
+}
+
+func contains(list []entity.Endpoint, name string) bool {
+	for i := range list {
+		if list[i].Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// publish makes a new snapshot. The VM list wins over a static endpoint of the
+// same name. The caller holds mu.
+func (d *Directory) publish() {
+	var out []entity.Endpoint
+	for _, ep := range d.static {
+		if !contains(d.listed, ep.Name) {
+			out = append(out, ep)
+		}
+	}
+	out = append(out, d.listed...)
+	for i := range out {
+		if _, leaving := d.leaving[out[i].Name]; leaving {
+			out[i].Leaving = true
+		}
+	}
+	d.snapshot = out
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
