--- /dev/null
+++ b/internal/front/programs.go
@@ -0,0 +1,193 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ibisstall.example/ibisstall/gen/programs"
+	"ibisstall.example/ibisstall/gen/types"
+	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/system/owner"
+)
+
+// programService implements the service of programs.
+type programService struct{ f *Front }
+
+var _ programs.Service = programService{}
+
+// Create makes a program.
+func (s programService) Create(ctx context.Context, p *programs.CreatePayload) (*types.Program, error) {
+	workspace, err := s.f.workspace(p.Authorization)
+	if err != nil {
+		return nil, err
+	}
+	requestID, err := s.f.requestID(p.IdempotencyKey)
+	if err != nil {
+		return nil, err
+	}
+	args := owner.CreateArgs{Workspace: workspace, RequestID: requestID}
+	switch {
+	case p.Parent != nil && p.Budget != nil:
+		return nil, failure(nameBadRequest, "a sub-agent draws on its parent's budget and has none of its own", "budget")
+	case p.Parent != nil:
+		if args.Parent, err = programID(*p.Parent, "parent"); err != nil {
+			return nil, err
+		}
+	case p.Budget == nil:
+		return nil, failure(nameBadRequest, "a program needs a budget or a parent", "budget")
+	default:
+		args.Budget = entity.Budget{Tokens: p.Budget.Tokens, Turns: p.Budget.Turns, Seconds: p.Budget.Seconds}
+		args.ID = s.f.rootID(workspace, requestID)
+	}
+	reply, err := s.f.o.Router.Create(ctx, args)
+	if err != nil {
+		return nil, convert(err)
+	}
+	return programBody(&reply), nil
+}
+
+// rootID names a new program after its request, so that a repeat of the
+// request names the same program on any VM of the data centre.
+func (f *Front) rootID(workspace, requestID string) entity.ProgramID {
+	sum := xxhash.Sum64String(workspace + "\x00" + requestID)
+	again := xxhash.Sum64String(requestID + "\x00" + workspace)
+	return entity.NewProgramID(f.o.DC, fmt.Sprintf("%016x%016x", sum, again), "")
+}
+
+// List lists programs.
+func (s programService) List(ctx context.Context, p *programs.ListPayload) ([]*types.Program, error) {
+	workspace, err := s.f.reader(p.Authorization)
+	if err != nil {
+		return nil, err
+	}
+	var after entity.ProgramID
+	if p.After != nil {
+		after = entity.ProgramID(*p.After)
+	}
+	rows, err := s.f.o.Lister.List(ctx, "", workspace, after, p.Limit)
+	if err != nil {
+		return nil, convert(err)
+	}
+	out := make([]*types.Program, 0, len(rows))
+	for _, row := range rows {
+		out = append(out, programBody(&owner.ProgramReply{Program: *row, Root: *row}))
+	}
+	return out, nil
+}
+
+// Show returns a program.
+func (s programService) Show(ctx context.Context, p *programs.ShowPayload) (*types.Program, error) {
+	args, err := s.f.programArgs(p.Authorization, p.ID)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := s.f.o.Router.Show(ctx, args)
+	if err != nil {
+		return nil, convert(err)
+	}
+	return programBody(&reply), nil
+}
+
+// Cancel ends a program.
+func (s programService) Cancel(ctx context.Context, p *programs.CancelPayload) (*types.Program, error) {
+	args, err := s.f.programArgs(p.Authorization, p.ID)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := s.f.o.Router.Cancel(ctx, args)
+	if err != nil {
+		return nil, convert(err)
+	}
+	return programBody(&reply), nil
+}
+
+// History returns the turns of a program.
+func (s programService) History(ctx context.Context, p *programs.HistoryPayload) ([]*types.Turn, error) {
+	args, err := s.f.programArgs(p.Authorization, p.ID)
+	if err != nil {
+		return nil, err
+	}
+	turns, err := s.f.o.Router.History(ctx, owner.HistoryArgs{ProgramArgs: args, From: p.From})
+	if err != nil {
+		return nil, convert(err)
+	}
+	out := make([]*types.Turn, 0, len(turns))
+	for i := range turns {
+		out = append(out, turnBody(&turns[i]))
+	}
+	return out, nil
+}
+
+func (f *Front) programArgs(authorization *string, id string) (owner.ProgramArgs, error) {
+	workspace, err := f.reader(authorization)
+	if err != nil {
+		return owner.ProgramArgs{}, err
+	}
+	pid, err := programID(id, "id")
+	return owner.ProgramArgs{ID: pid, Workspace: workspace}, err
+}
+
+func programID(text, param string) (entity.ProgramID, error) {
+	id := entity.ProgramID(text)
+	if err := id.Validate(); err != nil {
+		return "", failure(nameBadRequest, err.Error(), param)
+	}
+	return id, nil
+}
+
+func programBody(r *owner.ProgramReply) *types.Program {
+	p, root := &r.Program, &r.Root
+	out := &types.Program{
+		ID:        string(p.ID),
+		Workspace: p.Workspace,
+		State:     string(p.State),
+		Created:   p.Created.UTC().Format(time.RFC3339Nano),
+		Turns:     p.Head,
+	}
+	if p.Parent != "" {
+		parent := string(p.Parent)
+		out.Parent = &parent
+	}
+	if root.ID == p.ID.Root() {
+		out.Budget = &types.Budget{Tokens: root.Budget.Tokens, Turns: root.Budget.Turns, Seconds: root.Budget.Seconds}
+		out.Used = &types.Used{Tokens: root.Used.Tokens, Turns: root.Used.Turns}
+		out.Owner = &root.Owner
+		out.Epoch = &root.Epoch
+	}
+	return out
+}
+
+func turnBody(t *entity.Turn) *types.Turn {
+	out := &types.Turn{
+		Number:    t.Number,
+		RequestID: t.RequestID,
+		Kind:      string(t.Kind),
+		Target:    t.Target,
+		At:        t.At.UTC().Format(time.RFC3339Nano),
+		Outcome:   string(t.Outcome),
+		Tokens:    t.Tokens,
+	}
+	for i := range t.Messages {
+		out.Messages = append(out.Messages, messageBody(&t.Messages[i]))
+	}
+	if t.Kind != entity.CallModel {
+		request, answer, status := string(t.Request), string(t.Answer), t.Status
+		out.Request = &request
+		out.Answer = &answer
+		out.Status = &status
+	}
+	return out
+}
+
+// messageBody keeps a message's JSON as it is.
+func messageBody(m *entity.Message) json.RawMessage {
+	raw, err := json.Marshal(m)
+	if err != nil {
+		return json.RawMessage("null")
+	}
+	return raw
+}
--- /dev/null
+++ b/internal/front/table.go
@@ -0,0 +1,166 @@
+package front
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"ibisstall.example/ibisstall/gen/table"
+	"ibisstall.example/ibisstall/gen/types"
+	"ibisstall.example/ibisstall/internal/entity"
+)
+
+// tableService implements the service of the table of weights and limits.
+type tableService struct{ f *Front }
+
+var _ table.Service = tableService{}
+
+// Get returns the version in force on this VM.
+func (s tableService) Get(_ context.Context, p *table.GetPayload) (*types.Table, error) {
+	if err := s.f.operator(p.Authorization); err != nil {
+		return nil, err
+	}
+	return tableBody(s.f.o.Config.InForce()), nil
+}
+
+// Put puts rows in force.
+func (s tableService) Put(ctx context.Context, p *table.PutPayload) (*types.Table, error) {
+	base, editID, err := s.editHead(p.Authorization, p.IfMatch, p.EditID)
+	if err != nil {
+		return nil, err
+	}
+	rows := make([]entity.ConfigRow, 0, len(p.Rows))
+	for i, r := range p.Rows {
+		row, err := rowEntity(r, i+1)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, row)
+	}
+	c, err := s.f.o.Config.Edit(ctx, base, rows, editID, text(p.Author))
+	if err != nil {
+		return nil, convert(err)
+	}
+	return tableBody(c), nil
+}
+
+// Revert puts the rows of an earlier version in force again.
+func (s tableService) Revert(ctx context.Context, p *table.RevertPayload) (*types.Table, error) {
+	base, editID, err := s.editHead(p.Authorization, p.IfMatch, p.EditID)
+	if err != nil {
+		return nil, err
+	}
+	c, err := s.f.o.Config.Revert(ctx, base, p.Version, editID, text(p.Author))
+	if err != nil {
+		return nil, convert(err)
+	}
+	return tableBody(c), nil
+}
+
+// History returns earlier versions.
+func (s tableService) History(ctx context.Context, p *table.HistoryPayload) ([]*types.Table, error) {
+	if err := s.f.operator(p.Authorization); err != nil {
+		return nil, err
+	}
+	versions, err := s.f.o.Config.History(ctx)
+	if err != nil {
+		return nil, convert(err)
+	}
+	out := make([]*types.Table, 0, len(versions))
+	for _, c := range versions {
+		out = append(out, tableBody(c))
+	}
+	return out, nil
+}
+
+// editHead checks the key of an edit and reads the version it is based on.
+func (s tableService) editHead(authorization, ifMatch, editID *string) (base uint64, id string, err error) {
+	if err := s.f.operator(authorization); err != nil {
+		return 0, "", err
+	}
+	if ifMatch == nil {
+		return 0, "", failure(nameBadRequest, "an edit needs If-Match with the version that it is based on", "If-Match")
+	}
+	base, err = strconv.ParseUint(strings.Trim(*ifMatch, `"`), 10, 64)
+	if err != nil {
+		return 0, "", failure(nameBadRequest, "If-Match must be a version", "If-Match")
+	}
+	id, err = s.f.requestID(editID)
+	return base, id, err
+}
+
+func text(s *string) string {
+	if s == nil {
+		return ""
+	}
+	return *s
+}
+
+func tableBody(c *entity.Config) *types.Table {
+	out := &types.Table{
+		Version: c.Version,
+		Etag:    strconv.Quote(strconv.FormatUint(c.Version, 10)),
+		Rows:    make([]*types.Row, 0, len(c.Rows)),
+	}
+	if c.Author != "" {
+		out.Author = &c.Author
+	}
+	if !c.At.IsZero() {
+		at := c.At.UTC().Format(time.RFC3339Nano)
+		out.At = &at
+	}
+	for i := range c.Rows {
+		out.Rows = append(out.Rows, rowBody(&c.Rows[i]))
+	}
+	return out
+}
+
+func rowBody(r *entity.ConfigRow) *types.Row {
+	timeout := r.Timeout.String()
+	return &types.Row{
+		Kind:          string(r.Kind),
+		Name:          r.Name,
+		Weight:        &r.Weight,
+		RatePerSecond: &r.RatePerSecond,
+		MaxConcurrent: &r.MaxConcurrent,
+		MaxQueue:      &r.MaxQueue,
+		Timeout:       &timeout,
+		Repeatable:    &r.Repeatable,
+		Drain:         &r.Drain,
+		KeyHashes:     r.KeyHashes,
+	}
+}
+
+// rowEntity reads a row; absent columns have their zero values, but the weight
+// is 1.
+func rowEntity(r *types.Row, number int) (entity.ConfigRow, error) {
+	out := entity.ConfigRow{
+		Kind:          entity.RowKind(r.Kind),
+		Name:          r.Name,
+		Weight:        orDefault(r.Weight, 1),
+		RatePerSecond: orDefault(r.RatePerSecond, 0),
+		MaxConcurrent: orDefault(r.MaxConcurrent, 0),
+		MaxQueue:      orDefault(r.MaxQueue, 0),
+		Repeatable:    orDefault(r.Repeatable, false),
+		Drain:         orDefault(r.Drain, false),
+		KeyHashes:     r.KeyHashes,
+	}
+	if r.Timeout == nil || *r.Timeout == "" {
+		return out, nil
+	}
+	timeout, err := time.ParseDuration(*r.Timeout)
+	if err != nil {
+		rowErr := &entity.RowError{Row: number, Kind: out.Kind, Name: r.Name, Column: "timeout", Reason: "must be a duration with a unit"}
+		return out, failure(nameBadRequest, rowErr.Error(), "timeout")
+	}
+	out.Timeout = timeout
+	return out, nil
+}
+
+func orDefault[T any](v *T, otherwise T) T {
+	if v == nil {
+		return otherwise
+	}
+	return *v
+}
