One VM as a process, a fleet in one process, serve, standin and demo

The demonstration runs a tasting and a round through nine VMs in three data centres, kills the owner between two turns, and checks the histories and the runners' own counts.

--- /dev/null
+++ b/cmd/ibisstall/serve.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"ibisstall.example/ibisstall/internal/logging"
+	"ibisstall.example/ibisstall/internal/settings"
+	"ibisstall.example/ibisstall/internal/vm"
+)
+
+func init() {
+	register(command{
+		name:     "serve",
+		short:    "run one VM",
+		long:     "Runs one VM until SIGTERM or SIGINT, then drains it: it lets the calls under way end, hands its programs over and leaves. The log goes to standard error as JSON lines.",
+		examples: []string{"ibisstall serve --config /etc/ibisstall.ini"},
+		data:     &serveCommand{},
+	})
+}
+
+type serveCommand struct {
+	Config string `long:"config" required:"true" value-name:"FILE" description:"settings of the VM"`
+}
+
+// Execute implements flags.Commander.
+func (c *serveCommand) Execute([]string) error {
+	s, err := settings.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	if s.VM.ID == "" {
+		s.VM.ID = settings.GenerateID(s.VM.DC)
+	}
+	log, err := logging.New(os.Stderr, s.Log.Level, s.VM.ID, s.VM.DC)
+	if err != nil {
+		return err
+	}
+	defer log.Sync() // standard error can't always be synced
+	v, err := vm.New(s, log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return v.Run(ctx)
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,267 @@
+// Package demo shows a conversation of each user's shape on a fleet in one
+// process, with the VM that owns the program killed between two turns.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/localfleet"
+	"ibisstall.example/ibisstall/internal/standin/runner"
+)
+
+// Names in the demonstration.
+const (
+	model       = "agent-small"
+	couples     = "dulce-encuentro"
+	authority   = "press-authority"
+	deposits    = "deposits"
+	bookings    = "bookings"
+	dispatch    = "dispatch"
+	turnTimeout = 30 * time.Second
+)
+
+// step is one turn of a conversation.
+type step struct {
+	say  string // what the person says, or empty for a tool call
+	tool string
+	body string
+	// service calls go to a plain service's path instead of a tool.
+	service string
+	path    string
+	// kill ends the VM that owns the program before the turn.
+	kill bool
+	// repeat sends the turn a second time under the same key.
+	repeat bool
+}
+
+// conversation is one program's script.
+type conversation struct {
+	title     string
+	workspace string
+	steps     []step
+	// executed names the calls that must have run exactly once.
+	executed map[string]int
+}
+
+var conversations = []conversation{
+	{
+		title:     "tasting: confirm, deposit, move",
+		workspace: couples,
+		steps: []step{
+			{say: "We would like to taste three flavours on Friday. ##say: Friday at 17:00 is free: lemon, almond and chocolate. Shall I confirm?"},
+			{service: bookings, path: "tastings", body: `{"day":"friday","hour":17}`},
+			{tool: deposits, body: `{"couple":"vega-rojas","amount":15000}`, repeat: true},
+			{say: "Can we move it to Saturday? ##say: Yes, Saturday at 11:00 is free. I move it now.", kill: true},
+			{service: bookings, path: "tastings/move", body: `{"day":"saturday","hour":11}`},
+			{say: "Thank you! ##say: See you on Saturday at 11:00. Your deposit stays valid."},
+		},
+		executed: map[string]int{deposits: 1, bookings: 2},
+	},
+	{
+		title:     "round: plan, missed-drop question, dispatch",
+		workspace: authority,
+		steps: []step{
+			{say: "Plan the round of Jabal al-Weibdeh. ##say: 42 shops in 3 streets, start at 04:10 at the depot."},
+			{say: "Shop 17 got no papers yesterday. ##say: The drop was missed. I send a carrier with 30 copies.", kill: true},
+			{tool: dispatch, body: `{"shop":17,"copies":30}`, repeat: true},
+			{say: "When will it come? ##say: The carrier is on the way and arrives at 05:20."},
+		},
+		executed: map[string]int{dispatch: 1},
+	},
+}
+
+// Run runs the demonstration and prints what happens. It returns an error if
+// a turn fails or a promise does not hold.
+func Run(ctx context.Context, out io.Writer) error {
+	f, err := localfleet.Start(ctx, options())
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	d := &demo{fleet: f, out: out, client: &http.Client{Timeout: turnTimeout}}
+	d.printf("%d VMs in %s, %d engines, one platform, on loopback\n", len(f.VMs), strings.Join(dcs, ", "), len(f.Engines))
+	for i := range conversations {
+		if err := d.converse(ctx, &conversations[i]); err != nil {
+			return fmt.Errorf("%s: %w", conversations[i].title, err)
+		}
+	}
+	d.printf("\nAll turns were answered and kept in order; each booking, deposit and dispatch ran exactly once.\n")
+	return nil
+}
+
+var dcs = []string{"stgo-norte", "stgo-sur", "valpo-costa"}
+
+func options() localfleet.Options {
+	return localfleet.Options{
+		Region:     "zona-central",
+		DCs:        dcs,
+		VMs:        3,
+		Engines:    2,
+		Tools:      []string{deposits, dispatch},
+		Services:   []string{bookings},
+		Model:      model,
+		Workspaces: []string{couples, authority},
+		Rows: []entity.ConfigRow{
+			{Kind: entity.RowTool, Name: deposits},
+			{Kind: entity.RowTool, Name: dispatch},
+			{Kind: entity.RowService, Name: bookings},
+		},
+		Engine: runner.EngineOptions{
+			Slots:           8,
+			CacheTokens:     1 << 16,
+			PrefillPerToken: 20 * time.Microsecond,
+			DecodePerToken:  3 * time.Millisecond,
+			StreamKeep:      10 * time.Second,
+		},
+		Tool: func(e runner.Execution) (int, []byte) {
+			return http.StatusOK, []byte(`{"accepted":true,"request":` + e.Body + `}`)
+		},
+	}
+}
+
+type demo struct {
+	fleet  *localfleet.Fleet
+	out    io.Writer
+	client *http.Client
+	turns  int
+}
+
+func (d *demo) printf(format string, args ...any) { fmt.Fprintf(d.out, format, args...) }
+
+// program is the part of a program's description that the demonstration uses.
+type program struct {
+	ID    string `json:"id"`
+	Owner string `json:"owner"`
+	Turns int    `json:"turns"`
+	Used  struct {
+		Tokens int64 `json:"tokens"`
+	} `json:"used"`
+}
+
+func (d *demo) converse(ctx context.Context, c *conversation) error {
+	d.printf("\n%s\n", c.title)
+	var p program
+	create := request{method: http.MethodPost, path: "/v1/programs", body: `{"budget":{"tokens":2000,"turns":20,"seconds":600}}`}
+	if err := d.do(ctx, c, create, &p); err != nil {
+		return err
+	}
+	d.printf("  program %s, owned by %s\n", p.ID, p.Owner)
+	for i, s := range c.steps {
+		if s.kill {
+			if err := d.killOwner(ctx, c, p.ID); err != nil {
+				return err
+			}
+		}
+		if err := d.turn(ctx, c, p.ID, i, s); err != nil {
+			return fmt.Errorf("turn %d: %w", i+1, err)
+		}
+	}
+	return d.check(ctx, c, p.ID)
+}
+
+// turn makes one call, each through another VM.
+func (d *demo) turn(ctx context.Context, c *conversation, id string, i int, s step) error {
+	r := request{method: http.MethodPost, key: fmt.Sprintf("turn-%d", i+1)}
+	base := "/v1/programs/" + id
+	switch {
+	case s.say != "":
+		raw, err := json.Marshal(map[string]any{
+			"model": model, "stream": true,
+			"messages": []map[string]string{{"role": "user", "content": s.say}},
+		})
+		if err != nil {
+			return err
+		}
+		r.path, r.body = base+"/chat/completions", string(raw)
+		said, _, _ := strings.Cut(s.say, " ##")
+		d.printf("  person: %s\n", said)
+		return d.stream(ctx, c, r)
+	case s.tool != "":
+		r.path, r.body = base+"/tools/"+s.tool, s.body
+	default:
+		r.path, r.body = base+"/services/"+s.service+"/"+s.path, s.body
+	}
+	var answer json.RawMessage
+	if err := d.do(ctx, c, r, &answer); err != nil {
+		return err
+	}
+	d.printf("  action: POST %s %s\n", strings.TrimPrefix(r.path, base), s.body)
+	if !s.repeat {
+		return nil
+	}
+	var again json.RawMessage
+	if err := d.do(ctx, c, r, &again); err != nil {
+		return err
+	}
+	if string(again) != string(answer) {
+		return fmt.Errorf("the repeat was answered %s, the first time %s", again, answer)
+	}
+	d.printf("  action: repeated under the same key, answered from the record\n")
+	return nil
+}
+
+// killOwner ends the VM that owns the program.
+func (d *demo) killOwner(ctx context.Context, c *conversation, id string) error {
+	var p program
+	if err := d.do(ctx, c, request{method: http.MethodGet, path: "/v1/programs/" + id}, &p); err != nil {
+		return err
+	}
+	for i, m := range d.fleet.VMs {
+		if m.VM.ID() == p.Owner {
+			m.Kill()
+			d.fleet.VMs = append(d.fleet.VMs[:i:i], d.fleet.VMs[i+1:]...)
+			d.printf("  VM %s killed\n", p.Owner)
+			return nil
+		}
+	}
+	return fmt.Errorf("owner %s is no VM of the fleet", p.Owner)
+}
+
+// check compares the history and the runners' own counts with what was asked.
+func (d *demo) check(ctx context.Context, c *conversation, id string) error {
+	var p program
+	if err := d.do(ctx, c, request{method: http.MethodGet, path: "/v1/programs/" + id}, &p); err != nil {
+		return err
+	}
+	var turns []struct {
+		Number    int    `json:"number"`
+		RequestID string `json:"request_id"`
+	}
+	if err := d.do(ctx, c, request{method: http.MethodGet, path: "/v1/programs/" + id + "/history"}, &turns); err != nil {
+		return err
+	}
+	if len(turns) != len(c.steps) {
+		return fmt.Errorf("the history has %d turns, want %d", len(turns), len(c.steps))
+	}
+	for i, t := range turns {
+		if want := fmt.Sprintf("turn-%d", i+1); t.Number != i+1 || t.RequestID != want {
+			return fmt.Errorf("turn %d of the history is %q, want %q", i+1, t.RequestID, want)
+		}
+	}
+	for name, want := range c.executed {
+		if got := d.executions(name); got != want {
+			return fmt.Errorf("%s ran %d times, want %d", name, got, want)
+		}
+	}
+	d.printf("  history: %d turns in order, %d tokens generated, owned by %s\n", p.Turns, p.Used.Tokens, p.Owner)
+	return nil
+}
+
+// executions counts the runs of a tool or service over all data centres.
+func (d *demo) executions(name string) int {
+	n := 0
+	for _, s := range d.fleet.Tools[name] {
+		n += len(s.Executions())
+	}
+	for _, s := range d.fleet.Plain[name] {
+		n += len(s.Executions())
+	}
+	return n
+}
--- /dev/null
+++ b/internal/demo/request.go
@@ -0,0 +1,98 @@
+package demo
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+)
+
+// request is one request of a caller.
+type request struct {
+	method, path, body, key string
+}
+
+// send sends a request through the next VM in turn, as a balancer would.
+func (d *demo) send(ctx context.Context, c *conversation, r request) (*http.Response, string, error) {
+	m := d.fleet.VMs[d.turns%len(d.fleet.VMs)]
+	d.turns++
+	req, err := http.NewRequestWithContext(ctx, r.method, m.URL()+r.path, strings.NewReader(r.body))
+	if err != nil {
+		return nil, "", err
+	}
+	req.Header.Set("Authorization", "Bearer "+d.fleet.WorkspaceKeys[c.workspace])
+	req.Header.Set("Content-Type", "application/json")
+	if r.key != "" {
+		req.Header.Set("Idempotency-Key", r.key)
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		defer resp.Body.Close()
+		raw, _ := io.ReadAll(resp.Body) // the status is the error
+		return nil, "", fmt.Errorf("%s %s: status %d: %s", r.method, r.path, resp.StatusCode, raw)
+	}
+	return resp, m.VM.ID(), nil
+}
+
+// do sends a request and decodes its JSON answer.
+func (d *demo) do(ctx context.Context, c *conversation, r request, answer any) error {
+	resp, _, err := d.send(ctx, c, r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(answer); err != nil {
+		return fmt.Errorf("%s %s: %w", r.method, r.path, err)
+	}
+	return nil
+}
+
+// chunk is the part of a streamed chunk that is printed.
+type chunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Error *struct {
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+// stream sends a model call and prints the answer as it comes.
+func (d *demo) stream(ctx context.Context, c *conversation, r request) error {
+	resp, through, err := d.send(ctx, c, r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	d.printf("  agent:  ")
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			d.printf("   (through %s)\n", through)
+			return nil
+		}
+		var part chunk
+		if err := json.Unmarshal([]byte(data), &part); err != nil {
+			return fmt.Errorf("malformed chunk: %w", err)
+		}
+		if part.Error != nil {
+			return fmt.Errorf("the stream failed: %s", part.Error.Message)
+		}
+		for _, choice := range part.Choices {
+			d.printf("%s", choice.Delta.Content)
+		}
+	}
+	return fmt.Errorf("the stream ended without its end mark")
+}
--- /dev/null
+++ b/internal/localfleet/localfleet.go
@@ -0,0 +1,329 @@
+// Package localfleet runs the platform's stand-ins, runners and several VMs in
+// one process on loopback, for demonstrations, load and tests.
+package localfleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/keys"
+	"ibisstall.example/ibisstall/internal/platform"
+	"ibisstall.example/ibisstall/internal/settings"
+	"ibisstall.example/ibisstall/internal/standin/platformsvc"
+	"ibisstall.example/ibisstall/internal/standin/runner"
+	"ibisstall.example/ibisstall/internal/vm"
+)
+
+// Options describe a fleet.
+type Options struct {
+	Region string
+	DCs    []string
+	// VMs, Engines and Services are numbers for each data centre.
+	VMs     int
+	Engines int
+	// Tools and Services name the tools and plain services; each data centre
+	// has one runner of each.
+	Tools    []string
+	Services []string
+	Model    string
+	// Workspaces are made with one key each.
+	Workspaces []string
+	// Rows are further rows of the table of weights and limits.
+	Rows []entity.ConfigRow
+	// Engine are the options of the engines; their names are filled in.
+	Engine runner.EngineOptions
+	// Tool answers the calls of the tools and services.
+	Tool func(runner.Execution) (status int, body []byte)
+	// Adjust changes the settings of a VM before it starts.
+	Adjust func(*settings.Settings)
+	Log    *zap.Logger
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Platform *platformsvc.Server
+	Engines  []*runner.Engine
+	Tools    map[string][]*runner.ToolService
+	Plain    map[string][]*runner.PlainService
+	VMs      []*Member
+	// OperatorKey and WorkspaceKeys are what callers authenticate with.
+	OperatorKey   string
+	WorkspaceKeys map[string]string
+
+	options Options
+	store   *platformsvc.Store
+	listed  []platform.ListedVM
+	servers []*http.Server
+}
+
+// Member is one VM of the fleet.
+type Member struct {
+	VM   *vm.VM
+	DC   string
+	stop context.CancelFunc
+	done chan struct{}
+
+	mu  sync.Mutex
+	err error // of Run
+}
+
+// Start starts a fleet and waits until its VMs are ready.
+func Start(ctx context.Context, o Options) (*Fleet, error) {
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	store := platformsvc.NewStore()
+	f := &Fleet{
+		Platform:      platformsvc.NewServer(store),
+		Tools:         make(map[string][]*runner.ToolService),
+		Plain:         make(map[string][]*runner.PlainService),
+		OperatorKey:   keys.Generate(),
+		WorkspaceKeys: make(map[string]string),
+		options:       o,
+		store:         store,
+	}
+	if err := f.start(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	platformURL, err := f.serve(f.Platform)
+	if err != nil {
+		return err
+	}
+	for _, dc := range f.options.DCs {
+		if err := f.startRunners(dc); err != nil {
+			return err
+		}
+	}
+	for _, dc := range f.options.DCs {
+		for range f.options.VMs {
+			if _, err := f.StartVM(dc, platformURL); err != nil {
+				return err
+			}
+		}
+	}
+	if err := f.applyTable(ctx); err != nil {
+		return err
+	}
+	return f.waitReady(ctx)
+}
+
+// serve serves a handler on a free port.
+func (f *Fleet) serve(h http.Handler) (url string, err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("listen: %w", err)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	f.servers = append(f.servers, s)
+	go s.Serve(l) // ends with Close
+	return "http://" + l.Addr().String(), nil
+}
+
+func (f *Fleet) startRunners(dc string) error {
+	for i := range f.options.Engines {
+		o := f.options.Engine
+		o.Name = fmt.Sprintf("%s-engine-%d", dc, i+1)
+		o.Models = []string{f.options.Model}
+		e := runner.NewEngine(o)
+		f.Engines = append(f.Engines, e)
+		if err := f.list(e, o.Name, entity.KindEngine, "", dc); err != nil {
+			return err
+		}
+	}
+	for _, name := range f.options.Tools {
+		s := runner.NewToolService(runner.ServiceOptions{Name: dc + "-" + name, Handler: f.options.Tool})
+		f.Tools[name] = append(f.Tools[name], s)
+		if err := f.list(s, dc+"-"+name, entity.KindTool, name, dc); err != nil {
+			return err
+		}
+	}
+	for _, name := range f.options.Services {
+		s := runner.NewPlainService(runner.ServiceOptions{Name: dc + "-" + name, Handler: f.options.Tool})
+		f.Plain[name] = append(f.Plain[name], s)
+		if err := f.list(s, dc+"-"+name, entity.KindService, name, dc); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// list serves a runner and enters it into the VM list.
+func (f *Fleet) list(h http.Handler, name string, kind entity.EndpointKind, target, dc string) error {
+	url, err := f.serve(h)
+	if err != nil {
+		return err
+	}
+	entry := platform.ListedVM{
+		ID:     "vm-" + name,
+		Role:   platform.RoleRunner,
+		DC:     dc,
+		Region: f.options.Region,
+		Runner: name,
+		Kind:   string(kind),
+		Target: target,
+		URL:    url,
+	}
+	if kind == entity.KindEngine {
+		entry.Models = []string{f.options.Model}
+	}
+	f.listed = append(f.listed, entry)
+	f.store.SetVMs(f.listed)
+	return nil
+}
+
+// StartVM starts one more VM in a data centre.
+func (f *Fleet) StartVM(dc, platformURL string) (*Member, error) {
+	s := settings.Default()
+	s.VM.DC = dc
+	s.VM.Region = f.options.Region
+	s.VM.ID = settings.GenerateID(dc)
+	s.VM.Listen = "127.0.0.1:0"
+	s.VM.MeshListen = "127.0.0.1:0"
+	s.VM.GossipListen = "127.0.0.1:0"
+	s.VM.AdminListen = "127.0.0.1:0"
+	s.Platform.TableURL = platformURL
+	s.Platform.ObjectsURL = platformURL
+	s.Platform.VMListURL = platformURL
+	s.Keys.OperatorKeyHashes = []string{keys.HashOf(f.OperatorKey).String()}
+	for _, m := range f.VMs {
+		s.Fleet.Seeds = append(s.Fleet.Seeds, m.VM.GossipAddr())
+	}
+	if f.options.Adjust != nil {
+		f.options.Adjust(s)
+	}
+	v, err := vm.New(s, f.options.Log)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &Member{VM: v, DC: dc, stop: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(m.done)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.err = v.Run(ctx)
+	}()
+	f.VMs = append(f.VMs, m)
+	return m, nil
+}
+
+// URL returns the base URL for callers of a VM.
+func (m *Member) URL() string { return "http://" + m.VM.Addr() }
+
+// Stop drains the VM and waits for its end.
+func (m *Member) Stop() error {
+	m.stop()
+	<-m.done
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.err
+}
+
+// Kill ends the VM at once, as the death of its process would.
+func (m *Member) Kill() {
+	m.VM.Kill()
+	<-m.done
+}
+
+// applyTable puts the workspaces' keys and the rows in force, through the
+// operators' interface.
+func (f *Fleet) applyTable(ctx context.Context) error {
+	type row struct {
+		Kind       string   `json:"kind"`
+		Name       string   `json:"name"`
+		Repeatable bool     `json:"repeatable"`
+		Timeout    string   `json:"timeout,omitempty"`
+		Weight     float64  `json:"weight,omitempty"`
+		KeyHashes  []string `json:"key_hashes,omitempty"`
+	}
+	var rows []row
+	for _, name := range f.options.Workspaces {
+		key := keys.Generate()
+		f.WorkspaceKeys[name] = key
+		rows = append(rows, row{Kind: "workspace", Name: name, Weight: 1, KeyHashes: []string{keys.HashOf(key).String()}})
+	}
+	for _, r := range f.options.Rows {
+		out := row{Kind: string(r.Kind), Name: r.Name, Repeatable: r.Repeatable, Weight: max(r.Weight, 1)}
+		if r.Timeout > 0 {
+			out.Timeout = r.Timeout.String()
+		}
+		rows = append(rows, out)
+	}
+	body, err := json.Marshal(map[string]any{"rows": rows, "author": "localfleet"})
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, f.VMs[0].URL()+"/v1/table", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+f.OperatorKey)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("If-Match", `"0"`)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("apply the table: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("apply the table: status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+// readyPoll is the time between looks at a VM that is not ready yet.
+const readyPoll = 20 * time.Millisecond
+
+// waitReady waits until every VM is ready and sees all others.
+func (f *Fleet) waitReady(ctx context.Context) error {
+	for _, m := range f.VMs {
+		for !f.ready(ctx, m) {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("VM %s did not get ready: %w", m.VM.ID(), ctx.Err())
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) ready(ctx context.Context, m *Member) bool {
+	if m.VM.Peers() != len(f.VMs) {
+		return false
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, m.URL()+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusNoContent
+}
+
+// Close ends everything.
+func (f *Fleet) Close() {
+	for _, m := range f.VMs {
+		m.Kill()
+	}
+	for _, s := range f.servers {
+		s.Close()
+	}
+}
--- /dev/null
+++ b/internal/vm/build.go
@@ -0,0 +1,202 @@
+package vm
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"net/http"
+	"time"
+
+	"ibisstall.example/ibisstall/internal/endpoint"
+	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/front"
+	"ibisstall.example/ibisstall/internal/membership"
+	"ibisstall.example/ibisstall/internal/mesh"
+	"ibisstall.example/ibisstall/internal/platform/batch"
+	"ibisstall.example/ibisstall/internal/platform/httpclient"
+	"ibisstall.example/ibisstall/internal/system/directory"
+	"ibisstall.example/ibisstall/internal/system/journal"
+	"ibisstall.example/ibisstall/internal/system/mirror"
+	"ibisstall.example/ibisstall/internal/system/owner"
+	"ibisstall.example/ibisstall/internal/system/queue"
+	"ibisstall.example/ibisstall/internal/system/route"
+)
+
+// Settings of the calls that have no key of their own.
+const (
+	defaultTokens = 1024
+	keepAnswers   = time.Minute
+	keepFamilies  = 10 * time.Minute
+	findLimit     = 10 * time.Second
+	idleConns     = 64 // to each endpoint
+	idBytes       = 12
+)
+
+// build makes the systems, from the bottom up.
+func (v *VM) build() error {
+	v.platform = httpclient.New(httpclient.Options{
+		BaseURL:    v.s.Platform.TableURL,
+		DC:         v.s.VM.DC,
+		Timeout:    v.s.Platform.Timeout,
+		MaxTries:   uint(v.s.Platform.Attempts),
+		RetryShare: v.s.Platform.RetryRatio,
+	})
+	v.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns}}
+	v.meshOut = mesh.NewClient(mesh.ClientOptions{Recorder: v.recorder, TLS: v.meshClientTLS()})
+	if err := v.buildMembership(); err != nil {
+		return err
+	}
+	v.settingsTable = newTableConfig(v.platform, v.recorder)
+	v.directory = directory.New(v.s.Endpoints, v.platform, v.recorder)
+	v.schedule = v.buildQueues()
+	v.buildJournal()
+	v.owner = owner.New(v.ownerOptions())
+	v.router = route.New(route.Options{
+		SelfAddr:  v.MeshAddr(),
+		Owner:     v.owner,
+		Mesh:      v.meshOut,
+		Place:     v.place,
+		Suspect:   v.suspect,
+		FindLimit: findLimit,
+	})
+	v.front = front.New(v.frontOptions())
+	return v.register()
+}
+
+func (v *VM) buildMembership() error {
+	var err error
+	v.members, err = membership.New(membership.Options{
+		Self:      v.self(),
+		Seeds:     v.s.Fleet.Seeds,
+		Keys:      v.fleetKeys(),
+		Transport: v.gossip,
+		VMList:    v.platform,
+		Recorder:  v.recorder,
+		Logger:    v.log,
+	})
+	return err
+}
+
+// developmentKey signs the traffic of a fleet without a key file, which
+// settings allow on loopback only.
+const developmentKey = "ibisstall-fleet-without-a-key-file"
+
+func (v *VM) fleetKeys() [][]byte {
+	var out [][]byte
+	for _, k := range [][]byte{v.s.Fleet.Key.Reveal(), v.s.Fleet.PreviousKey.Reveal()} {
+		if len(k) > 0 {
+			out = append(out, k)
+		}
+	}
+	if len(out) == 0 {
+		out = append(out, []byte(developmentKey))
+	}
+	return out
+}
+
+func (v *VM) ownerOptions() owner.Options {
+	return owner.Options{
+		Self:      v.id,
+		Journal:   v.journal,
+		Scheduler: v.schedule,
+		Engines: func(ep entity.Endpoint) owner.Engine {
+			return v.engine(ep)
+		},
+		Callers: func(ep entity.Endpoint) owner.Caller {
+			return endpoint.NewCaller(ep, v.client, v.clientOptions())
+		},
+		Endpoint:       v.directory.Find,
+		Endpoints:      v.directory.Endpoints,
+		Config:         v.config,
+		Place:          v.place,
+		VM:             v.vmByID,
+		HandOver:       v.handOver,
+		Lease:          func() error { return nil },
+		RetryShare:     v.s.Policy.RetryRatio,
+		Recorder:       v.recorder,
+		Now:            time.Now,
+		NewID:          newID,
+		DefaultTokens:  defaultTokens,
+		DefaultTimeout: v.s.Limits.RequestTimeout,
+		SaveTimeout:    v.s.Platform.Timeout * 2,
+		KeepAnswers:    keepAnswers,
+		KeepFamilies:   keepFamilies,
+	}
+}
+
+func newID() string {
+	var b [idBytes]byte
+	_, _ = rand.Read(b[:]) // never fails, see crypto/rand
+	return hex.EncodeToString(b[:])
+}
+
+func (v *VM) frontOptions() front.Options {
+	return front.Options{
+		DC:        v.s.VM.DC,
+		Router:    v.router,
+		Lister:    lister{v},
+		Config:    v.settingsTable,
+		Fleet:     &fleet{v},
+		Operators: v.operators.Load,
+		NewID:     newID,
+		Now:       time.Now,
+		Limits: front.Limits{
+			Body:           int64(v.s.Limits.Body),
+			JSONDepth:      v.s.Limits.JSONDepth,
+			SlowSender:     v.s.Limits.SlowSender,
+			RequestTimeout: v.s.Limits.RequestTimeout,
+		},
+	}
+}
+
+// buildJournal makes the journal over group commit, with second copies on
+// other VMs.
+func (v *VM) buildJournal() {
+	v.batch = batch.New(v.platform, batch.Options{MinSpacing: v.s.Journal.BatchInterval, Timeout: v.s.Platform.Timeout})
+	v.copies = journal.NewMirrorStore(v.s.Journal.BufferRecords)
+	v.journal = journal.New(journal.Options{
+		Table:            v.batch,
+		Objects:          v.platform.Objects(),
+		Mirror:           mirror.New(v.id, v.s.VM.DC, v.meshOut, v.members.View, v.copies),
+		MaxBufferBytes:   int(v.s.Journal.BufferBytes),
+		MaxBufferRecords: v.s.Journal.BufferRecords,
+		Timeout:          v.s.Platform.Timeout,
+		Events:           v.recorder,
+	})
+}
+
+// lister lists programs from the platform.
+type lister struct{ v *VM }
+
+// List implements front.Lister.
+func (l lister) List(ctx context.Context, dc, workspace string, after entity.ProgramID, limit int) ([]*entity.Program, error) {
+	rows, err := journal.List(ctx, l.v.batch, dc, after, limit)
+	if err != nil {
+		return nil, err
+	}
+	out := rows[:0]
+	for _, p := range rows {
+		if workspace == "" || p.Workspace == workspace {
+			out = append(out, p)
+		}
+	}
+	return out, nil
+}
+
+// register publishes the services that other VMs call.
+func (v *VM) register() error {
+	return errors.Join(
+		v.meshIn.Register(owner.ServiceName, owner.NewService(v.owner, findLimit)),
+		v.meshIn.Register(fleetService, &fleetRPC{v}),
+		v.meshIn.Register(queue.ServiceName, v.schedule.Server()),
+		v.meshIn.Register(mirror.ServiceName, mirror.NewService(v.copies)),
+	)
+}
+
+// handOver asks another VM to give up a family.
+func (v *VM) handOver(ctx context.Context, vm entity.VM, args owner.HandOverArgs) (owner.HandOverReply, error) {
+	var reply owner.HandOverReply
+	err := v.meshOut.Call(ctx, vm.MeshAddr, owner.ServiceName+".HandOver", args, &reply)
+	return reply, err
+}
--- /dev/null
+++ b/internal/vm/loops.go
@@ -0,0 +1,129 @@
+package vm
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/keys"
+	"ibisstall.example/ibisstall/internal/logging/tag"
+)
+
+// ownerTick is the time between two ticks of the owner system.
+const ownerTick = 500 * time.Millisecond
+
+// keysEvery is the time between two readings of the operators' key hashes.
+const keysEvery = 2 * time.Second
+
+// startLoops runs the systems that have a tick.
+func (v *VM) startLoops(ctx context.Context) {
+	v.watchTLS(ctx)
+	v.loop(ctx, ownerTick, func(ctx context.Context) { v.owner.Tick(ctx) })
+	v.loop(ctx, v.s.Platform.ConfigInterval, v.readConfig)
+	v.loop(ctx, v.s.Platform.VMListInterval, v.readList)
+	v.loop(ctx, keysEvery, v.readOperators)
+	v.spawn(func() { v.followEndpoints(ctx) })
+	v.spawn(func() { v.journal.Run(ctx) })
+	v.spawn(func() { v.schedule.Run(ctx) })
+	v.spawn(func() { v.followMembers(ctx) })
+}
+
+// loop runs a tick at once and then at an interval with jitter, so that the
+// VMs of a fleet don't act in step.
+func (v *VM) loop(ctx context.Context, every time.Duration, tick func(context.Context)) {
+	v.spawn(func() {
+		for ctx.Err() == nil {
+			tick(ctx)
+			pause := every*9/10 + rand.N(every/5+1)
+			select {
+			case <-ctx.Done():
+			case <-time.After(pause):
+			}
+		}
+	})
+}
+
+func (v *VM) readConfig(ctx context.Context) {
+	if _, _, err := v.settingsTable.read(ctx); err != nil {
+		v.log.Warn("the configuration could not be read", tag.Error(err))
+		return
+	}
+	version := v.config().Version
+	v.members.SetConfigVersion(version)
+	v.setEndpoints()
+}
+
+// setEndpoints passes the endpoints and the table on to the queues.
+func (v *VM) setEndpoints() {
+	v.schedule.Set(reachable(v.directory.Endpoints(), v.s.VM.DC), v.config())
+}
+
+func (v *VM) readList(ctx context.Context) {
+	if err := v.directory.Tick(ctx); err != nil {
+		v.log.Warn("the VM list could not be read", tag.Error(err))
+	}
+}
+
+// adoptEvery is the time after which orphaned programs are looked for although
+// no VM was seen to die.
+const adoptEvery = 5 * time.Minute
+
+// followMembers adopts the programs of VMs that are gone.
+func (v *VM) followMembers(ctx context.Context) {
+	alive := 0
+	again := time.NewTicker(adoptEvery)
+	defer again.Stop()
+	for {
+		changed := v.members.Changed()
+		if now := v.Peers(); now < alive {
+			v.adoptOrphans(ctx)
+			alive = now
+		} else {
+			alive = now
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-again.C:
+			v.adoptOrphans(ctx)
+		case <-changed:
+		}
+	}
+}
+
+func (v *VM) adoptOrphans(ctx context.Context) {
+	n, err := v.owner.AdoptOrphans(ctx, v.batch, v.s.VM.DC)
+	if err != nil {
+		v.log.Warn("orphaned programs could not be read", tag.Error(err))
+		return
+	}
+	if n > 0 {
+		v.log.Info("adopted programs of VMs that are gone", tag.Count(n))
+	}
+}
+
+// readOperators takes in operators' keys that were added or revoked.
+func (v *VM) readOperators(context.Context) {
+	hashes, err := v.s.ReadOperatorHashes()
+	if err != nil {
+		v.log.Error("operators' keys could not be read again; the former ones stay in use", tag.Error(err))
+		return
+	}
+	v.operators.Store(keys.Operators(hashes))
+}
+
+// followEndpoints passes changes of the endpoints on to the queues.
+func (v *VM) followEndpoints(ctx context.Context) {
+	for {
+		changed := v.directory.Changed()
+		v.setEndpoints()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (v *VM) config() *entity.Config { return v.settingsTable.InForce() }
--- /dev/null
+++ b/internal/vm/queues.go
@@ -0,0 +1,89 @@
+package vm
+
+import (
+	"context"
+
+	"ibisstall.example/ibisstall/internal/endpoint"
+	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/policy/order"
+	"ibisstall.example/ibisstall/internal/policy/placement"
+	"ibisstall.example/ibisstall/internal/settings"
+	"ibisstall.example/ibisstall/internal/system/queue"
+)
+
+// buildQueues makes the scheduler, whose queues are spread over the VMs of
+// their endpoints' data centres.
+func (v *VM) buildQueues() *queue.Remote {
+	policy := queue.DefaultPolicy()
+	if v.s.Policy.Order == settings.OrderFirstCome {
+		policy.Queue.Order = order.KindFCFS
+	}
+	if v.s.Policy.Placement == settings.PlacementPlain {
+		policy.Placement.Placer = placement.KindRoundRobin
+	}
+	return queue.NewRemote(queue.RemoteOptions{
+		VM:     v.id,
+		Policy: policy,
+		Hooks: queue.Hooks{
+			ReleaseSession: func(ctx context.Context, ep entity.Endpoint, id entity.ProgramID) error {
+				return v.engine(ep).Release(ctx, id)
+			},
+			ImportSession: v.importSession,
+			Events:        v.recorder,
+		},
+		Network: queue.Network{Locate: v.locateQueue, Call: v.meshOut.Call},
+	})
+}
+
+// importSession copies a program's KV cache from one engine to another.
+func (v *VM) importSession(ctx context.Context, from, to entity.Endpoint, id entity.ProgramID) error {
+	kv, err := v.engine(from).Export(ctx, id)
+	if err != nil {
+		return err
+	}
+	return v.engine(to).Import(ctx, kv)
+}
+
+func (v *VM) engine(ep entity.Endpoint) *endpoint.Engine {
+	return endpoint.NewEngine(ep, v.client, v.clientOptions())
+}
+
+func (v *VM) clientOptions() endpoint.Options {
+	return endpoint.Options{Silence: v.s.Engine.SilenceLimit}
+}
+
+// reachable returns the endpoints that this VM's programs use: those of its
+// data centre, and for a target that has none there, those elsewhere.
+func reachable(all []entity.Endpoint, dc string) []entity.Endpoint {
+	served := make(map[string]bool)
+	for _, ep := range all {
+		if ep.DC == dc && !ep.Leaving {
+			for _, t := range targets(ep) {
+				served[t] = true
+			}
+		}
+	}
+	var out []entity.Endpoint
+	for _, ep := range all {
+		if ep.DC == dc || servesMissing(ep, served) {
+			out = append(out, ep)
+		}
+	}
+	return out
+}
+
+func targets(ep entity.Endpoint) []string {
+	if ep.Kind == entity.KindEngine {
+		return ep.Models
+	}
+	return []string{string(ep.Kind) + "/" + ep.Target}
+}
+
+func servesMissing(ep entity.Endpoint, served map[string]bool) bool {
+	for _, t := range targets(ep) {
+		if !served[t] {
+			return true
+		}
+	}
+	return false
+}
