VMs keep the table of weights and limits by the configuration system

Each VM read the row from the platform by itself, so that a fleet's reads grew with its VMs and a VM without the platform fell behind. Now one VM of each data centre polls, and the others fetch from it.

--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -10,7 +10,9 @@
 	goa "goa.design/goa/v3/pkg"
 
 	"ibisstall.example/ibisstall/gen/types"
+	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/mesh"
+	"ibisstall.example/ibisstall/internal/system/config"
 	"ibisstall.example/ibisstall/internal/system/route"
 )
 
@@ -62,6 +64,8 @@
 func convert(err error) error {
 	var out *types.Failure
 	var fault *mesh.Fault
+	var stale *config.StaleError
+	var row *entity.RowError
 	switch {
 	case err == nil:
 		return nil
@@ -69,6 +73,18 @@
 		return out
 	case errors.As(err, &fault):
 		return fromFault(fault)
+	case errors.As(err, &stale):
+		return staleFailure(stale)
+	case errors.As(err, &row):
+		f := failure(nameBadRequest, row.Error(), row.Column)
+		f.Detail.Row = &row.Name
+		return f
+	case errors.Is(err, config.ErrUnavailable):
+		return failure(nameNotRun, err.Error(), "")
+	case errors.Is(err, config.ErrUnknown):
+		return failure(nameOutcomeUnknown, err.Error(), "")
+	case errors.Is(err, config.ErrNoVersion):
+		return failure(nameNotFound, err.Error(), "version")
 	case errors.Is(err, route.ErrDiverged):
 		return failure(nameFailed, err.Error(), "")
 	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
@@ -78,6 +94,17 @@
 	}
 }
 
+// staleFailure names the first row that changed since the edit's base.
+func staleFailure(stale *config.StaleError) *types.Failure {
+	f := failure(nameStale, stale.Error(), "If-Match")
+	if len(stale.ChangedRows) > 0 {
+		first := stale.ChangedRows[0]
+		row := string(first.Kind) + " " + first.Name
+		f.Detail.Row = &row
+	}
+	return f
+}
+
 func fromFault(fault *mesh.Fault) *types.Failure {
 	name, ok := namesByCode[fault.Code]
 	if !ok {
--- a/internal/vm/build.go
+++ b/internal/vm/build.go
@@ -47,10 +47,12 @@
 	if err := v.buildMembership(); err != nil {
 		return err
 	}
-	v.settingsTable = newTableConfig(v.platform, v.recorder)
+	v.buildJournal()
+	if err := v.buildConfig(); err != nil {
+		return err
+	}
 	v.directory = directory.New(v.s.Endpoints, v.platform, v.recorder)
 	v.schedule = v.buildQueues()
-	v.buildJournal()
 	v.owner = owner.New(v.ownerOptions())
 	v.router = route.New(route.Options{
 		SelfAddr:  v.MeshAddr(),
@@ -136,7 +138,7 @@
 		DC:        v.s.VM.DC,
 		Router:    v.router,
 		Lister:    lister{v},
-		Config:    v.settingsTable,
+		Config:    v.table,
 		Fleet:     &fleet{v},
 		Operators: v.operators.Load,
 		NewID:     newID,
@@ -188,6 +190,7 @@
 func (v *VM) register() error {
 	return errors.Join(
 		v.meshIn.Register(owner.ServiceName, owner.NewService(v.owner, findLimit)),
+		v.meshIn.Register(configService, &configRPC{v}),
 		v.meshIn.Register(fleetService, &fleetRPC{v}),
 		v.meshIn.Register(queue.ServiceName, v.schedule.Server()),
 		v.meshIn.Register(mirror.ServiceName, mirror.NewService(v.copies)),
--- a/internal/vm/config.go
+++ b/internal/vm/config.go
@@ -2,101 +2,67 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"sync/atomic"
-	"time"
 
 	"ibisstall.example/ibisstall/internal/entity"
-	"ibisstall.example/ibisstall/internal/mesh"
-	"ibisstall.example/ibisstall/internal/platform"
-	"ibisstall.example/ibisstall/internal/timeline"
+	"ibisstall.example/ibisstall/internal/system/config"
 )
 
-// configKey is the row of the configuration in force.
-var configKey = platform.Key{Table: "config", ID: "current"}
+// configService is the name of the net/rpc service for the table of weights
+// and limits.
+const configService = "Config"
 
-// tableConfig is the table of weights and limits, read from the platform by
-// each VM.
-type tableConfig struct {
-	table    platform.Table
-	recorder timeline.Recorder
-	current  atomic.Pointer[entity.Config]
+// buildConfig makes the system that keeps the table in force.
+func (v *VM) buildConfig() error {
+	var err error
+	v.table, err = config.New(config.Options{
+		Self:      v.id,
+		DC:        v.s.VM.DC,
+		Table:     v.batch,
+		Members:   v.members,
+		Fetch:     v.fetchConfig,
+		PollEvery: v.s.Platform.ConfigInterval,
+		Timeout:   v.s.Platform.Timeout,
+		Recorder:  v.recorder,
+		Logger:    v.log,
+	})
+	return err
 }
 
-func newTableConfig(t platform.Table, r timeline.Recorder) *tableConfig {
-	c := &tableConfig{table: t, recorder: r}
-	c.current.Store(&entity.Config{})
-	return c
+// fetchConfig asks another VM for its version in force.
+func (v *VM) fetchConfig(ctx context.Context, vm entity.VM, atLeast uint64) (*entity.Config, error) {
+	var reply entity.Config
+	err := v.meshOut.Call(ctx, vm.MeshAddr, configService+".Fetch", FetchConfigArgs{AtLeast: atLeast}, &reply)
+	return &reply, err
 }
 
-// InForce implements front.Config.
-func (c *tableConfig) InForce() *entity.Config { return c.current.Load() }
+// FetchConfigArgs ask for a version of at least a number.
+type FetchConfigArgs struct{ AtLeast uint64 }
 
-// read takes in the platform's version if it is newer.
-func (c *tableConfig) read(ctx context.Context) (*entity.Config, uint64, error) {
-	rows, err := c.table.Get(ctx, []platform.Key{configKey})
+// configRPC serves the net/rpc methods.
+type configRPC struct{ v *VM }
+
+// Fetch returns the version in force.
+func (r *configRPC) Fetch(args FetchConfigArgs, reply *entity.Config) error {
+	c, err := r.v.table.Serve(args.AtLeast)
 	if err != nil {
-		return nil, 0, err
-	}
-	stored := &entity.Config{}
-	if rows[0].Version > 0 {
-		if err := json.Unmarshal(rows[0].Value, stored); err != nil {
-			return nil, 0, err
-		}
+		return err
 	}
-	c.adopt(stored)
-	return stored, rows[0].Version, nil
+	*reply = *c
+	return nil
 }
 
-func (c *tableConfig) adopt(next *entity.Config) {
+// followConfig passes new versions on to the queues.
+func (v *VM) followConfig(ctx context.Context) {
 	for {
-		now := c.current.Load()
-		if next.Version <= now.Version {
-			return
-		}
-		if c.current.CompareAndSwap(now, next) {
-			c.recorder.Record(timeline.Event{Kind: timeline.ConfigInForce})
+		changed := v.table.Changed()
+		v.setEndpoints()
+		select {
+		case <-ctx.Done():
 			return
+		case <-changed:
 		}
 	}
 }
 
-// Edit implements front.Config.
-func (c *tableConfig) Edit(ctx context.Context, base uint64, rows []entity.ConfigRow, editID, author string) (*entity.Config, error) {
-	next := &entity.Config{Version: base + 1, EditID: editID, Author: author, At: time.Now().UTC(), Rows: rows}
-	if err := next.Validate(); err != nil {
-		return nil, mesh.NewFault(mesh.CodeBadRequest, "%v", err)
-	}
-	stored, version, err := c.read(ctx)
-	if err != nil {
-		return nil, mesh.NewFault(mesh.CodeNotRun, "%v", err)
-	}
-	if stored.Version != base {
-		return nil, mesh.NewFault(mesh.CodeStale, "version %d is in force", stored.Version)
-	}
-	value, err := json.Marshal(next)
-	if err != nil {
-		return nil, err
-	}
-	err = c.table.Commit(ctx, []platform.Write{{Key: configKey, IfVersion: version, Value: value}})
-	var conflict *platform.ConflictError
-	if errors.As(err, &conflict) {
-		return nil, mesh.NewFault(mesh.CodeStale, "another edit came first")
-	}
-	if err != nil {
-		return nil, mesh.NewFault(mesh.CodeOutcomeUnknown, "%v", err)
-	}
-	c.adopt(next)
-	return next, nil
-}
-
-// History implements front.Config.
-func (c *tableConfig) History(context.Context) ([]*entity.Config, error) {
-	return []*entity.Config{c.InForce()}, nil
-}
-
-// Revert implements front.Config.
-func (c *tableConfig) Revert(context.Context, uint64, uint64, string, string) (*entity.Config, error) {
-	return nil, mesh.NewFault(mesh.CodeNotFound, "no earlier version is kept")
-}
+// config returns the version in force.
+func (v *VM) config() *entity.Config { return v.table.InForce() }
--- a/internal/vm/loops.go
+++ b/internal/vm/loops.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/keys"
 	"ibisstall.example/ibisstall/internal/logging/tag"
 )
@@ -20,13 +19,14 @@
 func (v *VM) startLoops(ctx context.Context) {
 	v.watchTLS(ctx)
 	v.loop(ctx, ownerTick, func(ctx context.Context) { v.owner.Tick(ctx) })
-	v.loop(ctx, v.s.Platform.ConfigInterval, v.readConfig)
 	v.loop(ctx, v.s.Platform.VMListInterval, v.readList)
 	v.loop(ctx, keysEvery, v.readOperators)
 	v.spawn(func() { v.followEndpoints(ctx) })
 	v.spawn(func() { v.journal.Run(ctx) })
 	v.spawn(func() { v.schedule.Run(ctx) })
 	v.spawn(func() { v.followMembers(ctx) })
+	v.spawn(func() { v.table.Run(ctx) })
+	v.spawn(func() { v.followConfig(ctx) })
 }
 
 // loop runs a tick at once and then at an interval with jitter, so that the
@@ -44,16 +44,6 @@
 	})
 }
 
-func (v *VM) readConfig(ctx context.Context) {
-	if _, _, err := v.settingsTable.read(ctx); err != nil {
-		v.log.Warn("the configuration could not be read", tag.Error(err))
-		return
-	}
-	version := v.config().Version
-	v.members.SetConfigVersion(version)
-	v.setEndpoints()
-}
-
 // setEndpoints passes the endpoints and the table on to the queues.
 func (v *VM) setEndpoints() {
 	v.schedule.Set(reachable(v.directory.Endpoints(), v.s.VM.DC), v.config())
@@ -125,5 +115,3 @@
 		}
 	}
 }
-
-func (v *VM) config() *entity.Config { return v.settingsTable.InForce() }
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -25,6 +25,7 @@
 	"ibisstall.example/ibisstall/internal/platform/batch"
 	"ibisstall.example/ibisstall/internal/platform/httpclient"
 	"ibisstall.example/ibisstall/internal/settings"
+	"ibisstall.example/ibisstall/internal/system/config"
 	"ibisstall.example/ibisstall/internal/system/directory"
 	"ibisstall.example/ibisstall/internal/system/journal"
 	"ibisstall.example/ibisstall/internal/system/owner"
@@ -50,21 +51,20 @@
 	directory *directory.Directory
 	schedule  *queue.Remote
 	client    *http.Client // to the endpoints
-	// settingsTable is the operators' table of weights and limits.
-	settingsTable *tableConfig
-	batch         *batch.Committer
-	copies        *journal.MirrorStore // second copies kept for other VMs
-	journal       *journal.Journal
-	owner         *owner.Owner
-	router        *route.Router
-	front         *front.Front
-	listener      net.Listener
-	admin         net.Listener // metrics and health
-	operators     atomic.Pointer[keys.Set]
-	callerTLS     *tlsconf.Source // nil for plain HTTP
-	meshTLS       *tlsconf.Source // nil for plain TCP
-	metrics       *metric.Registry
-	recorder      timeline.Recorder // the ring, with its events counted
+	table     *config.Manager
+	batch     *batch.Committer
+	copies    *journal.MirrorStore // second copies kept for other VMs
+	journal   *journal.Journal
+	owner     *owner.Owner
+	router    *route.Router
+	front     *front.Front
+	listener  net.Listener
+	admin     net.Listener // metrics and health
+	operators atomic.Pointer[keys.Set]
+	callerTLS *tlsconf.Source // nil for plain HTTP
+	meshTLS   *tlsconf.Source // nil for plain TCP
+	metrics   *metric.Registry
+	recorder  timeline.Recorder // the ring, with its events counted
 
 	draining atomic.Bool
 	killed   chan struct{} // closed by Kill
