Measure isolation and adoption from the last tie of either kind

A data centre whose lease can't be renewed as the whole platform is down, but which the others reach, would have stopped serving after the isolation limit though nobody could adopt its programs. Both limits now start at the later of the last renewal and the last moment at which the memberships reached each other.

--- a/internal/policy/ownership/isolation.go
+++ b/internal/policy/ownership/isolation.go
@@ -9,17 +9,21 @@
 
 // Limits order what an isolated data centre and the others do:
 //
-//	last renewal ── Isolation ── (drift, Margin) ── Adoption
-//	      isolated side serves │     nobody serves   │ others adopt
+//	last tie ──── Isolation ── (drift, Margin) ── Adoption
+//	   isolated side serves │     nobody serves   │ others adopt
+//
+// A tie is a renewal of the data centre's lease or a moment at which both sides'
+// memberships reached each other.
 type Limits struct {
-	// Isolation is how long after its lease was last renewed a data centre
-	// serves programs that others know.
+	// Isolation is how long after its last tie a data centre serves programs
+	// that others know.
 	Isolation time.Duration
-	// Adoption is how long a data centre's lease must have stood unchanged
-	// before others adopt its programs.
+	// Adoption is how long a data centre must have been without a tie before
+	// others adopt its programs.
 	Adoption time.Duration
-	// Margin is added to the time that drift may take: a call that was let in
-	// just before the limit must be over.
+	// Margin is added to the time that drift may take: both sides see a cut
+	// up to a detection time apart, and a call that was let in just before
+	// the limit must be over.
 	Margin time.Duration
 	// Drift is the relative error of a VM's clock rate.
 	Drift float64
@@ -53,34 +57,30 @@
 	return time.Duration(float64(d) / (1 - drift))
 }
 
-// Contact is what a VM knows of its data centre's ties to the rest.
+// Contact is what a VM knows of its data centre's ties to the rest. The
+// durations are bounds from above, by the VM's monotonic clock.
 type Contact struct {
-	// SinceRenewal bounds from above the time since the data centre's lease
-	// was renewed, by the monotonic clock of the VM.
-	SinceRenewal time.Duration
-	// Platform tells that the platform answers, directly or relayed.
-	Platform bool
+	SinceRenewal time.Duration // since the data centre's lease was renewed
+	SinceReached time.Duration // since VMs of all other data centres were reached
 }
 
 // MayServe reports whether a VM may serve a program of its own data centre. A
-// program that was created here since the lease was last renewed is unknown to
-// others and served without limit.
+// program that was created here while cut off is unknown to others and served
+// without limit.
 func MayServe(createdIsolated bool, c Contact, l Limits) bool {
-	return createdIsolated || c.SinceRenewal < l.Isolation
+	return createdIsolated || min(c.SinceRenewal, c.SinceReached) < l.Isolation
 }
 
-// DCEvidence is what a VM knows of another data centre.
+// DCEvidence is what a VM knows of another data centre. The durations are bounds
+// from below, by the VM's monotonic clock.
 type DCEvidence struct {
-	// Unchanged bounds from below the time that the data centre's lease row
-	// has stood unchanged in the platform, by the VM's monotonic clock.
-	Unchanged time.Duration
+	Unchanged time.Duration // that the data centre's lease row has stood unchanged
+	Unreached time.Duration // that membership has reached no VM there; 0 if it does
 	// Readable tells that the row was read lately. A row that can't be read
 	// proves nothing.
 	Readable bool
 	// Released tells that the data centre's last VM gave the lease back.
 	Released bool
-	// Living is the number of VMs there that membership holds for not dead.
-	Living int
 }
 
 // Verdict is whether a data centre's programs may be adopted, and why not.
@@ -99,11 +99,11 @@
 // third one, keeps its programs.
 func AdoptDC(e DCEvidence, l Limits) Verdict {
 	switch {
-	case e.Living > 0:
+	case e.Unreached <= 0:
 		return StillReached
 	case !e.Readable:
 		return PlatformUnknown
-	case e.Released, e.Unchanged >= l.Adoption:
+	case e.Released, min(e.Unchanged, e.Unreached) >= l.Adoption:
 		return Adoptable
 	default:
 		return LeaseNotLapsed
--- a/internal/policy/ownership/ownership_test.go
+++ b/internal/policy/ownership/ownership_test.go
@@ -204,11 +204,14 @@
 			return
 		}
 		rate := func(name string) float64 { return 1 + l.Drift*rapid.Float64Range(-1, 1).Draw(t, name) }
-		at := float64(rapid.Int64Range(0, int64(3*time.Hour)).Draw(t, "true time since renewal"))
-		serves := MayServe(false, Contact{SinceRenewal: time.Duration(at * rate("own rate"))}, l)
-		adopts := AdoptDC(DCEvidence{Unchanged: time.Duration(at * rate("other rate")), Readable: true}, l) == Adoptable
-		if serves && adopts {
-			t.Fatalf("served and adopted %s after the renewal", time.Duration(at))
+		at := float64(rapid.Int64Range(0, int64(3*time.Hour)).Draw(t, "true time since the last tie"))
+		earlier := at + float64(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "the other tie was earlier by"))
+		own, other := rate("own rate"), rate("other rate")
+		shown := func(at, rate float64) time.Duration { return time.Duration(at * rate) }
+		serves := MayServe(false, Contact{SinceRenewal: shown(at, own), SinceReached: shown(earlier, own)}, l)
+		evidence := DCEvidence{Unchanged: shown(at, other), Unreached: shown(earlier, other), Readable: true}
+		if serves && AdoptDC(evidence, l) == Adoptable {
+			t.Fatalf("served and adopted %s after the last tie", time.Duration(at))
 		}
 	})
 }
@@ -221,16 +224,17 @@
 		e    DCEvidence
 		want Verdict
 	}{
-		{"a data centre that is reached keeps its programs", DCEvidence{Unchanged: time.Hour, Readable: true, Living: 1}, StillReached},
-		{"an unreadable lease proves nothing", DCEvidence{Unchanged: time.Hour}, PlatformUnknown},
-		{"a lease renewed lately is respected", DCEvidence{Unchanged: l.Isolation, Readable: true}, LeaseNotLapsed},
-		{"a lapsed lease is adopted", DCEvidence{Unchanged: l.Adoption, Readable: true}, Adoptable},
-		{"a released lease is adopted at once", DCEvidence{Readable: true, Released: true}, Adoptable},
+		{"a data centre that is reached keeps its programs", DCEvidence{Unchanged: time.Hour, Readable: true}, StillReached},
+		{"an unreadable lease proves nothing", DCEvidence{Unchanged: time.Hour, Unreached: time.Hour}, PlatformUnknown},
+		{"a lease renewed lately is respected", DCEvidence{Unchanged: l.Isolation, Unreached: time.Hour, Readable: true}, LeaseNotLapsed},
+		{"a data centre reached lately keeps its programs", DCEvidence{Unchanged: time.Hour, Unreached: l.Isolation, Readable: true}, LeaseNotLapsed},
+		{"a lapsed lease is adopted", DCEvidence{Unchanged: l.Adoption, Unreached: l.Adoption, Readable: true}, Adoptable},
+		{"a released lease is adopted at once", DCEvidence{Unreached: 1, Readable: true, Released: true}, Adoptable},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) { is.New(t).Equal(AdoptDC(c.e, l), c.want) })
 	}
-	is.New(t).True(MayServe(true, Contact{SinceRenewal: time.Hour}, l))
+	is.New(t).True(MayServe(true, Contact{SinceRenewal: time.Hour, SinceReached: time.Hour}, l))
 	is.New(t).True((Limits{Isolation: time.Minute, Adoption: time.Minute}).Validate() == nil)
 	is.New(t).True((Limits{Isolation: time.Minute, Adoption: time.Minute, Margin: 1}).Validate() != nil)
 }
