Relay of platform requests through a VM that reaches the platform

A VM whose own path is lost asks a VM of its data centre or another one, which makes the request on its own path only. Typed errors are kept; a write whose relay broke is unknown unless the call was surely not sent.

--- /dev/null
+++ b/internal/system/relay/message.go
@@ -0,0 +1,101 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+
+	"ibisstall.example/ibisstall/internal/platform"
+)
+
+// Op is the operation of a Request.
+type Op string
+
+// The operations.
+const (
+	OpGet          Op = "get"
+	OpScan         Op = "scan"
+	OpCommit       Op = "commit"
+	OpPutObject    Op = "put object"
+	OpGetObject    Op = "get object"
+	OpDeleteObject Op = "delete object"
+)
+
+// Request is a request to the platform that another VM makes for this one.
+type Request struct {
+	Op     Op
+	Keys   []platform.Key   // OpGet
+	Table  string           // OpScan
+	Prefix string           // OpScan
+	After  string           // OpScan
+	Limit  int              // OpScan
+	Writes []platform.Write // OpCommit
+	Name   string           // of an object
+	Data   []byte           // OpPutObject
+}
+
+// changes reports whether a request whose answer is lost may have had an effect
+// that a repeat could not tell from its own.
+func (r *Request) changes() bool { return r.Op == OpCommit }
+
+// Reply is the platform's answer. Failure is nil on success.
+type Reply struct {
+	Rows    []platform.Row
+	Data    []byte
+	Failure *Failure
+}
+
+// FailureKind is the kind of a platform error, kept over the way back.
+type FailureKind string
+
+// The kinds of failures.
+const (
+	FailUnavailable FailureKind = "unavailable"
+	FailUnknown     FailureKind = "unknown"
+	FailNotFound    FailureKind = "not found"
+	FailConflict    FailureKind = "conflict"
+	FailRefused     FailureKind = "refused"
+)
+
+// Failure is a platform error on its way back.
+type Failure struct {
+	Kind    FailureKind
+	Message string
+	Indexes []int // of a conflict
+}
+
+func failureOf(err error) *Failure {
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &conflict):
+		return &Failure{Kind: FailConflict, Indexes: conflict.Indexes}
+	case errors.Is(err, platform.ErrUnknown):
+		return &Failure{Kind: FailUnknown, Message: err.Error()}
+	case errors.Is(err, platform.ErrUnavailable):
+		return &Failure{Kind: FailUnavailable, Message: err.Error()}
+	case errors.Is(err, platform.ErrNotFound):
+		return &Failure{Kind: FailNotFound, Message: err.Error()}
+	default:
+		return &Failure{Kind: FailRefused, Message: err.Error()}
+	}
+}
+
+// err turns the failure back into the error of the platform layer. A kind that
+// this version doesn't know may stand for anything, so the outcome is unknown.
+func (f *Failure) err() error {
+	switch {
+	case f == nil:
+		return nil
+	case f.Kind == FailConflict:
+		return &platform.ConflictError{Indexes: f.Indexes}
+	case f.Kind == FailUnavailable:
+		return fmt.Errorf("%w: relayed: %s", platform.ErrUnavailable, f.Message)
+	case f.Kind == FailNotFound:
+		return fmt.Errorf("%w: relayed: %s", platform.ErrNotFound, f.Message)
+	case f.Kind == FailRefused:
+		return fmt.Errorf("relayed request refused: %s", f.Message)
+	default:
+		return fmt.Errorf("%w: relayed: %s", platform.ErrUnknown, f.Message)
+	}
+}
--- /dev/null
+++ b/internal/system/relay/relay_test.go
@@ -0,0 +1,175 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/platform"
+	"ibisstall.example/ibisstall/internal/standin/platformsvc"
+)
+
+// fleet is one relay in each of three data centres before one platform.
+type fleet struct {
+	server  *platformsvc.Server
+	relays  map[string]*Relay
+	down    map[string]bool // data centres without the platform
+	callErr error           // of each call, if set
+	calls   int
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{server: platformsvc.NewServer(platformsvc.NewStore()), relays: map[string]*Relay{}, down: map[string]bool{}}
+	for _, dc := range []string{"a", "b", "c"} {
+		direct := f.server.Direct(dc)
+		r, err := New(Options{
+			Self: dc, DC: dc, Table: direct, Objects: direct.Objects(),
+			Reachable: func() bool { return !f.down[dc] }, View: f.view, Call: f.call,
+		})
+		is.New(t).NoErr(err)
+		f.relays[dc] = r
+	}
+	return f
+}
+
+func (f *fleet) view() []entity.VM {
+	var out []entity.VM
+	for _, dc := range []string{"a", "b", "c"} {
+		out = append(out, entity.VM{ID: dc, DC: dc, PlatformReachable: !f.down[dc]})
+	}
+	return out
+}
+
+// call passes request and reply through the encoding between VMs.
+func (f *fleet) call(ctx context.Context, vm entity.VM, req Request) (Reply, error) {
+	f.calls++
+	if f.callErr != nil {
+		return Reply{}, f.callErr
+	}
+	var sent Request
+	var got Reply
+	if err := recode(req, &sent); err != nil {
+		return Reply{}, err
+	}
+	return got, recode(f.relays[vm.ID].Serve(ctx, sent), &got)
+}
+
+func recode(from, to any) error {
+	var buf bytes.Buffer
+	if err := gob.NewEncoder(&buf).Encode(from); err != nil {
+		return err
+	}
+	return gob.NewDecoder(&buf).Decode(to)
+}
+
+func (f *fleet) cut(dcs ...string) {
+	var faults []platformsvc.Fault
+	for _, dc := range dcs {
+		f.down[dc] = true
+		for _, s := range []platformsvc.Service{platformsvc.Table, platformsvc.Objects} {
+			faults = append(faults, platformsvc.Fault{Service: s, DC: dc, Down: true})
+		}
+	}
+	if err := f.server.SetControl(platformsvc.Control{Faults: faults}); err != nil {
+		panic(err)
+	}
+}
+
+var key = platform.Key{Table: "t", ID: "1"}
+
+func put(version uint64) []platform.Write {
+	return []platform.Write{{Key: key, IfVersion: version, Value: []byte("v")}}
+}
+
+func TestRelay_CutOffDataCentreReadsAndWritesThroughAnother(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	f := newFleet(t)
+	f.cut("a")
+	a := f.relays["a"]
+	is.NoErr(a.Commit(ctx, put(0)))
+	rows, err := a.Get(ctx, []platform.Key{key})
+	is.NoErr(err)
+	is.Equal(string(rows[0].Value), "v")
+	rows, err = a.Scan(ctx, "t", "", "", 10)
+	is.NoErr(err)
+	is.Equal(len(rows), 1)
+	is.NoErr(a.Objects().Put(ctx, "o", []byte("data")))
+	data, err := a.Objects().Get(ctx, "o")
+	is.NoErr(err)
+	is.Equal(string(data), "data")
+	is.NoErr(a.Objects().Delete(ctx, "o"))
+	_, err = a.Objects().Get(ctx, "o")
+	is.True(errors.Is(err, platform.ErrNotFound))
+	var conflict *platform.ConflictError
+	is.True(errors.As(a.Commit(ctx, put(0)), &conflict))
+	is.Equal(conflict.Indexes, []int{0})
+	is.True(f.calls > 0)
+}
+
+func TestRelay_RequestsGoRoundNowhere(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.cut("a", "b", "c")
+	f.down["b"], f.down["c"] = false, false // their news is late
+	err := f.relays["a"].Commit(context.Background(), put(0))
+	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.Equal(f.calls, 2) // each of the others once, which relay no further
+}
+
+func TestRelay_ErrorsOfTheCall(t *testing.T) {
+	cases := []struct {
+		name    string
+		callErr error
+		write   bool
+		want    error
+	}{
+		{"a write that was not sent had no effect", fmt.Errorf("dial: %w", ErrNotSent), true, platform.ErrUnavailable},
+		{"a write whose call broke may have taken effect", errors.New("connection reset"), true, platform.ErrUnknown},
+		{"a read whose call broke had no effect", errors.New("connection reset"), false, platform.ErrUnavailable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			f.cut("a")
+			f.callErr = c.callErr
+			var err error
+			if c.write {
+				err = f.relays["a"].Commit(context.Background(), put(0))
+			} else {
+				_, err = f.relays["a"].Get(context.Background(), []platform.Key{key})
+			}
+			is.True(errors.Is(err, c.want))
+		})
+	}
+}
+
+func TestRelay_LostAnswerStaysUnknownAndIsNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.cut("a")
+	faults := []platformsvc.Fault{{Service: platformsvc.Table, DC: "a", Down: true}, {Service: platformsvc.Table, LoseAnswers: 1}}
+	is.NoErr(f.server.SetControl(platformsvc.Control{Faults: faults}))
+	err := f.relays["a"].Commit(context.Background(), put(0))
+	is.True(errors.Is(err, platform.ErrUnknown))
+	is.Equal(f.calls, 1)
+	rows, err := f.relays["a"].Get(context.Background(), []platform.Key{key})
+	is.NoErr(err)
+	is.Equal(rows[0].Version, uint64(1))
+}
+
+func TestRelay_WorkingPathIsNotAvoided(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	is.NoErr(f.server.SetControl(platformsvc.Control{Faults: []platformsvc.Fault{{Service: platformsvc.Table, DC: "a", Down: true}}}))
+	err := f.relays["a"].Commit(context.Background(), put(0)) // refused, as over its limits
+	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.Equal(f.calls, 0)
+}
