--- /dev/null
+++ b/internal/system/sweep/sweep.go
@@ -0,0 +1,305 @@
+// Package sweep frees the memory that engines hold for programs: of programs
+// that are gone, and of paused ones whose memory isn't worth holding. A
+// release that was lost is made up for by the next sweep. Two sweepers of one
+// engine do no harm.
+package sweep
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"golang.org/x/sync/errgroup"
+
+	"ibisstall.example/ibisstall/internal/endpoint"
+	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/policy/retain"
+)
+
+// ErrIncomplete means that a sweep could not free all memory that it should
+// have; the next one tries again.
+var ErrIncomplete = errors.New("sweep is incomplete")
+
+const (
+	defaultParallel = 16
+	releaseTries    = 3
+	releasePause    = 50 * time.Millisecond
+	goneAtOnce      = 1000 // programs asked for in one call
+	longestAbsence  = time.Hour
+)
+
+// Engine is the client of an engine.
+type Engine interface {
+	Sessions(ctx context.Context) ([]endpoint.Session, error)
+	Release(ctx context.Context, id entity.ProgramID) error
+	Load(ctx context.Context) (endpoint.LoadReport, error)
+}
+
+// Options set up a Sweeper.
+type Options struct {
+	// Engines returns the engines that this VM sweeps at present, by name.
+	Engines func() map[string]Engine
+	// Gone returns which of the programs have ended: finished, cancelled or
+	// expired. A program that can't be looked up must not be returned.
+	Gone func(ctx context.Context, ids []entity.ProgramID) ([]entity.ProgramID, error)
+	// Retain sets for how long memory of paused programs is held.
+	Retain retain.Params
+	// Parallel bounds the engines that are spoken to at a time.
+	Parallel int
+}
+
+// Sweeper frees memory. It is safe for concurrent use.
+type Sweeper struct {
+	options Options
+
+	mu     sync.Mutex
+	pauses *retain.Pauses
+	away   map[entity.ProgramID]absence
+}
+
+// absence is the pause of a program for a tool.
+type absence struct {
+	tool  string
+	since time.Time
+}
+
+// Report tells what a sweep did.
+type Report struct {
+	Engines  int // swept
+	Sessions int // found
+	Gone     int // released because the program is gone
+	LetGo    int // released although the program may come back
+	Failed   int // engines or releases that failed
+}
+
+// New returns a Sweeper.
+func New(o Options) *Sweeper {
+	if o.Parallel <= 0 {
+		o.Parallel = defaultParallel
+	}
+	return &Sweeper{options: o, pauses: retain.NewPauses(), away: make(map[entity.ProgramID]absence)}
+}
+
+// Paused notes that a program has begun a call of a tool, so that it makes no
+// model call for some time.
+func (s *Sweeper) Paused(id entity.ProgramID, tool string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away[id] = absence{tool: tool, since: time.Now()}
+}
+
+// Returned notes that a program makes a model call again.
+func (s *Sweeper) Returned(id entity.ProgramID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a, ok := s.away[id]; ok {
+		s.pauses.Observe(a.tool, time.Since(a.since))
+		delete(s.away, id)
+	}
+}
+
+// Ended notes that a program has ended.
+func (s *Sweeper) Ended(id entity.ProgramID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a, ok := s.away[id]; ok {
+		s.pauses.Lost(a.tool)
+		delete(s.away, id)
+	}
+}
+
+// forget counts programs that have been away for too long as lost, which
+// bounds the memory of absences.
+func (s *Sweeper) forget(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, a := range s.away {
+		if now.Sub(a.since) > longestAbsence {
+			s.pauses.Lost(a.tool)
+			delete(s.away, id)
+		}
+	}
+}
+
+// Tick sweeps once.
+func (s *Sweeper) Tick(ctx context.Context) (Report, error) {
+	engines := s.options.Engines()
+	s.forget(time.Now())
+	found, report := s.list(ctx, engines)
+	gone, err := s.gone(ctx, found)
+	if err != nil {
+		report.Failed++
+	}
+	s.release(ctx, found, gone, &report)
+	if err != nil {
+		return report, fmt.Errorf("%w: %w", ErrIncomplete, err)
+	}
+	if report.Failed > 0 {
+		return report, fmt.Errorf("%w: %d engines or releases failed", ErrIncomplete, report.Failed)
+	}
+	return report, nil
+}
+
+// holdings is the memory that one engine holds.
+type holdings struct {
+	engine   Engine
+	sessions []endpoint.Session
+	memory   retain.Memory
+}
+
+// list asks all engines for their sessions.
+func (s *Sweeper) list(ctx context.Context, engines map[string]Engine) ([]holdings, Report) {
+	var mu sync.Mutex
+	var found []holdings
+	var report Report
+	var group errgroup.Group
+	group.SetLimit(s.options.Parallel)
+	for _, e := range engines {
+		group.Go(func() error {
+			h, err := listOne(ctx, e)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				report.Failed++
+				return nil
+			}
+			report.Engines++
+			report.Sessions += len(h.sessions)
+			found = append(found, h)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return found, report
+}
+
+func listOne(ctx context.Context, e Engine) (holdings, error) {
+	sessions, err := e.Sessions(ctx)
+	if err != nil || len(sessions) == 0 {
+		return holdings{engine: e}, err
+	}
+	load, err := e.Load(ctx)
+	if err != nil {
+		// Without a load report only the time limits apply.
+		return holdings{engine: e, sessions: sessions}, nil
+	}
+	memory := retain.Memory{Capacity: load.CacheTokens, Pinned: load.PinnedTokens}
+	return holdings{engine: e, sessions: sessions, memory: memory}, nil
+}
+
+// gone finds the programs that are gone. What was found before an error is
+// valid.
+func (s *Sweeper) gone(ctx context.Context, found []holdings) (map[entity.ProgramID]bool, error) {
+	seen := make(map[entity.ProgramID]bool)
+	var ids []entity.ProgramID
+	for _, h := range found {
+		for _, session := range h.sessions {
+			if !seen[session.Program] {
+				seen[session.Program] = true
+				ids = append(ids, session.Program)
+			}
+		}
+	}
+	gone := make(map[entity.ProgramID]bool)
+	for len(ids) > 0 {
+		n := min(goneAtOnce, len(ids))
+		list, err := s.options.Gone(ctx, ids[:n])
+		if err != nil {
+			return gone, fmt.Errorf("looking programs up: %w", err)
+		}
+		for _, id := range list {
+			gone[id] = true
+		}
+		ids = ids[n:]
+	}
+	return gone, nil
+}
+
+// release frees what is to be freed at all engines.
+func (s *Sweeper) release(ctx context.Context, found []holdings, gone map[entity.ProgramID]bool, report *Report) {
+	var mu sync.Mutex
+	var group errgroup.Group
+	group.SetLimit(s.options.Parallel)
+	for _, h := range found {
+		ended, paused := split(h.sessions, gone)
+		letGo := s.letGo(h.memory, paused)
+		group.Go(func() error {
+			endedFailed := releaseAll(ctx, h.engine, ended)
+			letGoFailed := releaseAll(ctx, h.engine, letGo)
+			mu.Lock()
+			defer mu.Unlock()
+			report.Gone += len(ended) - endedFailed
+			report.LetGo += len(letGo) - letGoFailed
+			report.Failed += endedFailed + letGoFailed
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// split divides sessions into those of programs that are gone and those that
+// pause.
+func split(sessions []endpoint.Session, gone map[entity.ProgramID]bool) (ended []entity.ProgramID, paused []retain.Paused) {
+	for _, session := range sessions {
+		away := time.Duration(session.IdleSeconds * float64(time.Second))
+		switch {
+		case gone[session.Program]:
+			ended = append(ended, session.Program)
+		case away > 0:
+			paused = append(paused, retain.Paused{Program: session.Program, Tokens: session.Tokens, Away: away})
+		}
+	}
+	return ended, paused
+}
+
+// letGo applies the policy to paused programs.
+func (s *Sweeper) letGo(m retain.Memory, paused []retain.Paused) []entity.ProgramID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range paused {
+		paused[i].Tool = s.away[paused[i].Program].tool
+	}
+	return retain.Release(s.options.Retain, m, paused, s.pauses)
+}
+
+// releaseAll releases programs at one engine and returns how many failed.
+func releaseAll(ctx context.Context, e Engine, ids []entity.ProgramID) (failed int) {
+	for i, id := range ids {
+		if err := releaseOne(ctx, e, id); err != nil {
+			failed++
+		}
+		if ctx.Err() != nil {
+			return failed + len(ids) - i - 1
+		}
+	}
+	return failed
+}
+
+func releaseOne(ctx context.Context, e Engine, id entity.ProgramID) error {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = releasePause
+	release := func() (struct{}, error) { return struct{}{}, e.Release(ctx, id) }
+	_, err := backoff.Retry(ctx, release, backoff.WithBackOff(pause), backoff.WithMaxTries(releaseTries))
+	return err
+}
+
+// Run sweeps at an interval until the context ends. OnTick, which may be nil,
+// gets the result of each sweep.
+func (s *Sweeper) Run(ctx context.Context, interval time.Duration, onTick func(Report, error)) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		report, err := s.Tick(ctx)
+		if onTick != nil {
+			onTick(report, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/system/sweep/sweep_test.go
@@ -0,0 +1,246 @@
+package sweep
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisstall.example/ibisstall/internal/endpoint"
+	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/policy/retain"
+	"ibisstall.example/ibisstall/internal/standin/runner"
+)
+
+// fleet is a set of stand-in engines and the programs that use them.
+type fleet struct {
+	t        *testing.T
+	standins []*runner.Engine
+	clients  []*endpoint.Engine
+
+	mu   sync.Mutex
+	gone map[entity.ProgramID]bool
+	down bool // programs can't be looked up
+}
+
+func newFleet(t *testing.T, engines int, cacheTokens int64) *fleet {
+	f := &fleet{t: t, gone: make(map[entity.ProgramID]bool)}
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	for i := range engines {
+		e := runner.NewEngine(runner.EngineOptions{Name: fmt.Sprint("e", i), Models: []string{"m"}, CacheTokens: cacheTokens})
+		server := httptest.NewServer(e)
+		t.Cleanup(server.Close)
+		f.standins = append(f.standins, e)
+		ep := entity.Endpoint{Name: fmt.Sprint("e", i), URL: server.URL}
+		f.clients = append(f.clients, endpoint.NewEngine(ep, &http.Client{Transport: transport}, endpoint.Options{}))
+	}
+	return f
+}
+
+func (f *fleet) engines() map[string]Engine {
+	out := make(map[string]Engine)
+	for _, c := range f.clients {
+		out[c.Endpoint().Name] = c
+	}
+	return out
+}
+
+// turn makes a model call, after which the engine holds memory.
+func (f *fleet) turn(engine int, id entity.ProgramID, call string) error {
+	content, _ := json.Marshal(fmt.Sprintf("%0200d", rand.N(1<<30)))
+	req := endpoint.ChatRequest{
+		CallID: call, Session: id, Model: "m", MaxTokens: 20,
+		Messages: []entity.Message{{Role: "user", Content: content}},
+	}
+	_, err := f.clients[engine].Chat(f.t.Context(), req, nil)
+	return err
+}
+
+func (f *fleet) end(id entity.ProgramID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gone[id] = true
+}
+
+func (f *fleet) lookUp(_ context.Context, ids []entity.ProgramID) ([]entity.ProgramID, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, errors.New("platform is down")
+	}
+	var out []entity.ProgramID
+	for _, id := range ids {
+		if f.gone[id] {
+			out = append(out, id)
+		}
+	}
+	return out, nil
+}
+
+// heldByGone returns the tokens that engines hold for programs that are gone.
+func (f *fleet) heldByGone() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var tokens int64
+	for _, e := range f.standins {
+		for _, s := range e.Sessions() {
+			if f.gone[s.Program] {
+				tokens += max(s.Tokens, 1)
+			}
+		}
+	}
+	return tokens
+}
+
+func (f *fleet) sweeper(hold time.Duration) *Sweeper {
+	return New(Options{Engines: f.engines, Gone: f.lookUp, Retain: retain.DefaultParams(hold)})
+}
+
+func TestSweeper_TickFreesWhatGoneProgramsHold(t *testing.T) {
+	releases := "/v1/sessions/"
+	cases := []struct {
+		name   string
+		faults []runner.Fault
+		down   bool // programs can't be looked up
+		ok     bool
+	}{
+		{"with healthy engines", nil, false, true},
+		{"with releases whose answer is lost", []runner.Fault{{Mode: runner.FaultLost, Path: releases, Count: 2}}, false, true},
+		{"with releases that never arrive", []runner.Fault{{Mode: runner.FaultDown, Path: releases, Count: 2}}, false, true},
+		{"not with engines that are down", []runner.Fault{{Mode: runner.FaultDown}}, false, false},
+		{"not while programs can't be looked up", nil, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 2, 1<<20)
+			for i := range 6 {
+				id := entity.NewProgramID("amman-a", fmt.Sprint("p", i), "")
+				is.NoErr(f.turn(i%2, id, fmt.Sprint("c-", i)))
+				if i < 4 {
+					f.end(id)
+				}
+			}
+			for _, e := range f.standins {
+				e.SetFaults(c.faults...)
+			}
+			f.down = c.down
+			s := f.sweeper(time.Hour)
+			report, err := s.Tick(t.Context())
+			is.Equal(err == nil, c.ok)
+			is.Equal(f.heldByGone() == 0, c.ok)
+			is.Equal(errors.Is(err, ErrIncomplete), !c.ok)
+			if c.ok {
+				is.Equal(report.Gone, 4)
+			}
+			is.Equal(report.LetGo, 0)
+
+			f.down = false // the next sweep makes up for it
+			for _, e := range f.standins {
+				e.SetFaults()
+			}
+			_, err = s.Tick(t.Context())
+			is.NoErr(err)
+			is.Equal(f.heldByGone(), int64(0))
+			is.Equal(len(f.standins[0].Sessions())+len(f.standins[1].Sessions()), 2) // live ones are held
+		})
+	}
+}
+
+func TestSweeper_TickLetsGoOfLongPauses(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, 1<<20)
+	is.NoErr(f.turn(0, "amman-a.p1", "c-1"))
+	s := f.sweeper(time.Nanosecond)
+	report, err := s.Tick(t.Context())
+	is.NoErr(err)
+	is.Equal(report.LetGo, 1)
+	is.Equal(len(f.standins[0].Sessions()), 0)
+}
+
+func TestSweeper_TickLetsGoUnderMemoryPressure(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, 320)
+	s := f.sweeper(time.Hour)
+	for _, id := range []entity.ProgramID{"amman-a.quick", "amman-a.slow", "amman-a.slow2", "amman-a.slow3"} {
+		is.NoErr(f.turn(0, id, "c-"+string(id)))
+		tool := "slow"
+		if id == "amman-a.quick" {
+			tool = "quick"
+		}
+		s.Paused(id, tool)
+	}
+	for range 50 {
+		s.pauses.Observe("quick", 10*time.Millisecond)
+		s.pauses.Observe("slow", 10*time.Minute)
+	}
+	_, err := s.Tick(t.Context())
+	is.NoErr(err)
+	is.True(f.standins[0].Load().PinnedTokens <= 240)
+	held := false
+	for _, session := range f.standins[0].Sessions() {
+		held = held || session.Program == "amman-a.quick"
+	}
+	is.True(held) // the one that comes back soonest
+}
+
+// TestSweeper_TwoSweepersUnderFaults runs two sweepers over engines that
+// restart and lose releases while programs come and go. Invariant: once the
+// faults end, no memory is held for programs that are gone, and a program that
+// is alive is never released by a sweep.
+func TestSweeper_TwoSweepersUnderFaults(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3, 1<<20)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var running sync.WaitGroup
+	var mu sync.Mutex
+	letGo := 0
+	for range 2 {
+		s := f.sweeper(time.Hour)
+		running.Go(func() {
+			s.Run(ctx, 10*time.Millisecond, func(r Report, _ error) {
+				mu.Lock()
+				defer mu.Unlock()
+				letGo += r.LetGo
+			})
+		})
+	}
+	rng := rand.New(rand.NewPCG(7, 7))
+	modes := []runner.FaultMode{runner.FaultLost, runner.FaultDown, runner.FaultStatus}
+	for i := range 150 {
+		e := rng.IntN(len(f.standins))
+		if rng.IntN(8) == 0 {
+			f.standins[e].Restart()
+		}
+		if rng.IntN(5) == 0 {
+			fault := runner.Fault{Mode: modes[rng.IntN(len(modes))], Path: "/v1/sessions", Count: 1 + rng.IntN(6), Status: http.StatusInternalServerError}
+			f.standins[e].SetFaults(fault)
+		}
+		id := entity.NewProgramID("amman-a", fmt.Sprint("p", i), "")
+		is.NoErr(f.turn(e, id, fmt.Sprint("c-", i)))
+		if rng.IntN(4) > 0 {
+			f.end(id)
+		}
+	}
+	for _, e := range f.standins {
+		e.SetFaults()
+	}
+	deadline := time.Now().Add(5 * time.Second)
+	for f.heldByGone() > 0 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(f.heldByGone(), int64(0))
+	cancel()
+	running.Wait()
+	is.Equal(letGo, 0)
+}
