Ownership on a running VM

A VM that reaches no majority of its data centre buffers nothing, as its programs may have been adopted there.

--- a/internal/policy/ownership/isolation.go
+++ b/internal/policy/ownership/isolation.go
@@ -120,3 +120,21 @@
 	}
 	return n
 }
+
+// Minority reports whether a VM with this view reaches no majority of its own
+// data centre, itself included. Those that it holds for dead or suspect may live
+// on the other side of a cut and own its programs. Leaving ones count on neither
+// side.
+func Minority(dc string, view []entity.VM) bool {
+	reached, total := 0, 0
+	for i := range view {
+		if view[i].DC != dc || view[i].State == entity.VMLeaving {
+			continue
+		}
+		total++
+		if view[i].State == entity.VMAlive {
+			reached++
+		}
+	}
+	return total > 1 && 2*reached <= total
+}
