Probe more members while probes fail

The loss of a whole data centre was seen two members at a time. A VM now probes as many more successors as it has suspects of its own, up to six.

--- a/internal/membership/meters.go
+++ b/internal/membership/meters.go
@@ -59,7 +59,7 @@
 // observeView exports how many VMs are in each state.
 func (m *meters) observeView(view func() []entity.VM) {
 	for _, state := range []entity.VMState{entity.VMAlive, entity.VMSuspect, entity.VMLeaving, entity.VMDead} {
-		m.set.GetOrCreateGauge(fmt.Sprintf(`ibisstall_membership_vms{state=%q}`, state.String()), func() float64 {
+		m.set.GetOrCreateGauge(fmt.Sprintf(`ibisstall_membership_vms_count{state=%q}`, state.String()), func() float64 {
 			n := 0
 			for _, v := range view() {
 				if v.State == state {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -42,17 +42,19 @@
 
 // neighbours returns the members next on the ring in a direction, 1 or -1,
 // until RingSuccessors of them are not suspect: a suspect's own successors need
-// another prober.
+// another prober. While probes of this VM fail, it probes as many more, so that
+// the loss of many members at once is seen in a few rounds.
 func (m *Machine) neighbours(direction int) []*member {
-	const maxSuspects = 4
+	const maxMore = 6
 	n := len(m.circle)
+	wanted := m.timing.RingSuccessors + min(maxMore, m.witnessed())
 	start, _ := slices.BinarySearchFunc(m.circle, m.ring, func(c *member, pos uint64) int { return cmp.Compare(c.ring, pos) })
 	if direction < 0 {
 		start--
 	}
 	var out []*member
 	healthy := 0
-	for i := 0; i < n && healthy < m.timing.RingSuccessors && len(out) < m.timing.RingSuccessors+maxSuspects; i++ {
+	for i := 0; i < n && healthy < wanted && len(out) < wanted+maxMore; i++ {
 		mem := m.circle[((start+direction*i)%n+n)%n]
 		out = append(out, mem)
 		if !mem.suspect() {
@@ -62,6 +64,17 @@
 	return out
 }
 
+// witnessed is the number of suspects that did not answer this VM's own probes.
+func (m *Machine) witnessed() int {
+	n := 0
+	for _, mem := range m.circle {
+		if mem.suspect() && mem.witnessed {
+			n++
+		}
+	}
+	return n
+}
+
 // apply merges a record into the table. Records only ever move a member
 // forward in the order of Record, whatever their sequence. A new member is
 // passed on unless it came from a comparison of tables, which finds old ones.
