--- a/cmd/ibisstall/vm.go
+++ b/cmd/ibisstall/vm.go
@@ -47,16 +47,24 @@
 		}
 		return printColumns("VM\tDC\tREGION\tSTATE\tMESH ADDRESS\tTABLE VERSION\tPLATFORM", func(w io.Writer) {
 			for _, v := range list {
-				platform := "reachable"
-				if !v.PlatformReachable {
-					platform = "unreachable"
-				}
-				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s\n", v.ID, v.DC, dash(v.Region), v.State, v.MeshAddr, v.ConfigVersion, platform)
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s\n", v.ID, v.DC, dash(v.Region), v.State, v.MeshAddr, v.ConfigVersion, platformOf(&v))
 			}
 		})
 	})
 }
 
+// platformOf tells whether a VM reaches the platform, as far as it is known.
+func platformOf(v *client.VM) string {
+	switch {
+	case v.State == entity.VMDead.String():
+		return "-"
+	case v.PlatformReachable:
+		return "reachable"
+	default:
+		return "unreachable"
+	}
+}
+
 type vmDrain struct {
 	remoteOptions
 	Wait time.Duration `long:"wait" value-name:"DURATION" description:"wait until the VM is gone, at most so long"`
