Drop settings without effect; defaults as the protocols have them

The platform client has its own backoff and knows no token, and a batch is bounded by the platform's limits. Defaults of [membership] and [engine] max_concurrent now equal those of membership.DefaultTiming and permits.DefaultConfig.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -30,7 +30,6 @@
 	below("ownership", "lease_ttl", o.LeaseTTL, "adoption_limit", o.AdoptionLimit)
 	below("ownership", "isolation_limit", o.IsolationLimit+o.ClockMargin, "adoption_limit less clock_margin", o.AdoptionLimit)
 	below("membership", "probe_timeout", m.ProbeTimeout, "probe_interval", m.ProbeInterval)
-	below("platform", "backoff_initial", s.Platform.BackoffInitial, "backoff_max", s.Platform.BackoffMax)
 	below("platform", "timeout", s.Platform.Timeout, "ownership lease_ttl", o.LeaseTTL)
 	below("limits", "slow_sender", s.Limits.SlowSender, "request_timeout", s.Limits.RequestTimeout)
 
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -59,12 +59,9 @@
 		{"platform", "table_url", "", "base URL of the table service", true, baseURL(&p.TableURL)},
 		{"platform", "objects_url", "", "base URL of the object store", true, baseURL(&p.ObjectsURL)},
 		{"platform", "vm_list_url", "", "base URL of the VM list", true, baseURL(&p.VMListURL)},
-		{"platform", "token_file", "", "file with the bearer token for the platform", false, path(&p.TokenFile)},
 		{"platform", "timeout", "2s", "time for one request to the platform", false, duration(&p.Timeout)},
 		{"platform", "attempts", "4", "attempts for one request, the first included", false, intBetween(&p.Attempts, 1, 20)},
 		{"platform", "retry_ratio", "0.2", "retries per first attempt over all requests", false, ratio(&p.RetryRatio)},
-		{"platform", "backoff_initial", "50ms", "pause before the first retry, with jitter", false, duration(&p.BackoffInitial)},
-		{"platform", "backoff_max", "2s", "longest pause between retries", false, duration(&p.BackoffMax)},
 		{"platform", "vm_list_interval", "2s", "time between reads of the VM list", false, duration(&p.VMListInterval)},
 		{"platform", "config_interval", "500ms", "time between reads of the configuration version", false, duration(&p.ConfigInterval)},
 	}
@@ -102,7 +99,6 @@
 		{"journal", "buffer_bytes", "32MiB", "largest buffer of records while the platform is down", false, sizeBetween(&j.BufferBytes, 64*KiB, 4*GiB)},
 		{"journal", "buffer_records", "50000", "most records in that buffer", false, intBetween(&j.BufferRecords, 1, 10_000_000)},
 		{"journal", "batch_interval", "20ms", "time for which records are gathered into one write", false, durationBetween(&j.BatchInterval, time.Millisecond, 5*time.Second)},
-		{"journal", "batch_records", "400", "most records in one write", false, intBetween(&j.BatchRecords, 1, 1000)},
 	}
 }
 
@@ -115,9 +111,9 @@
 		{"ownership", "adoption_limit", "45s", "time after which others may adopt the programs of a data centre that is cut off", false, duration(&o.AdoptionLimit)},
 		{"ownership", "clock_margin", "2s", "largest drift between two clocks over these limits", false, duration(&o.ClockMargin)},
 		{"ownership", "drain_timeout", "30s", "time for calls under way to end at a shutdown", false, duration(&o.DrainTimeout)},
-		{"membership", "probe_interval", "1s", "time between probes of other VMs", false, duration(&m.ProbeInterval)},
-		{"membership", "probe_timeout", "400ms", "time for the answer to a probe", false, duration(&m.ProbeTimeout)},
-		{"membership", "suspicion", "3s", "time for which an unanswered VM is suspect before it counts as dead", false, duration(&m.Suspicion)},
+		{"membership", "probe_interval", "500ms", "time between probes of other VMs", false, duration(&m.ProbeInterval)},
+		{"membership", "probe_timeout", "300ms", "time for the answer to a probe before others are asked to probe too", false, duration(&m.ProbeTimeout)},
+		{"membership", "suspicion", "1200ms", "time for which an unanswered VM is suspect before it counts as dead", false, duration(&m.Suspicion)},
 	}
 }
 
@@ -126,9 +122,9 @@
 	return []keySpec{
 		{"policy", "order", OrderLeastAttained, "order in which waiting calls are let into endpoints", false, oneOf(&p.Order, OrderLeastAttained, OrderFirstCome)},
 		{"policy", "placement", PlacementPrefixAware, "how an endpoint is chosen for a call", false, oneOf(&p.Placement, PlacementPrefixAware, PlacementPlain)},
-		{"policy", "ageing", "30s", "wait after which a call goes before younger programs", false, duration(&p.Ageing)},
+		{"policy", "ageing", "30s", "wait that makes up for any service that a program has had", false, duration(&p.Ageing)},
 		{"policy", "retry_ratio", "0.1", "retries per first attempt, of calls that may be repeated", false, ratio(&p.RetryRatio)},
-		{"engine", "max_concurrent", "16", "calls let into one engine at once, unless the table says otherwise", false, intBetween(&e.MaxConcurrent, 1, 10_000)},
+		{"engine", "max_concurrent", "256", "most calls let into one engine at once; the system finds how many are good", false, intBetween(&e.MaxConcurrent, 1, 10_000)},
 		{"engine", "silence_limit", "5s", "time without bytes after which a stream is resumed over a new connection", false, duration(&e.SilenceLimit)},
 		{"engine", "hold", "30s", "longest time for which a program's KV cache is kept over a tool pause", false, duration(&e.Hold)},
 		{"engine", "sweep_interval", "30s", "time between searches for KV cache of programs that are gone", false, duration(&e.SweepInterval)},
--- a/internal/settings/secret.go
+++ b/internal/settings/secret.go
@@ -60,7 +60,6 @@
 	var hashFile, certKey, meshKey Secret
 	read("fleet", "key_file", s.Fleet.KeyFile, &s.Fleet.Key)
 	read("fleet", "previous_key_file", s.Fleet.PreviousKeyFile, &s.Fleet.PreviousKey)
-	read("platform", "token_file", s.Platform.TokenFile, &s.Platform.Token)
 	read("tls", "key_file", s.TLS.KeyFile, &certKey)
 	read("tls", "mesh_key_file", s.TLS.MeshKeyFile, &meshKey)
 	read("keys", "operator_keys_file", s.Keys.OperatorKeysFile, &hashFile)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,13 +60,9 @@
 	TableURL       string
 	ObjectsURL     string
 	VMListURL      string
-	TokenFile      string
-	Token          Secret
 	Timeout        time.Duration // of one request
 	Attempts       int           // of one request, the first included
 	RetryRatio     float64       // retries per first attempt, over all requests
-	BackoffInitial time.Duration
-	BackoffMax     time.Duration
 	VMListInterval time.Duration
 	ConfigInterval time.Duration
 }
@@ -108,7 +104,6 @@
 	BufferBytes   Size
 	BufferRecords int
 	BatchInterval time.Duration
-	BatchRecords  int
 }
 
 // Ownership holds the limits of leases and adoption.
