--- a/cmd/ibisstall/remote_test.go
+++ b/cmd/ibisstall/remote_test.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"encoding/pem"
 	"fmt"
+	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -317,7 +319,9 @@
 
 func TestRemote_VerifiesTheServersCertificate(t *testing.T) {
 	is := is.New(t)
-	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, []any{}) }))
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, []any{}) }))
+	server.Config.ErrorLog = log.New(io.Discard, "", 0) // of the refused handshakes
+	server.StartTLS()
 	defer server.Close()
 	ca := filepath.Join(t.TempDir(), "ca.pem")
 	block := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw})
--- a/cmd/ibisstall/standin.go
+++ b/cmd/ibisstall/standin.go
@@ -22,10 +22,22 @@
 		long:     "Runs a small stand-in of the platform's services, of a model engine or of a tool or plain service, for tests and demonstrations. It keeps everything in memory. Faults are set with PUT /_control.",
 		examples: []string{"ibisstall standin platform --listen 127.0.0.1:7000", "ibisstall standin engine --name e1 --models small --listen 127.0.0.1:7001"},
 		sub: []command{
-			{name: "platform", short: "table service, object store and VM list", data: &standinPlatform{}},
-			{name: "engine", short: "model engine", data: &standinEngine{}},
-			{name: "tool", short: "tool service", data: &standinTool{}},
-			{name: "service", short: "plain service", data: &standinService{}},
+			{
+				name: "platform", short: "table service, object store and VM list", data: &standinPlatform{},
+				examples: []string{"ibisstall standin platform --listen 127.0.0.1:7000"},
+			},
+			{
+				name: "engine", short: "model engine", data: &standinEngine{},
+				examples: []string{"ibisstall standin engine --name e1 --models small --listen 127.0.0.1:7001"},
+			},
+			{
+				name: "tool", short: "tool service", data: &standinTool{},
+				examples: []string{"ibisstall standin tool --name t1 --listen 127.0.0.1:7002"},
+			},
+			{
+				name: "service", short: "plain service", data: &standinService{},
+				examples: []string{"ibisstall standin service --name s1 --listen 127.0.0.1:7003"},
+			},
 		},
 	})
 }
