Test operators' subcommands on real processes

A platform, a tool and a VM run as processes; the table is applied, a tool call made, the VM killed and another started. The program, its history and the answer to the repeated call must be there, and SIGTERM must end the VM without an error.

--- /dev/null
+++ b/cmd/ibisstall/deployment_test.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// startTimeout bounds the time until a process tells its address, and
+// adoptTimeout the time until a new VM takes over the programs of a dead one.
+const (
+	startTimeout = 20 * time.Second
+	adoptTimeout = 60 * time.Second
+)
+
+// start runs the binary until the test ends and returns the address that find
+// reads from its first lines.
+func start(t *testing.T, find func(line string) string, args ...string) (string, *exec.Cmd) {
+	t.Helper()
+	is := is.New(t)
+	out, in, err := os.Pipe()
+	is.NoErr(err)
+	cmd := exec.Command(binary, args...)
+	cmd.Stdout, cmd.Stderr = in, in
+	is.NoErr(cmd.Start())
+	is.NoErr(in.Close())
+	t.Cleanup(func() {
+		_ = cmd.Process.Kill() // it may have ended
+		_ = cmd.Wait()
+		_ = out.Close()
+	})
+	is.NoErr(out.SetReadDeadline(time.Now().Add(startTimeout)))
+	lines := bufio.NewScanner(out)
+	for lines.Scan() {
+		if addr := find(lines.Text()); addr != "" {
+			is.NoErr(out.SetReadDeadline(time.Time{}))
+			go io.Copy(io.Discard, out) // ends when the process does
+			return addr, cmd
+		}
+	}
+	t.Fatalf("%v told no address: %v", args, lines.Err())
+	return "", nil
+}
+
+func wholeLine(line string) string { return line }
+
+// servingAddress reads the address for callers from the log of a VM.
+func servingAddress(line string) string {
+	var entry struct {
+		Message string `json:"message"`
+		Listen  string `json:"listen"`
+	}
+	if json.Unmarshal([]byte(line), &entry) != nil || entry.Message != "serving" {
+		return ""
+	}
+	return entry.Listen
+}
+
+// deployment is a platform, a tool and a settings file for VMs, on loopback.
+type deployment struct {
+	dir          string
+	config       string
+	workspaceKey string
+	env          []string
+}
+
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	is := is.New(t)
+	d := &deployment{dir: t.TempDir()}
+	platform, _ := start(t, wholeLine, "standin", "platform")
+	tool, _ := start(t, wholeLine, "standin", "tool", "--name", "t1")
+	keyFile := filepath.Join(d.dir, "operator.key")
+	made := runBinary(t, nil, "key", "generate", "--output", keyFile)
+	is.Equal(made.code, exitDone)
+	hash := strings.TrimSpace(strings.TrimPrefix(made.stdout, "hash:"))
+	is.NoErr(os.WriteFile(filepath.Join(d.dir, "operators"), []byte(hash), 0o600))
+	d.env = []string{"IBISSTALL_KEY_FILE=" + keyFile}
+	d.config = filepath.Join(d.dir, "vm.ini")
+	text := fmt.Sprintf(`[vm]
+dc = amman-a
+region = amman
+listen = 127.0.0.1:0
+mesh_listen = 127.0.0.1:0
+gossip_listen = 127.0.0.1:0
+admin_listen = 127.0.0.1:0
+[platform]
+table_url = http://%[1]s
+objects_url = http://%[1]s
+vm_list_url = http://%[1]s
+[keys]
+operator_keys_file = operators
+[endpoint t1]
+kind = tool
+url = http://%[2]s
+dc = amman-a
+target = dispatch
+`, platform, tool)
+	is.NoErr(os.WriteFile(d.config, []byte(text), 0o600))
+	is.Equal(runBinary(t, nil, "check-config", "--config", d.config).code, exitDone)
+	return d
+}
+
+// serve starts a VM and makes the operator's subcommands ask it.
+func (d *deployment) serve(t *testing.T) (string, *exec.Cmd) {
+	addr, cmd := start(t, servingAddress, "serve", "--config", d.config)
+	d.env = append(d.env, "IBISSTALL_SERVER=http://"+addr)
+	return addr, cmd
+}
+
+// applyTable adds a workspace with a new key and the tool's row.
+func (d *deployment) applyTable(t *testing.T) {
+	t.Helper()
+	is := is.New(t)
+	var key struct{ Key, Hash string }
+	is.NoErr(json.Unmarshal([]byte(runBinary(t, nil, "key", "generate", "--json").stdout), &key))
+	d.workspaceKey = key.Key
+	file := filepath.Join(d.dir, "table.csv")
+	is.Equal(runBinary(t, d.env, "table", "get", "--output", file).code, exitDone)
+	text, err := os.ReadFile(file)
+	is.NoErr(err)
+	text = append(text, "workspace,rounds,2,,,,,,,"+key.Hash+"\ntool,dispatch,,,,,10s,,,\n"...)
+	is.NoErr(os.WriteFile(file, text, 0o600))
+	applied := runBinary(t, d.env, "table", "apply", file)
+	is.Equal(applied.code, exitDone)
+	is.Equal(strings.Count(applied.stdout, "\n+ ")+strings.Count(applied.stdout, "+ workspace"), 2)
+}
+
+// post sends a caller's request and returns the status and the decoded answer.
+func (d *deployment) post(t *testing.T, url, idempotencyKey, body string) (int, map[string]any) {
+	t.Helper()
+	is := is.New(t)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, bytes.NewReader([]byte(body)))
+	is.NoErr(err)
+	req.Header.Set("Authorization", "Bearer "+d.workspaceKey)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Idempotency-Key", idempotencyKey)
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	var answer map[string]any
+	is.NoErr(json.NewDecoder(resp.Body).Decode(&answer))
+	return resp.StatusCode, answer
+}
+
+// ready reports whether a VM wants requests of callers.
+func ready(t *testing.T, addr string) bool {
+	t.Helper()
+	resp, err := http.Get("http://" + addr + "/readyz")
+	is.New(t).NoErr(err)
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusNoContent
+}
+
+func TestDeployment_OperatorsSeeAndSteerProgramsOverTheDeathOfAVM(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t)
+	addr, vm := d.serve(t)
+	d.applyTable(t)
+
+	status, program := d.post(t, "http://"+addr+"/v1/programs", "p1", `{"budget": {"tokens": 1000, "turns": 10, "seconds": 600}}`)
+	is.Equal(status, http.StatusCreated)
+	id := program["id"].(string)
+	call := "/v1/programs/" + id + "/tools/dispatch"
+	status, answer := d.post(t, "http://"+addr+call, "d1", `{"street": 7}`)
+	is.Equal(status, http.StatusOK)
+
+	is.True(strings.Contains(runBinary(t, d.env, "program", "list").stdout, id))
+	is.True(strings.Contains(runBinary(t, d.env, "timeline", "--program", id).stdout, "intent written"))
+	is.True(strings.Contains(runBinary(t, d.env, "vm", "list").stdout, "alive"))
+
+	is.NoErr(vm.Process.Kill())
+	addr, vm = d.serve(t)
+	deadline := time.Now().Add(adoptTimeout)
+	for { // until the new VM has the table in force and owns the program
+		shown := runBinary(t, d.env, "program", "show", "--history", id)
+		if shown.code == exitDone && strings.Contains(shown.stdout, "dispatch") && ready(t, addr) {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("the program was not taken over: %s%s", shown.stdout, shown.stderr)
+		}
+	}
+	status, repeated := d.post(t, "http://"+addr+call, "d1", `{"street": 7}`)
+	is.Equal(status, http.StatusOK)
+	is.Equal(repeated, answer) // from the record, not sent again
+
+	cancelled := runBinary(t, d.env, "program", "cancel", id)
+	is.Equal(cancelled.code, exitDone)
+	is.True(strings.Contains(cancelled.stderr, "cancelled"))
+
+	is.NoErr(vm.Process.Signal(syscall.SIGTERM))
+	is.NoErr(vm.Wait()) // drains and ends without an error
+}
