Generate the load of agent programs and measure it

Two shapes of programs, seeded open-loop arrivals, stand-in engines over loopback HTTP and a scaled clock. The policy and the plain baseline meet the same programs. Capacity is the rate at which every batch is full and nothing is computed twice.

--- /dev/null
+++ b/cmd/ibisstall/load.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"ibisstall.example/ibisstall/internal/load"
+)
+
+func init() {
+	register(command{
+		name:  "load",
+		short: "generate the load of agent programs and measure it",
+		long: "Plays seeded, open-loop arrivals of agent programs and prints program latency, time to the first token, " +
+			"wasted prefix cache, refusals and fairness. With --local it runs against stand-in engines in this process, " +
+			"faster than real time by --scale. Program latency counts tool pauses, but not the time that callers think.",
+		examples: []string{
+			"ibisstall load --local --shape rounds --compare",
+			"ibisstall load --local --shape tasting --load 1.1 --json tasting.json --plot tasting.svg",
+		},
+		data: &LoadCommand{},
+	})
+}
+
+// LoadCommand is the subcommand load.
+type LoadCommand struct {
+	Shape    string        `long:"shape" choice:"tasting" choice:"rounds" default:"tasting" description:"kind of programs"`
+	Seed     uint64        `long:"seed" default:"1" description:"seed of the arrivals and programs"`
+	Local    bool          `long:"local" description:"run against stand-in engines in this process"`
+	Engines  int           `long:"engines" default:"10" description:"number of stand-in engines"`
+	Load     float64       `long:"load" default:"0.9" description:"arrival rate as a share of the engines' capacity"`
+	Duration time.Duration `long:"duration" default:"4m" description:"time of arrivals, in the time of the workload"`
+	Scale    float64       `long:"scale" default:"20" description:"how many times faster than real time to run"`
+	Without  []string      `long:"without" choice:"order" choice:"placement" choice:"admission" choice:"spill" description:"switch a part of the policy to the baseline's; may be repeated"`
+	Compare  bool          `long:"compare" description:"run the plain baseline on the same arrivals too"`
+	JSON     string        `long:"json" value-name:"FILE" description:"write the results as JSON"`
+	Plot     string        `long:"plot" value-name:"FILE.svg" description:"write the results as a chart"`
+}
+
+// Execute implements flags.Commander.
+func (c *LoadCommand) Execute([]string) error {
+	if err := c.check(); err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	report, err := load.RunScenario(ctx, load.Scenario{
+		Shape: load.Shape(c.Shape), Seed: c.Seed, Engines: c.Engines, LoadShare: c.Load,
+		Profile: load.DefaultEngine(), Scale: c.Scale, Duration: c.Duration, Without: c.parts(),
+	}, c.Compare)
+	if err != nil {
+		return fmt.Errorf("run load: %w", err)
+	}
+	return c.write(report)
+}
+
+func (c *LoadCommand) parts() []load.Part {
+	parts := make([]load.Part, len(c.Without))
+	for i, name := range c.Without {
+		parts[i] = load.Part(name)
+	}
+	return parts
+}
+
+func (c *LoadCommand) check() error {
+	switch {
+	case !c.Local:
+		return &usageError{"load needs --local"}
+	case c.Engines <= 0:
+		return &usageError{"--engines must be above 0"}
+	case !(c.Load > 0):
+		return &usageError{"--load must be above 0"}
+	case !(c.Scale > 0):
+		return &usageError{"--scale must be above 0"}
+	case c.Duration <= 0:
+		return &usageError{"--duration must be above 0"}
+	}
+	return nil
+}
+
+func (c *LoadCommand) write(report *load.Report) error {
+	if err := load.WriteTable(os.Stdout, report); err != nil {
+		return fmt.Errorf("print results: %w", err)
+	}
+	if c.JSON != "" {
+		if err := load.WriteJSON(c.JSON, report); err != nil {
+			return err
+		}
+	}
+	if c.Plot != "" {
+		return load.WritePlot(c.Plot, report)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/load/local.go
@@ -0,0 +1,221 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ibisstall.example/ibisstall/internal/endpoint"
+	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/standin/runner"
+	"ibisstall.example/ibisstall/internal/system/queue"
+)
+
+// Local runs a load against stand-in engines in this process, over loopback
+// HTTP, through a scheduler.
+type Local struct {
+	scheduler *queue.Local
+	engines   map[string]*localEngine
+	follow    context.CancelFunc
+	followed  chan struct{}
+	attained  sync.Map // of *atomic.Int64 by root program, tokens
+}
+
+// localEngine is a stand-in engine with its server and client.
+type localEngine struct {
+	engine *runner.Engine
+	client *endpoint.Engine
+	server *http.Server
+}
+
+// LocalConfig sets up a Local.
+type LocalConfig struct {
+	Engines int
+	Profile EngineProfile
+	Clock   Clock
+	Policy  queue.Policy // in the time of the workload
+	Seed    uint64
+}
+
+const (
+	// newsEvery is the time between two reads of the engines' news, in the
+	// time of the workload.
+	newsEvery = 500 * time.Millisecond
+	// maxIdleConns lets each engine's connections be reused at full load.
+	maxIdleConns = 512
+)
+
+// NewLocal starts the engines and the scheduler. Close stops them.
+func NewLocal(c LocalConfig) (*Local, error) {
+	l := &Local{engines: make(map[string]*localEngine), followed: make(chan struct{})}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}}
+	endpoints := make([]entity.Endpoint, c.Engines)
+	for i := range endpoints {
+		e, err := l.startEngine(fmt.Sprintf("engine-%02d", i), c, client)
+		if err != nil {
+			l.closeEngines()
+			return nil, fmt.Errorf("start engine: %w", err)
+		}
+		endpoints[i] = e
+	}
+	l.scheduler = queue.NewLocal("load", scaledPolicy(c.Policy, c.Clock.Scale), queue.Hooks{})
+	l.scheduler.Set(endpoints, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	l.follow = cancel
+	go func() {
+		defer close(l.followed)
+		l.scheduler.FollowEngines(ctx, l, c.Clock.real(newsEvery))
+	}()
+	return l, nil
+}
+
+func (l *Local) startEngine(name string, c LocalConfig, client *http.Client) (entity.Endpoint, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return entity.Endpoint{}, err
+	}
+	p := c.Profile
+	engine := runner.NewEngine(runner.EngineOptions{
+		Name: name, Models: []string{Model}, Seed: c.Seed,
+		Slots: p.Slots, CacheTokens: p.CacheTokens, PrefillChunk: p.Chunk,
+		PrefillPerToken:    c.Clock.real(p.Prefill),
+		DecodePerToken:     c.Clock.real(p.Decode),
+		DecodeBatchPenalty: c.Clock.real(p.BatchCost),
+		EventLag:           c.Clock.real(p.EventLag),
+		EventGapEvery:      p.EventGap,
+		LoadLag:            c.Clock.real(p.LoadLag),
+	})
+	server := &http.Server{Handler: engine}
+	go func() { _ = server.Serve(listener) }()
+	ep := entity.Endpoint{Name: name, Kind: entity.KindEngine, Models: []string{Model}, DC: idDC, URL: "http://" + listener.Addr().String()}
+	l.engines[name] = &localEngine{engine: engine, server: server, client: endpoint.NewEngine(ep, client, endpoint.Options{})}
+	return ep, nil
+}
+
+// Close stops the scheduler and the engines.
+func (l *Local) Close() {
+	l.follow()
+	<-l.followed
+	l.closeEngines()
+}
+
+func (l *Local) closeEngines() {
+	for _, e := range l.engines {
+		_ = e.server.Close()
+	}
+}
+
+// Begin implements Target.
+func (l *Local) Begin(_ context.Context, p *Program, parent entity.ProgramID) error {
+	if parent == "" {
+		l.attained.Store(p.ID, new(atomic.Int64))
+	}
+	return nil
+}
+
+// End implements Target.
+func (l *Local) End(p *Program) {
+	l.scheduler.ProgramEnded(p.ID)
+	if p.ID.IsRoot() {
+		l.attained.Delete(p.ID)
+	}
+}
+
+func (l *Local) family(id entity.ProgramID) *atomic.Int64 {
+	v, _ := l.attained.LoadOrStore(id.Root(), new(atomic.Int64))
+	return v.(*atomic.Int64)
+}
+
+// maxAnswer is the bound on an answer that programs ask for; they end earlier
+// by themselves.
+const maxAnswer = 1024
+
+// Call implements Target.
+func (l *Local) Call(ctx context.Context, c *conversation, _ *Step) (callResult, error) {
+	began := time.Now()
+	family := l.family(c.program.ID)
+	permit, err := l.scheduler.Acquire(ctx, queue.Request{
+		CallID: c.callID(), Program: c.program.ID, Workspace: c.program.Workspace,
+		Kind: entity.CallModel, Target: Model, Attained: family.Load(),
+		Prompt: c.prefix.Blocks(), PromptTokens: c.prefix.Tokens(), MaxTokens: maxAnswer,
+	})
+	if err != nil {
+		return callResult{}, refusalOf(err)
+	}
+	res := callResult{Prompt: c.prefix.Tokens(), Reusable: l.reusable(c)}
+	result := l.chat(ctx, permit, c, &res)
+	l.scheduler.Release(permit, result)
+	family.Add(result.Prefilled + result.Generated)
+	res.FirstToken = permit.Granted.Sub(began) + result.FirstToken
+	res.Total = time.Since(began)
+	return res, result.Err
+}
+
+func (l *Local) chat(ctx context.Context, permit queue.Permit, c *conversation, res *callResult) queue.Result {
+	var first, last time.Time
+	chunks := 0
+	answer, err := l.engines[permit.Endpoint.Name].client.Chat(ctx, endpoint.ChatRequest{
+		CallID: c.callID(), Model: Model, Messages: c.messages, MaxTokens: maxAnswer,
+	}, func(endpoint.Chunk) error {
+		last = time.Now()
+		if chunks == 0 {
+			first = last
+		}
+		chunks++
+		return nil
+	})
+	if err != nil {
+		return queue.Result{Err: err, Total: time.Since(permit.Granted)}
+	}
+	if chunks > 1 {
+		res.Between = last.Sub(first) / time.Duration(chunks-1)
+	}
+	res.Cached = answer.Usage.CachedTokens
+	res.Generated = answer.Usage.CompletionTokens
+	res.Answer = answer.Message
+	return queue.Result{
+		FirstToken: first.Sub(permit.Granted),
+		Total:      time.Since(permit.Granted),
+		Prefilled:  answer.Usage.PromptTokens - answer.Usage.CachedTokens,
+		Cached:     answer.Usage.CachedTokens,
+		Generated:  answer.Usage.CompletionTokens,
+	}
+}
+
+// reusable is the longest prefix of the prompt that some engine holds now. An
+// engine always computes the last token.
+func (l *Local) reusable(c *conversation) int64 {
+	var most int64
+	for _, e := range l.engines {
+		most = max(most, e.engine.HeldTokens(c.prefix.Blocks()))
+	}
+	return min(most, c.prefix.Tokens()-1)
+}
+
+func refusalOf(err error) error {
+	var overload *queue.OverloadError
+	if errors.As(err, &overload) {
+		return &RefusedError{Reason: overload.Reason, RetryAfter: overload.RetryAfter}
+	}
+	return err
+}
+
+// Load implements placement.News.
+func (l *Local) Load(ctx context.Context, e entity.Endpoint) (endpoint.LoadReport, error) {
+	return l.engines[e.Name].client.Load(ctx)
+}
+
+// CacheEvents implements placement.News.
+func (l *Local) CacheEvents(ctx context.Context, e entity.Endpoint, from uint64) (endpoint.CachePage, error) {
+	return l.engines[e.Name].client.CacheEvents(ctx, from)
+}
+
+// CacheSnapshot implements placement.News.
+func (l *Local) CacheSnapshot(ctx context.Context, e entity.Endpoint) (endpoint.CacheSnapshot, error) {
+	return l.engines[e.Name].client.CacheSnapshot(ctx)
+}
--- /dev/null
+++ b/internal/load/scale.go
@@ -0,0 +1,28 @@
+package load
+
+import (
+	"time"
+
+	"ibisstall.example/ibisstall/internal/system/queue"
+)
+
+// scaledPolicy returns a policy for a clock that runs faster by a factor:
+// times shrink and rates grow by it.
+func scaledPolicy(p queue.Policy, factor float64) queue.Policy {
+	shrink := func(d *time.Duration) { *d = time.Duration(float64(*d) / factor) }
+	shrink(&p.Queue.Permits.TargetTokenTime)
+	p.Queue.Fair.AgeingRate *= factor
+	shrink(&p.Recheck)
+	shrink(&p.RenewEvery)
+	shrink(&p.Admission.MaxWait)
+	shrink(&p.Admission.FairWait)
+	shrink(&p.Admission.MinRetry)
+	shrink(&p.Admission.MaxRetry)
+	p.Placement.Score.TieSeconds /= factor
+	shrink(&p.Placement.Prefixes.Lag)
+	shrink(&p.Placement.Health.ProbeEvery)
+	p.Placement.Rates.PrefillRate *= factor
+	shrink(&p.Placement.Rates.TokenTime)
+	shrink(&p.Placement.Rates.CallTime)
+	return p
+}
--- /dev/null
+++ b/internal/load/shape.go
@@ -0,0 +1,261 @@
+package load
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"ibisstall.example/ibisstall/internal/entity"
+)
+
+// Shape names the kind of programs.
+type Shape string
+
+// The shapes. Tasting programs are conversations with a caller who thinks
+// between replies; rounds programs plan with sub-agents over a long context
+// that the programs of a workspace share.
+const (
+	Tasting Shape = "tasting"
+	Rounds  Shape = "rounds"
+)
+
+// Step is one model call of a program.
+type Step struct {
+	// Think is the time that the caller takes before the call; it does not
+	// count as latency.
+	Think time.Duration
+	// Pause is the time that a tool takes before the call; it counts.
+	Pause time.Duration
+	// Agents run side by side before the call.
+	Agents []Program
+	Input  int // tokens of the new message
+	Answer int // tokens to generate
+}
+
+// Program is one agent program, or a sub-agent of one.
+type Program struct {
+	ID        entity.ProgramID
+	Workspace string
+	Arrive    time.Duration // from the start of the run
+	// Shared is the length of the context that all programs of the workspace
+	// start with, in tokens.
+	Shared int
+	Steps  []Step
+}
+
+// Work is the least that engines must compute for some programs.
+type Work struct {
+	Prompt    int64 // prompt tokens that are in no earlier prompt
+	Generated int64
+	Calls     int64
+}
+
+func (p *Program) work() Work {
+	var w Work
+	for i := range p.Steps {
+		s := &p.Steps[i]
+		w.Prompt += int64(s.Input)
+		w.Generated += int64(s.Answer)
+		w.Calls++
+		for j := range s.Agents {
+			w = w.add(s.Agents[j].work())
+		}
+	}
+	return w
+}
+
+func (w Work) add(o Work) Work {
+	return Work{Prompt: w.Prompt + o.Prompt, Generated: w.Generated + o.Generated, Calls: w.Calls + o.Calls}
+}
+
+// Workspace is a workspace of a shape with its share of the arrivals.
+type Workspace struct {
+	Name   string
+	Weight float64
+}
+
+// Plan is the load of one run.
+type Plan struct {
+	Shape      Shape
+	Workspaces []Workspace
+	Programs   []Program // by arrival
+}
+
+// PlanConfig says what load to generate.
+type PlanConfig struct {
+	Shape    Shape
+	Seed     uint64
+	Rate     float64       // programs a second
+	Duration time.Duration // of arrivals
+}
+
+// sampleSize is the number of programs from which mean work is estimated.
+const sampleSize = 4000
+
+// MeanWork returns the mean work of a program of a shape.
+func MeanWork(shape Shape) Work {
+	g := newGenerator(shape, 1)
+	var sum Work
+	for i := range sampleSize {
+		p := g.program(i, 0)
+		sum = sum.add(p.work())
+	}
+	return Work{Prompt: sum.Prompt / sampleSize, Generated: sum.Generated / sampleSize, Calls: sum.Calls / sampleSize}
+}
+
+// NewPlan generates programs with exponential times between arrivals.
+func NewPlan(c PlanConfig) (*Plan, error) {
+	if c.Shape != Tasting && c.Shape != Rounds {
+		return nil, fmt.Errorf("unknown shape %q: must be %s or %s", c.Shape, Tasting, Rounds)
+	}
+	if !(c.Rate > 0) || c.Duration <= 0 {
+		return nil, fmt.Errorf("rate and duration must be above 0")
+	}
+	g := newGenerator(c.Shape, c.Seed)
+	plan := &Plan{Shape: c.Shape, Workspaces: g.workspaces}
+	var at time.Duration
+	for i := 0; ; i++ {
+		at += time.Duration(g.rng.ExpFloat64() / c.Rate * float64(time.Second))
+		if at >= c.Duration {
+			break
+		}
+		plan.Programs = append(plan.Programs, g.program(i, at))
+	}
+	sort.SliceStable(plan.Programs, func(i, j int) bool { return plan.Programs[i].Arrive < plan.Programs[j].Arrive })
+	return plan, nil
+}
+
+// generator draws programs.
+type generator struct {
+	shape      Shape
+	rng        *rand.Rand
+	workspaces []Workspace
+	weights    float64
+}
+
+// idDC is the data centre in the ids of generated programs.
+const idDC = "load"
+
+// Numbers of workspaces by shape: bakers' shops and depots.
+const (
+	tastingWorkspaces = 12
+	roundsWorkspaces  = 10
+	maxWeight         = 3
+)
+
+func newGenerator(shape Shape, seed uint64) *generator {
+	g := &generator{shape: shape, rng: rand.New(rand.NewPCG(seed, 0x1b15))}
+	n, prefix := tastingWorkspaces, "baker"
+	if shape == Rounds {
+		n, prefix = roundsWorkspaces, "depot"
+	}
+	for i := range n {
+		w := Workspace{Name: fmt.Sprintf("%s-%02d", prefix, i), Weight: float64(1 + i%maxWeight)}
+		g.workspaces = append(g.workspaces, w)
+		g.weights += w.Weight
+	}
+	return g
+}
+
+func (g *generator) program(i int, at time.Duration) Program {
+	root := fmt.Sprintf("p%06d", i)
+	p := Program{
+		ID:        entity.NewProgramID(idDC, root, ""),
+		Workspace: g.workspace(),
+		Arrive:    at,
+	}
+	if g.shape == Rounds {
+		g.rounds(&p, root)
+		return p
+	}
+	g.tasting(&p)
+	return p
+}
+
+func (g *generator) workspace() string {
+	x := g.rng.Float64() * g.weights
+	for _, w := range g.workspaces {
+		x -= w.Weight
+		if x < 0 {
+			return w.Name
+		}
+	}
+	return g.workspaces[len(g.workspaces)-1].Name
+}
+
+// tasting draws a conversation: a few replies to the caller, some of which
+// need the booking tool first.
+func (g *generator) tasting(p *Program) {
+	const (
+		sharedTokens  = 3000
+		maxReplies    = 16
+		stopChance    = 0.18
+		toolChance    = 0.5
+		firstReplies  = 2
+		longTailScale = 0.5
+	)
+	p.Shared = sharedTokens
+	for reply := range maxReplies {
+		think := g.lognormal(5*time.Second, longTailScale)
+		if reply == 0 {
+			think = 0
+		}
+		p.Steps = append(p.Steps, Step{Think: think, Input: g.between(20, 80), Answer: g.between(30, 120)})
+		if g.rng.Float64() < toolChance {
+			p.Steps = append(p.Steps, Step{
+				Pause: g.lognormal(400*time.Millisecond, 1), Input: g.between(200, 1500), Answer: g.between(40, 140),
+			})
+		}
+		if reply+1 >= firstReplies && g.rng.Float64() < stopChance {
+			return
+		}
+	}
+}
+
+// rounds draws either a plan of a depot's round with sub-agents, or a short
+// question of a newsagent.
+func (g *generator) rounds(p *Program, root string) {
+	const (
+		sharedTokens = 8000
+		questions    = 0.5 // share of the programs
+		minAgents    = 2
+		maxAgents    = 4
+	)
+	p.Shared = sharedTokens
+	if g.rng.Float64() < questions {
+		p.Steps = g.toolLoop(1, 3)
+		return
+	}
+	agents := make([]Program, g.between(minAgents, maxAgents))
+	for i := range agents {
+		agents[i] = Program{
+			ID:        entity.NewProgramID(idDC, root, fmt.Sprint("c", i)),
+			Workspace: p.Workspace,
+			Shared:    sharedTokens,
+			Steps:     g.toolLoop(2, 5),
+		}
+	}
+	p.Steps = append(p.Steps, Step{Input: g.between(100, 300), Answer: g.between(60, 160)})
+	p.Steps = append(p.Steps, Step{Agents: agents, Input: g.between(200, 600), Answer: g.between(100, 250)})
+	p.Steps = append(p.Steps, g.toolLoop(0, 2)...)
+}
+
+// toolLoop draws a call and then calls after tool pauses.
+func (g *generator) toolLoop(least, most int) []Step {
+	steps := []Step{{Input: g.between(40, 150), Answer: g.between(30, 100)}}
+	for range g.between(least, most) {
+		steps = append(steps, Step{
+			Pause: g.lognormal(300*time.Millisecond, 1), Input: g.between(200, 1200), Answer: g.between(30, 120),
+		})
+	}
+	return steps
+}
+
+func (g *generator) between(low, high int) int { return low + g.rng.IntN(high-low+1) }
+
+// lognormal draws a duration with a median and a spread.
+func (g *generator) lognormal(median time.Duration, sigma float64) time.Duration {
+	return time.Duration(float64(median) * math.Exp(sigma*g.rng.NormFloat64()))
+}
--- /dev/null
+++ b/internal/standin/runner/held.go
@@ -0,0 +1,19 @@
+package runner
+
+import "ibisstall.example/ibisstall/internal/endpoint"
+
+// HeldTokens returns the length of the longest prefix of a prompt, given by
+// the hashes of its blocks, that the engine's cache holds now. It does not
+// count as a use.
+func (e *Engine) HeldTokens(blocks []uint64) int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	held := 0
+	for _, h := range blocks {
+		if _, found := e.cache.blocks[h]; !found {
+			break
+		}
+		held++
+	}
+	return int64(held) * endpoint.BlockTokens
+}
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -8,13 +8,14 @@
 	"sync"
 	"time"
 
+	"ibisstall.example/ibisstall/internal/endpoint"
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/policy/estimate"
 	"ibisstall.example/ibisstall/internal/policy/placement"
 )
 
 // blockTokens is the number of tokens in a block of an engine's prefix cache.
-const blockTokens = 16
+const blockTokens = endpoint.BlockTokens
 
 // ErrNoEndpoint means that no endpoint serves the target of a call.
 var ErrNoEndpoint = errors.New("no endpoint serves the target")
--- a/internal/system/queue/local.go
+++ b/internal/system/queue/local.go
@@ -6,6 +6,7 @@
 
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/policy/order"
+	"ibisstall.example/ibisstall/internal/policy/permits"
 	"ibisstall.example/ibisstall/internal/system/placement"
 )
 
@@ -63,3 +64,5 @@
 	var reply ReleaseReply
 	_ = l.server.Release(&ReleaseArgs{Endpoint: endpoint, CallID: callID, Finish: f}, &reply)
 }
+
+func (l localLines) report(endpoint string, load permits.Load) { l.server.Report(endpoint, load) }
--- a/internal/system/queue/remote.go
+++ b/internal/system/queue/remote.go
@@ -9,6 +9,7 @@
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/policy/estimate"
 	"ibisstall.example/ibisstall/internal/policy/order"
+	"ibisstall.example/ibisstall/internal/policy/permits"
 	"ibisstall.example/ibisstall/internal/system/placement"
 )
 
@@ -155,6 +156,13 @@
 	})
 }
 
+// report implements lines.
+func (r *Remote) report(endpoint string, l permits.Load) {
+	if _, local := r.net.Locate(endpoint); local {
+		r.server.Report(endpoint, l)
+	}
+}
+
 // tickEvery is the time between two looks at where the queues are.
 const tickEvery = 100 * time.Millisecond
 
--- a/internal/system/queue/scheduler.go
+++ b/internal/system/queue/scheduler.go
@@ -13,6 +13,7 @@
 	"ibisstall.example/ibisstall/internal/policy/admission"
 	"ibisstall.example/ibisstall/internal/policy/estimate"
 	"ibisstall.example/ibisstall/internal/policy/order"
+	"ibisstall.example/ibisstall/internal/policy/permits"
 	"ibisstall.example/ibisstall/internal/system/placement"
 	"ibisstall.example/ibisstall/internal/timeline"
 )
@@ -26,6 +27,9 @@
 	leave(endpoint, callID string) (holds bool)
 	// release gives a permit back, or withdraws the call.
 	release(endpoint, callID string, f Finish)
+	// report passes an engine's load report to its queue, if that is on this
+	// VM.
+	report(endpoint string, l permits.Load)
 }
 
 // Hooks let a scheduler act on engines. Nil functions are left out.
