--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -24,7 +24,7 @@
 func DefaultConfig() Config {
 	return Config{
 		MaxWait:  3 * time.Second,
-		FairWait: time.Second,
+		FairWait: 2 * time.Second,
 		MaxQueue: 512,
 		MinRetry: time.Second,
 		MaxRetry: time.Minute,
--- a/internal/system/placement/place.go
+++ b/internal/system/placement/place.go
@@ -20,7 +20,13 @@
 	if !found {
 		return Decision{}, ErrNoEndpoint
 	}
-	return s.decision(c, serving[choice.Index], candidates[choice.Index], choice), nil
+	d := s.decision(c, serving[choice.Index], candidates[choice.Index], choice)
+	for i := range candidates {
+		if e := &candidates[i]; !e.Leaving && !e.Sick {
+			d.Shortest = min(d.Shortest, placement.WaitOf(e))
+		}
+	}
+	return d, nil
 }
 
 // Look returns the decision for a call as if it went to a named endpoint. It
@@ -49,6 +55,7 @@
 		Held:     candidate.Held,
 		Cost:     max(1, c.PromptTokens-candidate.Held) + answerTokens(c, st),
 		Load:     estimate.Load{Running: candidate.Running, Waiting: candidate.Waiting, Permits: candidate.Permits},
+		Shortest: choice.Wait,
 	}
 	d.Run = max(0, time.Duration(choice.Seconds*float64(time.Second))-choice.Wait)
 	if choice.Import {
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -39,6 +39,8 @@
 	// the queue, Run the rest.
 	Seconds   float64
 	Wait, Run time.Duration
+	// Shortest is the shortest wait at any healthy endpoint for the target.
+	Shortest time.Duration
 	// Held is the part of the prompt that the endpoint is believed to hold,
 	// Cost the service that is left, both in tokens.
 	Held, Cost int64
--- a/internal/system/queue/scheduler.go
+++ b/internal/system/queue/scheduler.go
@@ -135,7 +135,7 @@
 	}
 	state := admission.State{
 		First:    req.Attained == 0,
-		Wait:     decision.Wait,
+		Wait:     decision.Shortest,
 		Run:      decision.Run,
 		Queued:   decision.Load.Waiting,
 		MaxQueue: d.gate.maxQueue(decision.Endpoint.Name),
