Refuse new programs at shorter waits

A program that is let in goes on for a minute, so the wait is a late sign of overload. Bounds of 1 s (0.5 s over the workspace's share) instead of 3 s and 2 s, by the shortest wait.

--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -23,8 +23,8 @@
 // DefaultConfig returns the settings in use.
 func DefaultConfig() Config {
 	return Config{
-		MaxWait:  3 * time.Second,
-		FairWait: 2 * time.Second,
+		MaxWait:  time.Second,
+		FairWait: 500 * time.Millisecond,
 		MaxQueue: 512,
 		MinRetry: time.Second,
 		MaxRetry: time.Minute,
