--- a/internal/standin/runner/admin.go
+++ b/internal/standin/runner/admin.go
@@ -204,13 +204,13 @@
 	return http.StatusAccepted, ""
 }
 
-// startLoading unloads a name and loads another, which takes the load time.
-// A name that is loaded already stays.
+// startLoading unloads a name and loads another, which takes the load time
+// unless it is loaded already.
 func (e *Engine) startLoading(name string, list *[]string, evict string) {
+	*list = slices.DeleteFunc(*list, func(n string) bool { return n == evict })
 	if slices.Contains(*list, name) {
 		return
 	}
-	*list = slices.DeleteFunc(*list, func(n string) bool { return n == evict })
 	e.loading = name
 	e.loadingInto = list
 	e.loadedAt = time.Now().Add(e.options.LoadTime)
