--- a/internal/mesh/client.go
+++ b/internal/mesh/client.go
@@ -14,7 +14,10 @@
 
 // ClientOptions configure a Client. TLS nil means plain TCP.
 type ClientOptions struct {
-	TLS         *tls.Config
+	TLS *tls.Config
+	// LocalIP is the address that connections come from; the system's choice
+	// if nil.
+	LocalIP     net.IP
 	Heartbeat   time.Duration
 	Silence     time.Duration
 	DialTimeout time.Duration
@@ -107,10 +110,14 @@
 func (c *Client) dial(ctx context.Context, addr string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.o.DialTimeout)
 	defer cancel()
+	dialer := &net.Dialer{}
+	if c.o.LocalIP != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: c.o.LocalIP}
+	}
 	if c.o.TLS == nil {
-		return new(net.Dialer).DialContext(ctx, "tcp", addr)
+		return dialer.DialContext(ctx, "tcp", addr)
 	}
-	return (&tls.Dialer{Config: c.o.TLS}).DialContext(ctx, "tcp", addr)
+	return (&tls.Dialer{NetDialer: dialer, Config: c.o.TLS}).DialContext(ctx, "tcp", addr)
 }
 
 // heartbeat pings until a ping fails or stop closes, then drops the
--- a/internal/standin/faultproxy/link.go
+++ b/internal/standin/faultproxy/link.go
@@ -92,7 +92,7 @@
 	p := l.proxy
 	for {
 		p.mu.Lock()
-		held := l.silent || p.mode == Blackhole || p.mode == drop
+		held := l.silent || p.isCut(l) || p.mode == Blackhole || p.mode == drop
 		changed := p.changed
 		closed := p.closed
 		p.mu.Unlock()
--- a/internal/standin/faultproxy/proxy.go
+++ b/internal/standin/faultproxy/proxy.go
@@ -44,6 +44,7 @@
 	listener net.Listener // nil while refusing
 	mode     Mode
 	delay    time.Duration // of each direction
+	cut      func(source net.Addr) bool
 	links    map[*link]struct{}
 	accepted int
 	changed  chan struct{} // closed when mode, delay or a link's state changes
@@ -120,6 +121,19 @@
 	p.notify()
 }
 
+// Cut holds back the bytes of connections, open and new ones, from the sources
+// that a function picks, as a partition does; nil ends it. The function must
+// not call the proxy.
+func (p *Proxy) Cut(picks func(source net.Addr) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut = picks
+	p.notify()
+}
+
+// isCut reports whether a link is cut. The mutex is held.
+func (p *Proxy) isCut(l *link) bool { return p.cut != nil && p.cut(l.client.RemoteAddr()) }
+
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() error {
 	p.mu.Lock()
--- a/internal/vm/build.go
+++ b/internal/vm/build.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -43,7 +44,11 @@
 		RetryShare: v.s.Platform.RetryRatio,
 	})
 	v.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns}}
-	v.meshOut = mesh.NewClient(mesh.ClientOptions{Recorder: v.recorder, TLS: v.meshClientTLS()})
+	v.meshOut = mesh.NewClient(mesh.ClientOptions{
+		Recorder: v.recorder,
+		TLS:      v.meshClientTLS(),
+		LocalIP:  ownIP(v.s.VM.MeshListen),
+	})
 	if err := v.buildMembership(); err != nil {
 		return err
 	}
@@ -66,6 +71,20 @@
 	return v.register()
 }
 
+// ownIP returns the IP number that a VM with several of them listens on, so
+// that its connections come from there, too; nil if it listens on all.
+func ownIP(listen string) net.IP {
+	host, _, err := net.SplitHostPort(listen)
+	if err != nil {
+		return nil
+	}
+	ip := net.ParseIP(host)
+	if ip.IsUnspecified() {
+		return nil
+	}
+	return ip
+}
+
 func (v *VM) buildMembership() error {
 	var err error
 	v.members, err = membership.New(membership.Options{
