Compact long programs in the background and pace adoption scans

Nothing called Compact, so that rows of long programs would have stayed. Run compacts programs with 160 turns or more in rows, one after the other.

An adoption of 1,000 families with sub-agents sent its scans as fast as it could and ran into the platform's limit of 2,000 reads a second: some families failed. The scans are paced at 1,000 a second now.

Only an intent that is being written is refused at once as existing; for one in the rows the condition on its row decides.

--- a/internal/system/journal/adopt.go
+++ b/internal/system/journal/adopt.go
@@ -137,7 +137,7 @@
 	former := uint64(firstEpoch) // of a program created while the platform was unavailable
 	if rootRow.Version > 0 {
 		var err error
-		if rows, err = j.readFamily(ctx, a.Root, &rootRow); err != nil {
+		if rows, err = j.readFamily(ctx, a.Root, rootRow); err != nil {
 			a.Err = err
 			j.endAdoption([]*adopted{{Adoption: a}})
 			return nil
--- a/internal/system/journal/compact.go
+++ b/internal/system/journal/compact.go
@@ -65,6 +65,35 @@
 	return int(to - p.Compacted), nil
 }
 
+// compactDue compacts, one after the other, the programs with many turns in
+// rows. One that fails is tried again the next time.
+func (j *Journal) compactDue(ctx context.Context) {
+	for _, f := range j.all() {
+		for _, id := range f.dueForCompaction(j.options.CompactAt) {
+			if ctx.Err() != nil {
+				return
+			}
+			_, _ = j.Compact(ctx, id)
+		}
+	}
+}
+
+// dueForCompaction returns the programs with at least `from` turns in rows.
+func (f *family) dueForCompaction(from uint64) []entity.ProgramID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down || f.lost != nil {
+		return nil
+	}
+	var due []entity.ProgramID
+	for id, r := range f.rows {
+		if r.program.Head-r.program.Compacted >= from {
+			due = append(due, id)
+		}
+	}
+	return due
+}
+
 // deleteUnused deletes an object whose transaction certainly had no effect.
 func (j *Journal) deleteUnused(cause error, object string) {
 	if errors.Is(cause, ErrUnresolved) || errors.Is(cause, ErrOwnershipLost) {
--- a/internal/system/journal/compact_test.go
+++ b/internal/system/journal/compact_test.go
@@ -6,7 +6,10 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -72,6 +75,30 @@
 	is.Equal(len(rows), turns-int(adoption.Family.RootProgram().Compacted))
 }
 
+func TestJournal_RunCompactsLongPrograms(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		w := newWorld()
+		j := w.journal(t, "vm-1", true)
+		var wait sync.WaitGroup
+		wait.Go(func() { j.Run(ctx) })
+		_, err := j.Create(ctx, newProgram(testRoot), "vm-1")
+		is.NoErr(err)
+		for n := uint64(1); n <= DefaultCompactAt; n++ {
+			_, err := j.Append(ctx, testRoot, turnChange(testRoot, n))
+			is.NoErr(err)
+		}
+		time.Sleep(2 * DefaultCompactEvery) // on the fake clock
+		family, err := j.Load(ctx, testRoot)
+		is.NoErr(err)
+		is.Equal(family.RootProgram().Compacted, uint64(DefaultCompactAt-KeepRows))
+		is.Equal(len(numbers(t, j, testRoot)), DefaultCompactAt)
+		cancel()
+		wait.Wait()
+	})
+}
+
 // crashingObjects cuts the VM off after an object was put.
 type crashingObjects struct {
 	platform.Objects
--- a/internal/system/journal/intent.go
+++ b/internal/system/journal/intent.go
@@ -41,7 +41,7 @@
 	if f.latest[intent.Program] == nil {
 		return nil, fmt.Errorf("%w: program %s", ErrNotFound, intent.Program)
 	}
-	if f.intentKnown(IntentKey(intent.Program, intent.RequestID)) {
+	if f.intentUnderWay(IntentKey(intent.Program, intent.RequestID)) {
 		return nil, ErrIntentExists
 	}
 	own := *intent
@@ -56,15 +56,14 @@
 	return e, nil
 }
 
-// intentKnown reports whether an intent row exists or is being written. The
+// intentUnderWay reports whether an intent of the request is being written. The
 // caller holds mu.
-func (f *family) intentKnown(key platform.Key) bool {
+func (f *family) intentUnderWay(key platform.Key) bool {
 	entries := f.queue
 	if f.pending != nil {
 		entries = append(slices.Clone(entries), f.pending.entries...)
 	}
-	underWay := slices.ContainsFunc(entries, func(e *entry) bool { return e.intent && e.writes[0].Key == key })
-	return underWay || f.intents[key] > 0
+	return slices.ContainsFunc(entries, func(e *entry) bool { return e.intent && e.writes[0].Key == key })
 }
 
 // RecordOutcome records what became of an intent, without a turn. It is
--- a/internal/system/journal/journal.go
+++ b/internal/system/journal/journal.go
@@ -15,6 +15,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/platform"
 	"ibisstall.example/ibisstall/internal/timeline"
@@ -63,8 +65,15 @@
 	MaxBufferRecords int
 	// Timeout bounds one request to the platform or the mirror.
 	Timeout time.Duration
+	// ScansPerSecond paces the reads of sub-agents in an adoption, so that
+	// the platform's read rate holds.
+	ScansPerSecond float64
 	// FlushEvery is the interval at which Run flushes.
 	FlushEvery time.Duration
+	// CompactAt is the number of turns in rows from which on Run compacts a
+	// program, and CompactEvery the interval at which it looks for such.
+	CompactAt    uint64
+	CompactEvery time.Duration
 	// Events records what becomes of turns; nil means nothing.
 	Events timeline.Recorder
 	// OnLost is called once for each family whose ownership was lost.
@@ -76,7 +85,10 @@
 	DefaultMaxBufferBytes   = 64 << 20
 	DefaultMaxBufferRecords = 20_000
 	DefaultTimeout          = 10 * time.Second
+	DefaultScansPerSecond   = 1000
 	DefaultFlushEvery       = 200 * time.Millisecond
+	DefaultCompactAt        = 160
+	DefaultCompactEvery     = time.Second
 )
 
 // Limits of one family, so that its buffered records fit one transaction.
@@ -102,6 +114,7 @@
 	objects platform.Objects
 	options Options
 	room    *room
+	scans   *rate.Limiter // of adoptions
 
 	closing context.Context
 	cancel  context.CancelFunc
@@ -123,9 +136,18 @@
 	if o.Timeout == 0 {
 		o.Timeout = DefaultTimeout
 	}
+	if o.ScansPerSecond == 0 {
+		o.ScansPerSecond = DefaultScansPerSecond
+	}
 	if o.FlushEvery == 0 {
 		o.FlushEvery = DefaultFlushEvery
 	}
+	if o.CompactAt == 0 {
+		o.CompactAt = DefaultCompactAt
+	}
+	if o.CompactEvery == 0 {
+		o.CompactEvery = DefaultCompactEvery
+	}
 	if o.Events == nil {
 		o.Events = timeline.Discard{}
 	}
@@ -142,6 +164,7 @@
 		room:     &room{maxBytes: o.MaxBufferBytes, maxRecords: o.MaxBufferRecords},
 		families: make(map[entity.ProgramID]*family),
 		adopting: make(map[entity.ProgramID]bool),
+		scans:    rate.NewLimiter(rate.Limit(o.ScansPerSecond), concurrentScans),
 	}
 	j.closing, j.cancel = context.WithCancel(context.Background())
 	return j
@@ -154,14 +177,22 @@
 	j.running.Wait()
 }
 
-// Run flushes buffered records until ctx ends.
+// Run flushes buffered records and compacts long programs until ctx ends.
 func (j *Journal) Run(ctx context.Context) {
-	ticker := time.NewTicker(j.options.FlushEvery)
+	var wait sync.WaitGroup
+	wait.Go(func() { every(ctx, j.options.FlushEvery, func() { j.Flush(ctx) }) })
+	wait.Go(func() { every(ctx, j.options.CompactEvery, func() { j.compactDue(ctx) }) })
+	wait.Wait()
+}
+
+// every calls do at an interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, do func()) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			j.Flush(ctx)
+			do()
 		case <-ctx.Done():
 			return
 		}
--- a/internal/system/journal/load.go
+++ b/internal/system/journal/load.go
@@ -15,7 +15,11 @@
 // Load reads the rows of a family, owned or not. It takes one read, and one
 // more if the root program has sub-agents.
 func (j *Journal) Load(ctx context.Context, root entity.ProgramID) (*Family, error) {
-	rows, err := j.readFamily(ctx, root, nil)
+	rootRows, err := j.table.Get(ctx, []platform.Key{ProgramKey(root)})
+	if err != nil {
+		return nil, readError("program", err)
+	}
+	rows, err := j.readFamily(ctx, root, rootRows[0])
 	if err != nil {
 		return nil, err
 	}
@@ -26,19 +30,12 @@
 	return family, nil
 }
 
-// readFamily reads the program rows of a family; rootRow may be given.
-func (j *Journal) readFamily(ctx context.Context, root entity.ProgramID, rootRow *platform.Row) (map[entity.ProgramID]row, error) {
-	if rootRow == nil {
-		rows, err := j.table.Get(ctx, []platform.Key{ProgramKey(root)})
-		if err != nil {
-			return nil, readError("program", err)
-		}
-		rootRow = &rows[0]
-	}
+// readFamily reads the program rows of a family, whose root row is given.
+func (j *Journal) readFamily(ctx context.Context, root entity.ProgramID, rootRow platform.Row) (map[entity.ProgramID]row, error) {
 	if rootRow.Version == 0 {
 		return nil, fmt.Errorf("%w: program %s", ErrNotFound, root)
 	}
-	p, err := decodeProgram(*rootRow)
+	p, err := decodeProgram(rootRow)
 	if err != nil {
 		return nil, err
 	}
@@ -46,6 +43,9 @@
 	if p.Children == 0 {
 		return family, nil
 	}
+	if err := j.scans.Wait(ctx); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
 	children, err := j.scanAll(ctx, TablePrograms, string(root)+".", "")
 	if err != nil {
 		return nil, err
