--- a/internal/system/journal/append.go
+++ b/internal/system/journal/append.go
@@ -61,9 +61,15 @@
 	return p.Wait(ctx)
 }
 
-// start makes sure that a goroutine writes the family's queue.
+// start makes sure that a goroutine writes the family's queue. In a closed
+// journal, what is queued fails.
 func (j *Journal) start(f *family) {
-	if f.begin() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	switch {
+	case j.closed:
+		j.room.release(f.abandon(ErrClosed))
+	case f.begin():
 		j.running.Go(func() { j.drain(f, false) })
 	}
 }
--- a/internal/system/journal/journal.go
+++ b/internal/system/journal/journal.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -36,6 +37,8 @@
 	// ErrUnavailable means that the platform is unavailable. Nothing was
 	// written.
 	ErrUnavailable = errors.New("journal can't reach the platform")
+	// ErrClosed means that the journal was closed. Nothing was written.
+	ErrClosed = fmt.Errorf("%w: journal is closed", ErrUnavailable)
 	// ErrUnresolved means that the outcome of a write is not known yet. The
 	// journal goes on settling it; the caller must not take the write as
 	// done, nor as undone.
@@ -121,6 +124,7 @@
 	running sync.WaitGroup
 
 	mu       sync.Mutex
+	closed   bool // no goroutine is started any more
 	families map[entity.ProgramID]*family
 	adopting map[entity.ProgramID]bool
 }
@@ -173,6 +177,9 @@
 // Close cuts off requests under way and waits for the background goroutines.
 // Buffered records remain on the mirror.
 func (j *Journal) Close() {
+	j.mu.Lock()
+	j.closed = true
+	j.mu.Unlock()
 	j.cancel()
 	j.running.Wait()
 }
--- a/internal/system/journal/property_test.go
+++ b/internal/system/journal/property_test.go
@@ -225,12 +225,19 @@
 }
 
 func (r *run) writeIntent(vm *simulatedVM, number, attempt int) {
-	err := vm.journal.WriteIntent(context.Background(), &entity.Intent{
+	ctx := context.Background()
+	intent := &entity.Intent{
 		Program:   testRoot,
 		RequestID: fmt.Sprint(number),
 		AttemptID: fmt.Sprintf("%s/%d", vm.name, attempt),
-	})
-	if err == nil {
+	}
+	_, _ = vm.journal.LookupIntent(ctx, testRoot, intent.RequestID) // may find one to take over
+	err := vm.journal.WriteIntent(ctx, intent)
+	switch {
+	case err == nil && attempt%2 == 0:
+		intent.State = entity.IntentNotSent
+		_, _ = vm.journal.RecordOutcome(ctx, intent)
+	case err == nil:
 		r.mu.Lock()
 		r.sent[number]++
 		r.mu.Unlock()
