--- a/internal/system/journal/bench_test.go
+++ b/internal/system/journal/bench_test.go
@@ -10,8 +10,9 @@
 	"time"
 
 	"ibisstall.example/ibisstall/internal/entity"
-	"ibisstall.example/ibisstall/internal/platform"
+	"ibisstall.example/ibisstall/internal/mesh"
 	"ibisstall.example/ibisstall/internal/platform/batch"
+	"ibisstall.example/ibisstall/internal/platform/batchrpc"
 	"ibisstall.example/ibisstall/internal/platform/httpclient"
 	"ibisstall.example/ibisstall/internal/standin/platformsvc"
 )
@@ -64,11 +65,24 @@
 	return committer, j
 }
 
-// inProcess forwards to a committer of the same process.
-type inProcess struct{ to *batch.Committer }
-
-func (f inProcess) Forward(ctx context.Context, groups [][]platform.Write) ([]batch.Result, error) {
-	return f.to.CommitGroups(ctx, groups), nil
+// serve lets other VMs commit through a committer over the mesh, and returns
+// the address.
+func serve(b *testing.B, committer *batch.Committer) string {
+	b.Helper()
+	server, err := mesh.Listen(mesh.ServerOptions{Addr: "127.0.0.1:0"})
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := server.Register(batchrpc.ServiceName, batchrpc.NewService(committer, DefaultTimeout)); err != nil {
+		b.Fatal(err)
+	}
+	var wait sync.WaitGroup
+	wait.Go(func() { _ = server.Serve() })
+	b.Cleanup(func() {
+		_ = server.Close()
+		wait.Wait()
+	})
+	return server.Addr()
 }
 
 // createAll makes programs spread over journals and returns their roots.
@@ -106,13 +120,13 @@
 	for _, forward := range []bool{false, true} {
 		b.Run(fmt.Sprintf("vms=%d/forward=%v/pause=1s/programs=1000", vms, forward), func(b *testing.B) {
 			p := newBenchPlatform(b)
-			var forwarder batch.Forwarder
-			if forward {
-				batching, _ := p.vm(b, nil)
-				forwarder = inProcess{batching}
-			}
+			batching, _ := p.vm(b, nil)
+			addr := serve(b, batching)
 			journals := make([]*Journal, vms)
 			for i := range journals {
+				client := mesh.NewClient(mesh.ClientOptions{})
+				b.Cleanup(client.Close)
+				forwarder := batchrpc.NewForwarder(client, DefaultTimeout, func() (string, bool) { return addr, forward })
 				_, journals[i] = p.vm(b, forwarder)
 			}
 			benchTurns(b, p, journals, 1000, time.Second)
