--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -8,13 +8,14 @@
 	"sync"
 	"time"
 
+	"ibisstall.example/ibisstall/internal/endpoint"
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/policy/estimate"
 	"ibisstall.example/ibisstall/internal/policy/placement"
 )
 
 // blockTokens is the number of tokens in a block of an engine's prefix cache.
-const blockTokens = 16
+const blockTokens = endpoint.BlockTokens
 
 // ErrNoEndpoint means that no endpoint serves the target of a call.
 var ErrNoEndpoint = errors.New("no endpoint serves the target")
@@ -38,6 +39,8 @@
 	// the queue, Run the rest.
 	Seconds   float64
 	Wait, Run time.Duration
+	// Shortest is the shortest wait at any healthy endpoint for the target.
+	Shortest time.Duration
 	// Held is the part of the prompt that the endpoint is believed to hold,
 	// Cost the service that is left, both in tokens.
 	Held, Cost int64
