--- a/internal/endpoint/admin.go
+++ b/internal/endpoint/admin.go
@@ -101,7 +101,7 @@
 	res, err := e.conns.reused.Do(r)
 	if err != nil {
 		if ctx.Err() != nil {
-			e.conns.reused.CloseIdleConnections()
+			e.conns.distrust()
 		}
 		return sent.classify(ctx, err)
 	}
--- a/internal/endpoint/caller.go
+++ b/internal/endpoint/caller.go
@@ -43,17 +43,18 @@
 	}
 	hc := c.conns.reused
 	if req.AttemptID != "" {
-		hc = c.conns.fresh
+		hc = c.conns.fresh()
 	}
 	res, err := hc.Do(r)
 	if err != nil {
 		if ctx.Err() != nil {
-			c.conns.reused.CloseIdleConnections()
+			c.conns.distrust()
 		}
 		return CallAnswer{}, sent.classify(ctx, err)
 	}
 	if id := res.Header.Get(HeaderRequestID); id != req.CallID {
 		_ = res.Body.Close()
+		c.conns.distrust() // the connection is idle already if the body is empty
 		return CallAnswer{}, fmt.Errorf("%w: answer for %.80q", ErrMismatch, id)
 	}
 	return c.answer(res)
@@ -118,7 +119,7 @@
 	if err != nil {
 		return CallAnswer{}, false, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	res, err := c.conns.fresh.Do(r)
+	res, err := c.conns.fresh().Do(r)
 	if err != nil {
 		return CallAnswer{}, false, sent.classify(ctx, err)
 	}
--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -116,7 +116,7 @@
 			wait(ctx, pause.NextBackOff())
 		}
 		e.options.OnResume(req.CallID)
-		e.conns.reused.CloseIdleConnections()
+		e.conns.distrust()
 		err = e.resume(ctx, a)
 		idle++
 		if a.next > before {
@@ -166,7 +166,7 @@
 // resume asks over a new connection for the events that are missing. An
 // engine that doesn't know the stream can't answer the call any more.
 func (e *Engine) resume(ctx context.Context, a *assembly) error {
-	err := e.read(ctx, e.conns.fresh, a, func(ctx context.Context) (*http.Request, error) {
+	err := e.read(ctx, e.conns.fresh(), a, func(ctx context.Context) (*http.Request, error) {
 		u := e.ep.URL + "/v1/streams/" + url.PathEscape(a.callID) + "?from=" + strconv.Itoa(a.next)
 		r, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
 		if err != nil {
@@ -282,7 +282,7 @@
 	if err != nil {
 		return
 	}
-	if res, err := e.conns.fresh.Do(r); err == nil {
+	if res, err := e.conns.fresh().Do(r); err == nil {
 		finishBody(res.Body)
 	}
 }
--- a/internal/endpoint/transport.go
+++ b/internal/endpoint/transport.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -62,21 +63,28 @@
 // which would send a request twice.
 type connections struct {
 	reused *http.Client
-	fresh  *http.Client
+	fresh  func() *http.Client
 }
 
 func newConnections(hc *http.Client) connections {
 	reused := *hc
 	reused.CheckRedirect = keepRedirect
-	fresh := reused
-	if t, ok := transportOf(hc); ok {
-		t = t.Clone()
-		t.DisableKeepAlives = true
-		fresh.Transport = t
-	}
-	return connections{reused: &reused, fresh: &fresh}
+	fresh := sync.OnceValue(func() *http.Client {
+		c := reused
+		if t, ok := transportOf(hc); ok {
+			t = t.Clone()
+			t.DisableKeepAlives = true
+			c.Transport = t
+		}
+		return &c
+	})
+	return connections{reused: &reused, fresh: fresh}
 }
 
+// distrust drops the idle connections: one of them may be silent, or hold an
+// answer that belongs to another request.
+func (c connections) distrust() { c.reused.CloseIdleConnections() }
+
 func transportOf(hc *http.Client) (*http.Transport, bool) {
 	if hc.Transport == nil {
 		t, ok := http.DefaultTransport.(*http.Transport)
