--- a/internal/endpoint/prefix.go
+++ b/internal/endpoint/prefix.go
@@ -1,10 +1,12 @@
 package endpoint
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/tidwall/gjson"
 
 	"ibisstall.example/ibisstall/internal/entity"
 )
@@ -91,9 +93,8 @@
 	if len(raw) == 0 || raw[0] != '"' {
 		return raw
 	}
-	var s string
-	if json.Unmarshal(raw, &s) != nil {
-		return raw
+	if bytes.IndexByte(raw, '\\') < 0 {
+		return bytes.TrimSuffix(raw[1:], []byte{'"'})
 	}
-	return []byte(s)
+	return []byte(gjson.ParseBytes(raw).Str)
 }
--- /dev/null
+++ b/internal/endpoint/prefix_test.go
@@ -0,0 +1,59 @@
+package endpoint_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"ibisstall.example/ibisstall/internal/endpoint"
+	"ibisstall.example/ibisstall/internal/entity"
+)
+
+func TestPrefix_SharedByConversationsWithACommonStart(t *testing.T) {
+	is := is.New(t)
+	start := user(strings.Repeat("round ", 50))
+	one := endpoint.PrefixOf(model, []entity.Message{start, user("street one")}).Blocks()
+	two := endpoint.PrefixOf(model, []entity.Message{start, user("street two")}).Blocks()
+	is.Equal(one[:4], two[:4])
+	is.True(one[len(one)-1] != two[len(two)-1])
+	other := endpoint.PrefixOf("borealis", []entity.Message{start}).Blocks()
+	is.True(other[0] != one[0]) // models don't share cache
+}
+
+// TestPrefix_AddIsIncremental checks that a conversation has the same blocks
+// whether it is hashed whole or message by message, and that escapes in the
+// JSON don't matter.
+func TestPrefix_AddIsIncremental(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		texts := rapid.SliceOfN(rapid.String(), 1, 8).Draw(t, "texts")
+		p := endpoint.NewPrefix(model)
+		var messages []entity.Message
+		for _, text := range texts {
+			content, _ := json.Marshal(text)
+			messages = append(messages, entity.Message{Role: "user", Content: content})
+			plain := strings.ToValidUTF8(text, "\ufffd")
+			p.Add(&entity.Message{Role: "user", Content: unescaped(plain)})
+		}
+		whole := endpoint.PrefixOf(model, messages)
+		if whole.Tokens() != p.Tokens() || len(whole.Blocks()) != len(p.Blocks()) {
+			t.Fatalf("%d tokens whole, %d by message", whole.Tokens(), p.Tokens())
+		}
+		for i, b := range whole.Blocks() {
+			if p.Blocks()[i] != b {
+				t.Fatalf("block %d differs", i)
+			}
+		}
+	})
+}
+
+// unescaped is a JSON string without needless escapes.
+func unescaped(text string) json.RawMessage {
+	var b strings.Builder
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	_ = e.Encode(text)
+	return json.RawMessage(strings.TrimSpace(b.String()))
+}
