--- a/internal/endpoint/assembly.go
+++ b/internal/endpoint/assembly.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/tidwall/gjson"
+
 	"ibisstall.example/ibisstall/internal/entity"
 )
 
@@ -17,13 +19,12 @@
 
 // chunkBody is a chunk of the chat-completions stream.
 type chunkBody struct {
-	ID      string `json:"id"`
-	Choices []struct {
-		Delta  json.RawMessage `json:"delta"`
-		Finish *string         `json:"finish_reason"`
-	} `json:"choices"`
-	Usage *usageBody       `json:"usage"`
-	Error *json.RawMessage `json:"error"`
+	id     string
+	choice bool            // there is a choice
+	delta  json.RawMessage // of the first choice
+	finish string          // of the first choice, empty if none
+	usage  *usageBody
+	fault  string // JSON of an error that the engine reports
 }
 
 type usageBody struct {
@@ -34,11 +35,62 @@
 	} `json:"prompt_tokens_details"`
 }
 
-// deltaBody is the part of a delta that is assembled.
-type deltaBody struct {
-	Role      string      `json:"role"`
-	Content   *string     `json:"content"`
-	ToolCalls []toolDelta `json:"tool_calls"`
+// parseChunk reads a chunk in one pass; a stream has one for each token.
+func parseChunk(data []byte) (chunkBody, error) {
+	var c chunkBody
+	var err error
+	root := gjson.ParseBytes(data)
+	if !gjson.ValidBytes(data) || !root.IsObject() {
+		return c, fmt.Errorf("%w: chunk is not a JSON object", errBroken)
+	}
+	root.ForEach(func(key, value gjson.Result) bool {
+		switch key.Str {
+		case "id":
+			c.id = value.Str
+		case "choices":
+			err = c.parseChoice(value)
+		case "usage":
+			err = c.parseUsage(value)
+		case "error":
+			if value.Type != gjson.Null {
+				c.fault = value.Raw
+			}
+		}
+		return err == nil
+	})
+	return c, err
+}
+
+// parseChoice reads the first choice, if there is one.
+func (c *chunkBody) parseChoice(choices gjson.Result) error {
+	if choices.Type != gjson.Null && !choices.IsArray() {
+		return fmt.Errorf("%w: choices are not a list", errBroken)
+	}
+	choices.ForEach(func(_, choice gjson.Result) bool {
+		c.choice = true
+		choice.ForEach(func(key, value gjson.Result) bool {
+			switch key.Str {
+			case "delta":
+				c.delta = json.RawMessage(value.Raw)
+			case "finish_reason":
+				c.finish = value.Str
+			}
+			return true
+		})
+		return false
+	})
+	return nil
+}
+
+func (c *chunkBody) parseUsage(value gjson.Result) error {
+	if value.Type == gjson.Null {
+		return nil
+	}
+	c.usage = &usageBody{}
+	if err := json.Unmarshal([]byte(value.Raw), c.usage); err != nil {
+		return fmt.Errorf("%w: usage: %w", errBroken, err)
+	}
+	return nil
 }
 
 type toolDelta struct {
@@ -102,15 +154,15 @@
 	if err != nil || seq < a.next {
 		return err
 	}
-	var body chunkBody
-	if err := json.Unmarshal(e.data, &body); err != nil {
-		return fmt.Errorf("%w: %w", errBroken, err)
+	body, err := parseChunk(e.data)
+	if err != nil {
+		return err
 	}
-	if body.Error != nil {
-		return fmt.Errorf("%w: engine reports %s", errBroken, *body.Error)
+	if body.fault != "" {
+		return fmt.Errorf("%w: engine reports %.200s", errBroken, body.fault)
 	}
-	if !namesCall(body.ID, a.callID) {
-		return fmt.Errorf("%w: chunk of %.80q", ErrMismatch, body.ID)
+	if !namesCall(body.id, a.callID) {
+		return fmt.Errorf("%w: chunk of %.80q", ErrMismatch, body.id)
 	}
 	if err := a.add(seq, &body); err != nil {
 		return err
@@ -141,26 +193,22 @@
 }
 
 func (a *assembly) add(seq int, body *chunkBody) error {
-	if body.Usage != nil {
-		if err := a.count(body.Usage); err != nil {
+	if body.usage != nil {
+		if err := a.count(body.usage); err != nil {
 			return err
 		}
 	}
-	if len(body.Choices) == 0 {
+	if !body.choice {
 		return nil
 	}
 	if a.finish != "" {
 		return fmt.Errorf("%w: chunk after the last one", errBroken)
 	}
-	choice := &body.Choices[0]
-	if err := a.addDelta(choice.Delta); err != nil {
+	if err := a.addDelta(body.delta); err != nil {
 		return err
 	}
-	c := Chunk{Seq: seq, Delta: choice.Delta}
-	if choice.Finish != nil {
-		c.Finish = *choice.Finish
-		a.finish = c.Finish
-	}
+	a.finish = body.finish
+	c := Chunk{Seq: seq, Delta: body.delta, Finish: body.finish}
 	if a.onChunk == nil {
 		return nil
 	}
@@ -187,19 +235,31 @@
 }
 
 func (a *assembly) addDelta(raw json.RawMessage) error {
-	if len(raw) == 0 {
-		return nil
-	}
-	var d deltaBody
-	if err := json.Unmarshal(raw, &d); err != nil {
-		return fmt.Errorf("%w: %w", errBroken, err)
+	delta := gjson.ParseBytes(raw)
+	if len(raw) > 0 && delta.Type != gjson.Null && !delta.IsObject() {
+		return fmt.Errorf("%w: delta is not an object", errBroken)
 	}
-	if d.Content != nil {
-		a.hasText = true
-		a.text.WriteString(*d.Content)
+	var err error
+	delta.ForEach(func(key, value gjson.Result) bool {
+		switch {
+		case key.Str == "content" && value.Type == gjson.String:
+			a.hasText = true
+			a.text.WriteString(value.Str)
+		case key.Str == "tool_calls" && value.Type != gjson.Null:
+			err = a.addCalls([]byte(value.Raw))
+		}
+		return err == nil
+	})
+	return err
+}
+
+func (a *assembly) addCalls(raw []byte) error {
+	var calls []toolDelta
+	if err := json.Unmarshal(raw, &calls); err != nil {
+		return fmt.Errorf("%w: tool calls: %w", errBroken, err)
 	}
-	for i := range d.ToolCalls {
-		if err := a.addCall(&d.ToolCalls[i]); err != nil {
+	for i := range calls {
+		if err := a.addCall(&calls[i]); err != nil {
 			return err
 		}
 	}
--- a/internal/endpoint/sse_test.go
+++ b/internal/endpoint/sse_test.go
@@ -43,6 +43,7 @@
 		if err != nil {
 			return out, err
 		}
+		e.data = bytes.Clone(e.data)
 		out = append(out, e)
 	}
 }
