Let the stand-in act after its client has gone

A slow platform may perform a write whose client has stopped waiting, which is harder than an answer lost at once: a read in between shows no effect.

--- a/internal/platform/batch/batch_test.go
+++ b/internal/platform/batch/batch_test.go
@@ -254,7 +254,8 @@
 			Service:     platformsvc.Table,
 			Down:        rapid.Bool().Draw(t, "down"),
 			LoseAnswers: rapid.IntRange(0, 5).Draw(t, "lose"),
-			DelayMS:     delay.Milliseconds(),
+			DelayMS:     int64(rapid.SampledFrom([]int{10, 90, 150, 400}).Draw(t, "delay")),
+			Late:        rapid.Bool().Draw(t, "late"),
 		})
 	}
 	return s
@@ -294,9 +295,10 @@
 // play runs a scenario and returns what went wrong.
 func play(sc scenario) error {
 	s := newService()
-	batching := New(s.Direct("a"), Options{})
+	const timeout = 100 * time.Millisecond // shorter than some delays, so that requests act late
+	batching := New(s.Direct("a"), Options{Timeout: timeout})
 	defer batching.Close()
-	forwarding := New(s.Direct("b"), Options{Forwarder: &relay{to: batching, loseAnswers: sc.lostForwards}})
+	forwarding := New(s.Direct("b"), Options{Timeout: timeout, Forwarder: &relay{to: batching, loseAnswers: sc.lostForwards}})
 	defer forwarding.Close()
 	var y tally
 	var wait sync.WaitGroup
@@ -311,6 +313,7 @@
 		}
 	}
 	wait.Wait()
+	time.Sleep(time.Second) // late requests have acted
 	if err := s.SetControl(platformsvc.Control{}); err != nil {
 		return err
 	}
@@ -328,9 +331,9 @@
 }
 
 // Writers increment counters through two committers, one of which forwards to
-// the other, while answers are lost and the service goes down. A counter must
-// stand at the number of acknowledged increments, plus at most those of
-// unknown effect.
+// the other, while answers are lost, requests act late and the service goes
+// down. A counter must stand at the number of acknowledged increments, plus at
+// most those of unknown effect.
 func TestCommitter_PropertyNoGroupIsLostOrAppliedTwice(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		sc := drawScenario(rt)
--- a/internal/standin/platformsvc/direct.go
+++ b/internal/standin/platformsvc/direct.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"ibisstall.example/ibisstall/internal/platform"
 )
@@ -28,11 +29,11 @@
 	if v.down || v.limited {
 		return fmt.Errorf("%w: refused", platform.ErrUnavailable)
 	}
+	if v.late && write {
+		return d.runLate(ctx, v, act)
+	}
 	if !pause(ctx, v) {
-		if write {
-			return fmt.Errorf("%w: %w", platform.ErrUnknown, ctx.Err())
-		}
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
+		return gone(ctx, write)
 	}
 	err := act()
 	if v.loseAnswer {
@@ -41,6 +42,32 @@
 	return err
 }
 
+// gone is the error of a client that stopped waiting.
+func gone(ctx context.Context, write bool) error {
+	if write {
+		return fmt.Errorf("%w: %w", platform.ErrUnknown, ctx.Err())
+	}
+	return fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
+}
+
+// runLate performs act after the delay, whether or not the client still waits.
+func (d *Direct) runLate(ctx context.Context, v verdict, act func() error) error {
+	acted := make(chan error, 1)
+	go func() {
+		time.Sleep(v.delay)
+		acted <- act()
+	}()
+	select {
+	case err := <-acted:
+		if v.loseAnswer {
+			return platform.ErrUnknown
+		}
+		return err
+	case <-ctx.Done():
+		return gone(ctx, true)
+	}
+}
+
 // Get implements platform.Table.
 func (d *Direct) Get(ctx context.Context, keys []platform.Key) (rows []platform.Row, err error) {
 	err = d.run(ctx, Table, false, func() (err error) {
--- a/internal/standin/platformsvc/faults.go
+++ b/internal/standin/platformsvc/faults.go
@@ -28,6 +28,8 @@
 	Down bool `json:"down,omitempty"`
 	// DelayMS is waited before acting, in milliseconds.
 	DelayMS int64 `json:"delay_ms,omitempty"`
+	// Late acts after the delay although the client has gone by then.
+	Late bool `json:"late,omitempty"`
 	// LoseAnswers is how many writes take effect without an answer.
 	LoseAnswers int `json:"lose_answers,omitempty"`
 	// Hang takes requests and never answers, without acting.
@@ -55,8 +57,8 @@
 
 // verdict is what becomes of one request.
 type verdict struct {
-	down, limited, hang, loseAnswer bool
-	delay                           time.Duration
+	down, limited, hang, loseAnswer, late bool
+	delay                                 time.Duration
 }
 
 // faults decides what becomes of each request and counts them.
@@ -114,6 +116,7 @@
 		}
 		v.down = v.down || fault.Down
 		v.hang = v.hang || fault.Hang
+		v.late = v.late || fault.Late
 		v.delay += time.Duration(fault.DelayMS) * time.Millisecond
 		if write && fault.LoseAnswers > 0 && !v.down && !v.hang {
 			fault.LoseAnswers--
--- a/internal/standin/platformsvc/server.go
+++ b/internal/standin/platformsvc/server.go
@@ -100,6 +100,10 @@
 	if v.delay == 0 {
 		return true
 	}
+	if v.late {
+		time.Sleep(v.delay)
+		return true
+	}
 	timer := time.NewTimer(v.delay)
 	defer timer.Stop()
 	select {
--- a/internal/system/journal/property_test.go
+++ b/internal/system/journal/property_test.go
@@ -47,13 +47,14 @@
 	return op{
 		kind:  opKind(rapid.IntRange(0, int(opKinds)-1).Draw(t, "kind")),
 		vm:    rapid.IntRange(0, vmCount-1).Draw(t, "vm"),
-		pause: time.Duration(rapid.IntRange(0, 40).Draw(t, "pause")) * time.Millisecond,
+		pause: time.Duration(rapid.SampledFrom([]int{0, 1, 5, 40, 1000}).Draw(t, "pause")) * time.Millisecond,
 		fault: platformsvc.Fault{
 			Service:     rapid.SampledFrom([]platformsvc.Service{platformsvc.Table, platformsvc.Objects}).Draw(t, "service"),
 			Down:        rapid.Bool().Draw(t, "down"),
 			Hang:        rapid.IntRange(0, 5).Draw(t, "hang") == 0,
 			LoseAnswers: rapid.IntRange(0, 4).Draw(t, "lose"),
-			DelayMS:     int64(rapid.IntRange(0, 20).Draw(t, "delay")),
+			DelayMS:     int64(rapid.SampledFrom([]int{0, 1, 5, 20, 900, 1500, 4000}).Draw(t, "delay")),
+			Late:        rapid.Bool().Draw(t, "late"),
 		},
 		number: rapid.IntRange(0, 2).Draw(t, "number"),
 	}
