--- a/internal/system/journal/drain.go
+++ b/internal/system/journal/drain.go
@@ -39,6 +39,11 @@
 func (f *family) next(probe bool) (*transaction, []*entry, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.lost != nil {
+		f.pending = nil
+		f.active = false
+		return nil, nil, nil
+	}
 	if f.down && !probe {
 		if fresh := f.fresh(); len(fresh) > 0 {
 			return nil, fresh, nil
@@ -49,8 +54,8 @@
 	if f.pending != nil {
 		return f.pending, nil, nil
 	}
-	if f.lost != nil || len(f.queue) == 0 {
-		f.down = f.down && len(f.queue) > 0
+	if len(f.queue) == 0 {
+		f.down = false
 		f.active = false
 		return nil, nil, nil
 	}
@@ -165,8 +170,9 @@
 // lose ends the family: another owner has it.
 func (j *Journal) lose(f *family, err error) {
 	j.room.release(f.abandon(err))
-	f.dropPending()
-	j.untrack(f)
+	if !j.untrack(f) {
+		return // forgotten, or replaced by a newer adoption
+	}
 	j.options.Events.Record(timeline.Event{Kind: timeline.OwnershipLost, Program: f.root})
 	j.options.OnLost(f.root)
 }
--- a/internal/system/journal/journal.go
+++ b/internal/system/journal/journal.go
@@ -274,13 +274,16 @@
 	j.families[f.root] = f
 }
 
-// untrack removes a family unless a newer adoption has replaced it.
-func (j *Journal) untrack(f *family) {
+// untrack removes a family unless a newer adoption has replaced it, and reports
+// whether it did.
+func (j *Journal) untrack(f *family) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.families[f.root] == f {
-		delete(j.families, f.root)
+	if j.families[f.root] != f {
+		return false
 	}
+	delete(j.families, f.root)
+	return true
 }
 
 // request returns a context for one request that outlives its caller.
