Detect crossed answers and ignore impatient callers in the breaker

A commit's answer holds nothing of its request, so that one to another request passed for its own. Requests carry an id that a service may repeat in its answer; another one makes the outcome unknown.

Callers whose own deadline ended counted as failures of the service: five of them opened the breaker. They tell nothing of it now.

--- a/internal/platform/httpclient/call.go
+++ b/internal/platform/httpclient/call.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -58,8 +59,8 @@
 }
 
 // call performs a request with retries and returns the answer's body.
-func (c *Client) call(ctx context.Context, s *service, q call) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
+func (c *Client) call(caller context.Context, s *service, q call) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(caller, c.options.Timeout)
 	defer cancel()
 	c.budget.deposit()
 	policy := backoff.NewExponentialBackOff()
@@ -73,7 +74,7 @@
 		}
 		first = false
 		var raw []byte
-		raw, last = c.attempt(ctx, s, q)
+		raw, last = c.attempt(ctx, caller, s, q)
 		if last != nil && !retryable(q, last) {
 			return nil, backoff.Permanent(last)
 		}
@@ -100,8 +101,9 @@
 	}
 }
 
-// attempt performs a request once and tells the breaker how it went.
-func (c *Client) attempt(ctx context.Context, s *service, q call) ([]byte, error) {
+// attempt performs a request once and tells the breaker how it went. When the
+// caller stopped waiting, it tells nothing of the service.
+func (c *Client) attempt(ctx, caller context.Context, s *service, q call) ([]byte, error) {
 	if !s.breaker.Allow(c.options.Now()) {
 		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, errBreakerOpen)
 	}
@@ -111,13 +113,12 @@
 	if err == nil {
 		return c.settle(s, q, answer)
 	}
-	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	if caller.Err() != nil {
 		s.breaker.Abandon(c.options.Now())
-	default:
-		s.breaker.Failure(c.options.Now())
+		return nil, err
 	}
-	if attemptCtx.Err() != nil && ctx.Err() == nil {
+	s.breaker.Failure(c.options.Now())
+	if attemptCtx.Err() != nil {
 		// Its connection is closed with the attempt; the idle ones may be
 		// as silent, so the next attempt gets a new one.
 		c.options.HTTP.CloseIdleConnections()
@@ -142,6 +143,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
 	}
+	id := strconv.FormatUint(rand.Uint64(), 36)
+	request.Header.Set(wire.HeaderRequest, id)
 	request.Header.Set(wire.HeaderDC, c.options.DC)
 	request.Header.Set("Content-Type", "application/json")
 	response, err := c.options.HTTP.Do(request)
@@ -153,6 +156,10 @@
 	if err != nil {
 		return nil, lost(q.write, err)
 	}
+	if other := response.Header.Get(wire.HeaderRequest); other != "" && other != id {
+		c.options.HTTP.CloseIdleConnections() // the connection mixes answers up
+		return nil, lost(q.write, fmt.Errorf("answer to request %s", other))
+	}
 	return &answer{
 		status:     response.StatusCode,
 		retryAfter: response.Header.Get("Retry-After"),
--- a/internal/platform/httpclient/client_test.go
+++ b/internal/platform/httpclient/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
@@ -12,6 +13,7 @@
 
 	"ibisstall.example/ibisstall/internal/platform"
 	"ibisstall.example/ibisstall/internal/platform/breaker"
+	"ibisstall.example/ibisstall/internal/platform/wire"
 	"ibisstall.example/ibisstall/internal/standin/platformsvc"
 )
 
@@ -142,8 +144,33 @@
 
 func TestClient_RefusesAnAnswerToAnotherRequest(t *testing.T) {
 	is := is.New(t)
+	ctx := context.Background()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(wire.HeaderRequest, "other")
+		_, _ = w.Write([]byte(`{}`))
+	}))
+	defer server.Close()
+	c := New(Options{BaseURL: server.URL})
+	defer c.Close()
+	is.True(errors.Is(c.Commit(ctx, put("a", "1", 0)), platform.ErrUnknown))
+	_, err := c.Scan(ctx, "t", "", "", 1)
+	is.True(errors.Is(err, platform.ErrUnavailable))
+
 	keys := []platform.Key{{Table: "t", ID: "a"}}
 	is.True(checkGet(keys, []platform.Row{{Key: platform.Key{Table: "t", ID: "b"}}}) != nil)
 	is.True(checkGet(keys, nil) != nil)
 	is.NoErr(checkGet(keys, []platform.Row{{Key: keys[0]}}))
 }
+
+func TestClient_ImpatientCallersDoNotOpenTheBreaker(t *testing.T) {
+	is := is.New(t)
+	service, c := newPair(t, Options{})
+	is.NoErr(service.SetControl(platformsvc.Control{Faults: []platformsvc.Fault{{Service: platformsvc.Table, DelayMS: 50}}}))
+	for range 2 * breaker.DefaultFailures {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		_, err := c.Get(ctx, []platform.Key{{Table: "t", ID: "a"}})
+		cancel()
+		is.True(errors.Is(err, platform.ErrUnavailable))
+	}
+	is.True(c.Reachable())
+}
--- a/internal/platform/wire/wire.go
+++ b/internal/platform/wire/wire.go
@@ -13,8 +13,12 @@
 	PathVMs     = "/v1/vms"
 )
 
-// HeaderDC names the data centre of the client.
-const HeaderDC = "X-DC"
+// Headers of a request. HeaderRequest names the request; a service that knows
+// it repeats it in its answer, which tells crossed answers.
+const (
+	HeaderDC      = "X-DC" // data centre of the client
+	HeaderRequest = "X-Request-ID"
+)
 
 // GetRequest asks for rows by key.
 type GetRequest struct {
--- a/internal/standin/platformsvc/server.go
+++ b/internal/standin/platformsvc/server.go
@@ -66,6 +66,7 @@
 // guard reads the body, applies the faults and writes the action's answer.
 func (s *Server) guard(service Service, write bool, act action) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(wire.HeaderRequest, r.Header.Get(wire.HeaderRequest))
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 		if err != nil {
 			reply(w, http.StatusRequestEntityTooLarge, wire.ErrorResponse{Message: err.Error()})
