--- /dev/null
+++ b/internal/platform/httpclient/main_test.go
@@ -0,0 +1,9 @@
+package httpclient
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
