Release cache that engines hold over long pauses

Engines hold a program's KV cache until it is released, and an engine full of held cache can cache nothing new. Above 60 % of the cache, the VM with the engine's queue releases the programs that have been idle for the longest, down to 50 %, and any that is idle for two minutes. The news of the engines is read by the scheduler itself now; errors that are the request's fault don't count against an endpoint's health.

--- a/cmd/ibisstall/load.go
+++ b/cmd/ibisstall/load.go
@@ -35,7 +35,7 @@
 	Load     float64       `long:"load" default:"0.9" description:"arrival rate as a share of the engines' capacity"`
 	Duration time.Duration `long:"duration" default:"4m" description:"time of arrivals, in the time of the workload"`
 	Scale    float64       `long:"scale" default:"20" description:"how many times faster than real time to run"`
-	Without  []string      `long:"without" choice:"order" choice:"placement" choice:"admission" choice:"spill" description:"switch a part of the policy to the baseline's; may be repeated"`
+	Without  []string      `long:"without" choice:"order" choice:"placement" choice:"admission" choice:"spill" choice:"retention" choice:"sessions" description:"switch a part of the policy to the baseline's; may be repeated"`
 	Compare  bool          `long:"compare" description:"run the plain baseline on the same arrivals too"`
 	JSON     string        `long:"json" value-name:"FILE" description:"write the results as JSON"`
 	Plot     string        `long:"plot" value-name:"FILE.svg" description:"write the results as a chart"`
--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -35,6 +36,8 @@
 	PartPlacement Part = "placement" // round robin instead
 	PartAdmission Part = "admission" // only full queues refuse
 	PartSpill     Part = "spill"     // waiting calls stay where they are
+	PartRetention Part = "retention" // engines hold cache until programs end
+	PartSessions  Part = "sessions"  // engines hold no cache for programs
 )
 
 // policy returns the policy without the parts that are switched off.
@@ -51,6 +54,8 @@
 			p.Admit = false
 		case PartSpill:
 			p.Recheck = 0
+		case PartRetention:
+			p.Retain = false
 		}
 	}
 	return p
@@ -88,21 +93,22 @@
 		Shape: s.Shape, Seed: s.Seed, Engines: s.Engines, LoadShare: s.LoadShare,
 		ProgramsPerSec: rate, DurationSeconds: s.Duration.Seconds(), Scale: s.Scale,
 	}
-	if report.Policy, err = s.run(ctx, plan, s.policy()); err != nil {
+	sessions := !slices.Contains(s.Without, PartSessions)
+	if report.Policy, err = s.run(ctx, plan, s.policy(), sessions); err != nil {
 		return nil, err
 	}
 	if !compare {
 		return report, nil
 	}
-	if report.Baseline, err = s.run(ctx, plan, queue.BaselinePolicy()); err != nil {
+	if report.Baseline, err = s.run(ctx, plan, queue.BaselinePolicy(), false); err != nil {
 		return nil, err
 	}
 	return report, nil
 }
 
-func (s *Scenario) run(ctx context.Context, plan *Plan, policy queue.Policy) (*Summary, error) {
+func (s *Scenario) run(ctx context.Context, plan *Plan, policy queue.Policy, sessions bool) (*Summary, error) {
 	clock := Clock{Scale: s.Scale}
-	target, err := NewLocal(LocalConfig{Engines: s.Engines, Profile: s.Profile, Clock: clock, Policy: policy, Seed: s.Seed})
+	target, err := NewLocal(LocalConfig{Engines: s.Engines, Profile: s.Profile, Clock: clock, Policy: policy, Seed: s.Seed, Sessions: sessions})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/load/local.go
+++ b/internal/load/local.go
@@ -23,6 +23,7 @@
 	engines   map[string]*localEngine
 	follow    context.CancelFunc
 	followed  chan struct{}
+	sessions  bool
 	attained  sync.Map // of *atomic.Int64 by root program, tokens
 }
 
@@ -40,19 +41,16 @@
 	Clock   Clock
 	Policy  queue.Policy // in the time of the workload
 	Seed    uint64
+	// Sessions makes engines hold KV cache for programs until it is released.
+	Sessions bool
 }
 
-const (
-	// newsEvery is the time between two reads of the engines' news, in the
-	// time of the workload.
-	newsEvery = 500 * time.Millisecond
-	// maxIdleConns lets each engine's connections be reused at full load.
-	maxIdleConns = 512
-)
+// maxIdleConns lets each engine's connections be reused at full load.
+const maxIdleConns = 512
 
 // NewLocal starts the engines and the scheduler. Close stops them.
 func NewLocal(c LocalConfig) (*Local, error) {
-	l := &Local{engines: make(map[string]*localEngine), followed: make(chan struct{})}
+	l := &Local{sessions: c.Sessions, engines: make(map[string]*localEngine), followed: make(chan struct{})}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}}
 	endpoints := make([]entity.Endpoint, c.Engines)
 	for i := range endpoints {
@@ -63,13 +61,19 @@
 		}
 		endpoints[i] = e
 	}
-	l.scheduler = queue.NewLocal("load", scaledPolicy(c.Policy, c.Clock.Scale), queue.Hooks{})
+	hooks := queue.Hooks{News: queue.EngineNews(l.client)}
+	if c.Sessions {
+		hooks.ReleaseSession = func(ctx context.Context, e entity.Endpoint, id entity.ProgramID) error {
+			return l.client(e).Release(ctx, id)
+		}
+	}
+	l.scheduler = queue.NewLocal("load", scaledPolicy(c.Policy, c.Clock.Scale), hooks)
 	l.scheduler.Set(endpoints, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	l.follow = cancel
 	go func() {
 		defer close(l.followed)
-		l.scheduler.FollowEngines(ctx, l, c.Clock.real(newsEvery))
+		l.scheduler.Run(ctx)
 	}()
 	return l, nil
 }
@@ -110,6 +114,8 @@
 	}
 }
 
+func (l *Local) client(e entity.Endpoint) *endpoint.Engine { return l.engines[e.Name].client }
+
 // Begin implements Target.
 func (l *Local) Begin(_ context.Context, p *Program, parent entity.ProgramID) error {
 	if parent == "" {
@@ -159,9 +165,11 @@
 func (l *Local) chat(ctx context.Context, permit queue.Permit, c *conversation, res *callResult) queue.Result {
 	var first, last time.Time
 	chunks := 0
-	answer, err := l.engines[permit.Endpoint.Name].client.Chat(ctx, endpoint.ChatRequest{
-		CallID: c.callID(), Model: Model, Messages: c.messages, MaxTokens: maxAnswer,
-	}, func(endpoint.Chunk) error {
+	request := endpoint.ChatRequest{CallID: c.callID(), Model: Model, Messages: c.messages, MaxTokens: maxAnswer}
+	if l.sessions {
+		request.Session = c.program.ID
+	}
+	answer, err := l.client(permit.Endpoint).Chat(ctx, request, func(endpoint.Chunk) error {
 		last = time.Now()
 		if chunks == 0 {
 			first = last
@@ -204,18 +212,3 @@
 	}
 	return err
 }
-
-// Load implements placement.News.
-func (l *Local) Load(ctx context.Context, e entity.Endpoint) (endpoint.LoadReport, error) {
-	return l.engines[e.Name].client.Load(ctx)
-}
-
-// CacheEvents implements placement.News.
-func (l *Local) CacheEvents(ctx context.Context, e entity.Endpoint, from uint64) (endpoint.CachePage, error) {
-	return l.engines[e.Name].client.CacheEvents(ctx, from)
-}
-
-// CacheSnapshot implements placement.News.
-func (l *Local) CacheSnapshot(ctx context.Context, e entity.Endpoint) (endpoint.CacheSnapshot, error) {
-	return l.engines[e.Name].client.CacheSnapshot(ctx)
-}
--- a/internal/load/scale.go
+++ b/internal/load/scale.go
@@ -14,6 +14,8 @@
 	p.Queue.Fair.AgeingRate *= factor
 	shrink(&p.Recheck)
 	shrink(&p.RenewEvery)
+	shrink(&p.NewsEvery)
+	shrink(&p.Retention.MaxIdle)
 	shrink(&p.Admission.MaxWait)
 	shrink(&p.Admission.FairWait)
 	shrink(&p.Admission.MinRetry)
--- a/internal/system/placement/news.go
+++ b/internal/system/placement/news.go
@@ -15,6 +15,8 @@
 	Load(ctx context.Context, e entity.Endpoint) (endpoint.LoadReport, error)
 	CacheEvents(ctx context.Context, e entity.Endpoint, from uint64) (endpoint.CachePage, error)
 	CacheSnapshot(ctx context.Context, e entity.Endpoint) (endpoint.CacheSnapshot, error)
+	// Sessions lists the programs that an engine holds memory for.
+	Sessions(ctx context.Context, e entity.Endpoint) ([]endpoint.Session, error)
 }
 
 // ReadCacheNews reads the cache events of one engine since the last ones, and
--- a/internal/system/queue/local.go
+++ b/internal/system/queue/local.go
@@ -25,6 +25,12 @@
 	return &Local{dispatcher: newDispatcher(vm, p, h, sys, localLines{server}), server: server}
 }
 
+// Run follows the engines' news until the context ends.
+func (l *Local) Run(ctx context.Context) {
+	l.followEngines(ctx)
+	l.cleanup.Wait()
+}
+
 // Set takes in the endpoints and the operators' table, which may be nil.
 func (l *Local) Set(endpoints []entity.Endpoint, cfg *entity.Config) {
 	l.dispatcher.set(endpoints, cfg)
@@ -65,4 +71,6 @@
 	_ = l.server.Release(&ReleaseArgs{Endpoint: endpoint, CallID: callID, Finish: f}, &reply)
 }
 
+func (l localLines) owns(string) bool { return true }
+
 func (l localLines) report(endpoint string, load permits.Load) { l.server.Report(endpoint, load) }
--- a/internal/system/queue/news.go
+++ b/internal/system/queue/news.go
@@ -5,19 +5,54 @@
 	"sync"
 	"time"
 
+	"ibisstall.example/ibisstall/internal/endpoint"
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/policy/permits"
+	"ibisstall.example/ibisstall/internal/policy/retention"
 	"ibisstall.example/ibisstall/internal/system/placement"
 )
 
-// FollowEngines reads the engines' news at an interval until the context ends:
+// engineNews reads the news with the engines' clients.
+type engineNews struct {
+	client func(entity.Endpoint) *endpoint.Engine
+}
+
+// EngineNews returns the news of engines, given their clients.
+func EngineNews(client func(entity.Endpoint) *endpoint.Engine) placement.News {
+	return engineNews{client: client}
+}
+
+// Load implements placement.News.
+func (n engineNews) Load(ctx context.Context, e entity.Endpoint) (endpoint.LoadReport, error) {
+	return n.client(e).Load(ctx)
+}
+
+// CacheEvents implements placement.News.
+func (n engineNews) CacheEvents(ctx context.Context, e entity.Endpoint, from uint64) (endpoint.CachePage, error) {
+	return n.client(e).CacheEvents(ctx, from)
+}
+
+// CacheSnapshot implements placement.News.
+func (n engineNews) CacheSnapshot(ctx context.Context, e entity.Endpoint) (endpoint.CacheSnapshot, error) {
+	return n.client(e).CacheSnapshot(ctx)
+}
+
+// Sessions implements placement.News.
+func (n engineNews) Sessions(ctx context.Context, e entity.Endpoint) ([]endpoint.Session, error) {
+	return n.client(e).Sessions(ctx)
+}
+
+// followEngines reads the engines' news every NewsEvery until the context ends:
 // load reports where the engine's queue is on this VM, and cache events. An
 // engine that can't be read keeps its last estimate.
-func (d *dispatcher) FollowEngines(ctx context.Context, news placement.News, every time.Duration) {
-	tick := time.NewTicker(every)
+func (d *dispatcher) followEngines(ctx context.Context) {
+	if d.hooks.News == nil {
+		return
+	}
+	tick := time.NewTicker(d.policy.NewsEvery)
 	defer tick.Stop()
 	for {
-		d.readEngines(ctx, news, every)
+		d.readEngines(ctx)
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
@@ -26,8 +61,11 @@
 	}
 }
 
-func (d *dispatcher) readEngines(ctx context.Context, news placement.News, within time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, within)
+// newsTimeout bounds the reading of all engines' news.
+const newsTimeout = 2 * time.Second
+
+func (d *dispatcher) readEngines(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, newsTimeout)
 	defer cancel()
 	var reads sync.WaitGroup
 	for _, e := range d.sys.Endpoints() {
@@ -35,22 +73,41 @@
 			continue
 		}
 		reads.Go(func() {
-			d.readLoad(ctx, news, e)
-			_ = d.sys.ReadCacheNews(ctx, news, e) // the estimate stays as it is
+			d.readLoad(ctx, e)
+			_ = d.sys.ReadCacheNews(ctx, d.hooks.News, e) // the estimate stays as it is
 		})
 	}
 	reads.Wait()
 }
 
-func (d *dispatcher) readLoad(ctx context.Context, news placement.News, e entity.Endpoint) {
-	r, err := news.Load(ctx, e)
-	if err != nil {
+func (d *dispatcher) readLoad(ctx context.Context, e entity.Endpoint) {
+	r, err := d.hooks.News.Load(ctx, e)
+	if err != nil || r.CacheTokens <= 0 {
 		return
 	}
 	d.sys.SetCacheTokens(e.Name, r.CacheTokens)
-	load := permits.Load{Batch: r.Slots}
-	if r.CacheTokens > 0 {
-		load.Memory = float64(r.PinnedTokens) / float64(r.CacheTokens)
+	if !d.lines.owns(e.Name) {
+		return
+	}
+	d.lines.report(e.Name, permits.Load{Batch: r.Slots, Memory: float64(r.PinnedTokens) / float64(r.CacheTokens)})
+	d.retain(ctx, e, r)
+}
+
+// retain releases the memory that an engine holds for programs that are not
+// expected back soon. The VM that has the engine's queue does it.
+func (d *dispatcher) retain(ctx context.Context, e entity.Endpoint, r endpoint.LoadReport) {
+	if !d.policy.Retain || d.hooks.ReleaseSession == nil || r.PinnedTokens == 0 {
+		return
+	}
+	sessions, err := d.hooks.News.Sessions(ctx, e)
+	if err != nil {
+		return
+	}
+	list := make([]retention.Session, len(sessions))
+	for i, s := range sessions {
+		list[i] = retention.Session{Program: s.Program, Tokens: s.Tokens, Idle: time.Duration(s.IdleSeconds * float64(time.Second))}
+	}
+	for _, id := range retention.Release(d.policy.Retention, list, r.CacheTokens) {
+		_ = d.hooks.ReleaseSession(ctx, e, id) // tried again at the next news
 	}
-	d.lines.report(e.Name, load)
 }
--- a/internal/system/queue/policy.go
+++ b/internal/system/queue/policy.go
@@ -7,6 +7,7 @@
 	"ibisstall.example/ibisstall/internal/policy/order"
 	"ibisstall.example/ibisstall/internal/policy/permits"
 	policyplacement "ibisstall.example/ibisstall/internal/policy/placement"
+	"ibisstall.example/ibisstall/internal/policy/retention"
 	"ibisstall.example/ibisstall/internal/system/placement"
 )
 
@@ -21,6 +22,12 @@
 	// if the rest here costs MoveMargin times as much as the whole elsewhere.
 	Recheck    time.Duration
 	MoveMargin float64
+	// NewsEvery is the time between two reads of the engines' news.
+	NewsEvery time.Duration
+	// Retain switches on the release of memory that engines hold for programs
+	// that are not expected back soon.
+	Retain    bool
+	Retention retention.Config
 	// RenewEvery is the time between two renewals of permits held from other
 	// VMs.
 	RenewEvery time.Duration
@@ -43,6 +50,9 @@
 		Admit:      true,
 		Recheck:    500 * time.Millisecond,
 		MoveMargin: 1.3,
+		NewsEvery:  time.Second,
+		Retain:     true,
+		Retention:  retention.DefaultConfig(),
 		RenewEvery: renewEvery,
 	}
 }
--- a/internal/system/queue/remote.go
+++ b/internal/system/queue/remote.go
@@ -156,18 +156,22 @@
 	})
 }
 
-// report implements lines.
-func (r *Remote) report(endpoint string, l permits.Load) {
-	if _, local := r.net.Locate(endpoint); local {
-		r.server.Report(endpoint, l)
-	}
+// owns implements lines.
+func (r *Remote) owns(endpoint string) bool {
+	_, local := r.net.Locate(endpoint)
+	return local
 }
 
+// report implements lines.
+func (r *Remote) report(endpoint string, l permits.Load) { r.server.Report(endpoint, l) }
+
 // tickEvery is the time between two looks at where the queues are.
 const tickEvery = 100 * time.Millisecond
 
-// Run renews permits, polls load and expires leases until the context ends.
+// Run renews permits, polls load, follows the engines' news and expires leases
+// until the context ends.
 func (r *Remote) Run(ctx context.Context) {
+	r.background.Go(func() { r.followEngines(ctx) })
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	var renewAt, pollAt time.Time
--- a/internal/system/queue/scheduler.go
+++ b/internal/system/queue/scheduler.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"ibisstall.example/ibisstall/internal/endpoint"
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/policy/admission"
 	"ibisstall.example/ibisstall/internal/policy/estimate"
@@ -27,8 +29,9 @@
 	leave(endpoint, callID string) (holds bool)
 	// release gives a permit back, or withdraws the call.
 	release(endpoint, callID string, f Finish)
-	// report passes an engine's load report to its queue, if that is on this
-	// VM.
+	// owns tells whether an endpoint's queue is on this VM, report passes an
+	// engine's load report to such a queue.
+	owns(endpoint string) bool
 	report(endpoint string, l permits.Load)
 }
 
@@ -38,6 +41,9 @@
 	ReleaseSession func(ctx context.Context, e entity.Endpoint, id entity.ProgramID) error
 	// ImportSession copies a program's KV cache between two engines.
 	ImportSession func(ctx context.Context, from, to entity.Endpoint, id entity.ProgramID) error
+	// News reads what engines publish; without it, caches are known by the
+	// calls sent only, and batches by the permits' measurements.
+	News placement.News
 	// Demands are needed where several VMs share the workspaces' limits.
 	Demands DemandsFunc
 	// Events takes the events of the calls.
@@ -194,12 +200,25 @@
 		return
 	}
 	run := estimate.Call{FirstToken: res.FirstToken, Total: res.Total, Prefilled: res.Prefilled, Generated: res.Generated}
-	failed := res.Err != nil && !errors.Is(res.Err, context.Canceled)
 	d.lines.release(h.endpoint, h.item.ID, Finish{Cost: res.Prefilled + res.Generated, TokenTime: run.TokenTime()})
-	d.sys.Finished(h.endpoint, placement.Ended{Call: h.call, Failed: failed, Run: run}, time.Now())
+	d.sys.Finished(h.endpoint, placement.Ended{Call: h.call, Failed: blames(res.Err), Run: run}, time.Now())
 	d.gate.leave(h.item.Workspace, h.item.Cost)
 }
 
+// blames reports whether an error speaks against the endpoint, rather than
+// against the request or the caller's patience.
+func blames(err error) bool {
+	var status *endpoint.StatusError
+	switch {
+	case err == nil, errors.Is(err, context.Canceled):
+		return false
+	case errors.As(err, &status):
+		return status.Status >= http.StatusInternalServerError
+	default:
+		return true
+	}
+}
+
 // releaseTimeout bounds the release of one program's sessions.
 const releaseTimeout = 5 * time.Second
 
