Run both users' loads as a suite, and check what engines hold after a run

The suite prints the Markdown table of the measurements. A run reports the tokens that engines still hold for its programs ten seconds after it.

--- a/cmd/ibisstall/load.go
+++ b/cmd/ibisstall/load.go
@@ -20,6 +20,7 @@
 			"faster than real time by --scale. Program latency counts tool pauses, but not the time that callers think.",
 		examples: []string{
 			"ibisstall load --local --shape rounds --compare",
+			"ibisstall load --local --suite",
 			"ibisstall load --local --shape tasting --load 1.1 --json tasting.json --plot tasting.svg",
 		},
 		data: &LoadCommand{},
@@ -37,6 +38,7 @@
 	Scale    float64       `long:"scale" default:"20" description:"how many times faster than real time to run"`
 	Without  []string      `long:"without" choice:"order" choice:"placement" choice:"admission" choice:"spill" choice:"retention" choice:"sessions" description:"switch a part of the policy to the baseline's; may be repeated"`
 	Compare  bool          `long:"compare" description:"run the plain baseline on the same arrivals too"`
+	Suite    bool          `long:"suite" description:"run both shapes with 10 and 8 engines at 70, 90 and 110 % against the baseline, and print a Markdown table"`
 	JSON     string        `long:"json" value-name:"FILE" description:"write the results as JSON"`
 	Plot     string        `long:"plot" value-name:"FILE.svg" description:"write the results as a chart"`
 }
@@ -48,6 +50,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if c.Suite {
+		return c.suite(ctx)
+	}
 	report, err := load.RunScenario(ctx, load.Scenario{
 		Shape: load.Shape(c.Shape), Seed: c.Seed, Engines: c.Engines, LoadShare: c.Load,
 		Profile: load.DefaultEngine(), Scale: c.Scale, Duration: c.Duration, Without: c.parts(),
@@ -58,6 +63,16 @@
 	return c.write(report)
 }
 
+func (c *LoadCommand) suite(ctx context.Context) error {
+	err := load.RunSuite(ctx, os.Stdout, load.SuiteConfig{
+		Seed: c.Seed, Profile: load.DefaultEngine(), Scale: c.Scale, Duration: c.Duration,
+	})
+	if err != nil {
+		return fmt.Errorf("run load: %w", err)
+	}
+	return nil
+}
+
 func (c *LoadCommand) parts() []load.Part {
 	parts := make([]load.Part, len(c.Without))
 	for i, name := range c.Without {
--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -77,6 +77,9 @@
 
 const (
 	warmUpShare = 0.2 // of the arrivals
+	// releaseWithin is the time after a run in which engines must hold no
+	// memory for its programs any more.
+	releaseWithin = 10 * time.Second
 	// patience is the time for programs to finish after the last arrival.
 	patience = 3 * time.Minute
 )
@@ -116,6 +119,9 @@
 	warmUp := time.Duration(warmUpShare * float64(s.Duration))
 	out := Run(ctx, plan, target, RunConfig{Clock: clock, WarmUp: warmUp, Patience: patience})
 	summary := out.Summary()
+	heldCtx, cancel := context.WithTimeout(ctx, clock.real(releaseWithin))
+	defer cancel()
+	summary.HeldAfter = target.HeldTokens(heldCtx)
 	return &summary, ctx.Err()
 }
 
@@ -178,6 +184,7 @@
 	{"unfinished", func(s *Summary) string { return fmt.Sprint(s.Unfinished) }},
 	{"failed", func(s *Summary) string { return fmt.Sprint(s.Failed) }},
 	{"refusals by reason", func(s *Summary) string { return fmt.Sprint(s.Refusals) }},
+	{"tokens held after the run", func(s *Summary) string { return fmt.Sprint(s.HeldAfter) }},
 	{"fairness (Jain)", func(s *Summary) string { return fmt.Sprintf("%.3f", s.Fairness) }},
 	{"generated tokens/s", func(s *Summary) string { return fmt.Sprintf("%.0f", s.TokensPerSecond) }},
 }
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,116 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func TestNewPlan_SameSeedSamePrograms(t *testing.T) {
+	for _, shape := range []Shape{Tasting, Rounds} {
+		t.Run(string(shape), func(t *testing.T) {
+			is := is.New(t)
+			cfg := PlanConfig{Shape: shape, Seed: 7, Rate: 2, Duration: 2 * time.Minute}
+			a, err := NewPlan(cfg)
+			is.NoErr(err)
+			b, err := NewPlan(cfg)
+			is.NoErr(err)
+			is.Equal(a, b)
+			cfg.Seed = 8
+			c, err := NewPlan(cfg)
+			is.NoErr(err)
+			is.True(a.Programs[0].Arrive != c.Programs[0].Arrive)
+			is.True(len(a.Programs) > 180 && len(a.Programs) < 300) // 240 expected
+			for i, p := range a.Programs {
+				is.NoErr(p.ID.Validate())
+				is.True(len(p.Steps) > 0)
+				is.True(i == 0 || a.Programs[i-1].Arrive <= p.Arrive)
+			}
+		})
+	}
+}
+
+func TestNewPlan_RefusesBadSettings(t *testing.T) {
+	cases := []struct {
+		name string
+		cfg  PlanConfig
+	}{
+		{"an unknown shape", PlanConfig{Shape: "wedding", Rate: 1, Duration: time.Second}},
+		{"a rate of nothing", PlanConfig{Shape: Rounds, Duration: time.Second}},
+		{"no time", PlanConfig{Shape: Rounds, Rate: 1}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := NewPlan(c.cfg)
+			is.New(t).True(err != nil)
+		})
+	}
+}
+
+// TestRunScenario_BothPoliciesFinishEveryProgram runs a short load against
+// stand-in engines and checks the accounts, not the speed.
+func TestRunScenario_BothPoliciesFinishEveryProgram(t *testing.T) {
+	is := is.New(t)
+	r, err := RunScenario(t.Context(), Scenario{
+		Shape: Rounds, Seed: 3, Engines: 3, LoadShare: 0.3, Profile: DefaultEngine(), Scale: 60, Duration: 40 * time.Second,
+	}, true)
+	is.NoErr(err)
+	for _, s := range []*Summary{r.Policy, r.Baseline} {
+		is.True(s.Arrived > 0)
+		is.Equal(s.Finished+s.Refused+s.Unfinished+s.Failed, s.Arrived)
+		is.Equal(s.Failed, 0)
+		is.True(s.Calls > s.Finished)
+		is.True(s.ProgramLatency.P50 > 0 && s.ProgramLatency.P50 <= s.ProgramLatency.P99)
+		is.True(s.WastedPrefix >= 0 && s.WastedPrefix <= 1)
+		is.True(s.ReusablePrefix > 0.5) // the shared context
+		is.Equal(s.HeldAfter, int64(0))
+	}
+	is.Equal(r.Policy.Arrived, r.Baseline.Arrived) // the same arrivals
+	is.Equal(r.Baseline.Refused, 0)
+
+	dir := t.TempDir()
+	file := filepath.Join(dir, "r.json")
+	is.NoErr(WriteJSON(file, r))
+	data, err := os.ReadFile(file)
+	is.NoErr(err)
+	var keys map[string]map[string]json.RawMessage
+	_ = json.Unmarshal(data, &keys) // numbers at the top level don't fit
+	for _, which := range []string{"policy", "baseline"} {
+		for _, key := range []string{"program_latency_seconds", "first_token_seconds", "wasted_prefix_ratio", "programs_finished", "refused"} {
+			is.True(keys[which][key] != nil)
+		}
+	}
+	chart := filepath.Join(dir, "r.svg")
+	is.NoErr(WritePlot(chart, r))
+	svg, err := os.ReadFile(chart)
+	is.NoErr(err)
+	is.True(strings.Contains(string(svg), "<svg"))
+}
+
+func TestOutcome_CountsEachProgramOnce(t *testing.T) {
+	is := is.New(t)
+	plan := &Plan{Workspaces: []Workspace{{Name: "a", Weight: 1}, {Name: "b", Weight: 1}}}
+	o := newOutcome(plan)
+	program := func(workspace string) *Program {
+		return &Program{Workspace: workspace, Steps: []Step{{Input: 10, Answer: 10}}}
+	}
+	o.program(program("a"), time.Second, nil, true)
+	o.program(program("a"), time.Second, nil, false) // warm-up
+	o.program(program("b"), time.Minute, context.DeadlineExceeded, true)
+	o.program(program("b"), 0, &RefusedError{Reason: "overloaded"}, true)
+	o.program(program("b"), 0, errors.New("broken"), true)
+	s := o.Summary()
+	is.Equal([]int{s.Arrived, s.Finished, s.Unfinished, s.Refused, s.Failed}, []int{4, 1, 1, 1, 1})
+	is.True(s.ProgramLatency.P99 > 59) // the unfinished one counts with the time it had
+	is.Equal(s.Fairness, 0.5)          // one of two workspaces got everything
+}
--- a/internal/load/local.go
+++ b/internal/load/local.go
@@ -205,6 +205,32 @@
 	return min(most, c.prefix.Tokens()-1)
 }
 
+// heldPoll is the time between two looks at the memory that engines hold.
+const heldPoll = 10 * time.Millisecond
+
+// HeldTokens returns the tokens that the engines hold for programs, as soon as
+// there are none, or when the context ends.
+func (l *Local) HeldTokens(ctx context.Context) int64 {
+	tick := time.NewTicker(heldPoll)
+	defer tick.Stop()
+	for {
+		var held int64
+		for _, e := range l.engines {
+			for _, s := range e.engine.Sessions() {
+				held += s.Tokens
+			}
+		}
+		if held == 0 {
+			return 0
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return held
+		}
+	}
+}
+
 func refusalOf(err error) error {
 	var overload *queue.OverloadError
 	if errors.As(err, &overload) {
--- a/internal/load/outcome.go
+++ b/internal/load/outcome.go
@@ -150,7 +150,10 @@
 	Calls   int     `json:"calls"`
 	// TokensPerSecond counts generated tokens.
 	TokensPerSecond float64 `json:"generated_tokens_per_second"`
-	Error           string  `json:"last_error,omitempty"`
+	// HeldAfter counts the tokens that engines still hold for programs ten
+	// seconds after the run.
+	HeldAfter int64  `json:"held_tokens_after"`
+	Error     string `json:"last_error,omitempty"`
 }
 
 // Summary returns the result.
--- /dev/null
+++ b/internal/load/suite.go
@@ -0,0 +1,61 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+)
+
+// site is one user's number of engines and shape of programs.
+type site struct {
+	name    string
+	engines int
+	shape   Shape
+}
+
+var (
+	suiteSites = []site{
+		{"co-operative", 10, Tasting},
+		{"Authority", 8, Rounds},
+	}
+	suiteLoads = []float64{0.7, 0.9, 1.1}
+)
+
+// SuiteConfig sets the runs of a suite.
+type SuiteConfig struct {
+	Seed     uint64
+	Profile  EngineProfile
+	Scale    float64
+	Duration time.Duration
+}
+
+// RunSuite runs both users' shapes at 70, 90 and 110 % of capacity under the
+// policy and the baseline, and writes a Markdown table as it goes.
+func RunSuite(ctx context.Context, w io.Writer, c SuiteConfig) error {
+	fmt.Fprintf(w, "Seed %d, %s of arrivals, scale %g. Latencies of whole programs in seconds.\n\n", c.Seed, c.Duration, c.Scale)
+	fmt.Fprintln(w, "| site | load | | p50 | p95 | p99 | longest | first token p95 | between tokens p95, ms | wasted prefix | finished | refused | unfinished | fairness | held after |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	for _, s := range suiteSites {
+		for _, share := range suiteLoads {
+			r, err := RunScenario(ctx, Scenario{
+				Shape: s.shape, Seed: c.Seed, Engines: s.engines, LoadShare: share,
+				Profile: c.Profile, Scale: c.Scale, Duration: c.Duration,
+			}, true)
+			if err != nil {
+				return err
+			}
+			where := fmt.Sprintf("%s, %d engines | %.0f %%", s.name, s.engines, share*100)
+			writeMarkdown(w, where, "policy", r.Policy)
+			writeMarkdown(w, where, "baseline", r.Baseline)
+		}
+	}
+	return nil
+}
+
+func writeMarkdown(w io.Writer, where, which string, s *Summary) {
+	l := s.ProgramLatency
+	fmt.Fprintf(w, "| %s | %s | %.1f | %.1f | %.1f | %.1f | %.2f | %.0f | %.3f | %d | %d | %d | %.3f | %d |\n",
+		where, which, l.P50, l.P95, l.P99, s.Longest, s.FirstToken.P95, s.BetweenTokens.P95*1000,
+		s.WastedPrefix, s.Finished, s.Refused, s.Unfinished, s.Fairness, s.HeldAfter)
+}
