Leave endpoints that fell sick, and show that a loss makes no retry storm

A dead endpoint gives its permits back fast, each with a failure, and drew the calls that waited for it. They are placed anew now when it has fallen sick; a probe still goes through.

--- a/cmd/ibisstall/load.go
+++ b/cmd/ibisstall/load.go
@@ -27,6 +27,9 @@
 	})
 }
 
+// listLag is the lag of the endpoint list after a loss of engines.
+const listLag = 10 * time.Second
+
 // LoadCommand is the subcommand load.
 type LoadCommand struct {
 	Shape    string        `long:"shape" choice:"tasting" choice:"rounds" default:"tasting" description:"kind of programs"`
@@ -38,6 +41,7 @@
 	Scale    float64       `long:"scale" default:"20" description:"how many times faster than real time to run"`
 	Without  []string      `long:"without" choice:"order" choice:"placement" choice:"admission" choice:"spill" choice:"retention" choice:"sessions" description:"switch a part of the policy to the baseline's; may be repeated"`
 	Compare  bool          `long:"compare" description:"run the plain baseline on the same arrivals too"`
+	Lose     float64       `long:"lose" value-name:"SHARE" description:"take this share of the engines away at half time; the endpoint list shows it 10 s later"`
 	Suite    bool          `long:"suite" description:"run both shapes with 10 and 8 engines at 70, 90 and 110 % against the baseline, and print a Markdown table"`
 	JSON     string        `long:"json" value-name:"FILE" description:"write the results as JSON"`
 	Plot     string        `long:"plot" value-name:"FILE.svg" description:"write the results as a chart"`
@@ -56,6 +60,7 @@
 	report, err := load.RunScenario(ctx, load.Scenario{
 		Shape: load.Shape(c.Shape), Seed: c.Seed, Engines: c.Engines, LoadShare: c.Load,
 		Profile: load.DefaultEngine(), Scale: c.Scale, Duration: c.Duration, Without: c.parts(),
+		Loss: load.Loss{Share: c.Lose, At: c.Duration / 2, ListLag: listLag},
 	}, c.Compare)
 	if err != nil {
 		return fmt.Errorf("run load: %w", err)
@@ -91,6 +96,8 @@
 		return &usageError{"--load must be above 0"}
 	case !(c.Scale > 0):
 		return &usageError{"--scale must be above 0"}
+	case !(c.Lose >= 0 && c.Lose < 1):
+		return &usageError{"--lose must be at least 0 and below 1"}
 	case c.Duration <= 0:
 		return &usageError{"--duration must be above 0"}
 	}
--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"slices"
+	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -23,6 +24,7 @@
 	Profile   EngineProfile
 	Scale     float64
 	Duration  time.Duration // of arrivals
+	Loss      Loss
 	// Without switches parts of the policy to those of the baseline.
 	Without []Part
 }
@@ -117,8 +119,14 @@
 	}
 	defer target.Close()
 	warmUp := time.Duration(warmUpShare * float64(s.Duration))
+	lossCtx, endLoss := context.WithCancel(ctx)
+	var loss sync.WaitGroup
+	loss.Go(func() { target.lose(lossCtx, s.Loss, &clock) })
 	out := Run(ctx, plan, target, RunConfig{Clock: clock, WarmUp: warmUp, Patience: patience})
+	endLoss()
+	loss.Wait()
 	summary := out.Summary()
+	summary.RetryRatio = target.RetryRatio()
 	heldCtx, cancel := context.WithTimeout(ctx, clock.real(releaseWithin))
 	defer cancel()
 	summary.HeldAfter = target.HeldTokens(heldCtx)
@@ -184,6 +192,7 @@
 	{"unfinished", func(s *Summary) string { return fmt.Sprint(s.Unfinished) }},
 	{"failed", func(s *Summary) string { return fmt.Sprint(s.Failed) }},
 	{"refusals by reason", func(s *Summary) string { return fmt.Sprint(s.Refusals) }},
+	{"retries for each call", func(s *Summary) string { return fmt.Sprintf("%.3f", s.RetryRatio) }},
 	{"tokens held after the run", func(s *Summary) string { return fmt.Sprint(s.HeldAfter) }},
 	{"fairness (Jain)", func(s *Summary) string { return fmt.Sprintf("%.3f", s.Fairness) }},
 	{"generated tokens/s", func(s *Summary) string { return fmt.Sprintf("%.0f", s.TokensPerSecond) }},
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -97,6 +97,24 @@
 	is.True(strings.Contains(string(svg), "<svg"))
 }
 
+// TestRunScenario_LossOfHalfTheEngines checks that no program fails and that
+// retries stay within their budget.
+func TestRunScenario_LossOfHalfTheEngines(t *testing.T) {
+	is := is.New(t)
+	const scale = 40
+	r, err := RunScenario(t.Context(), Scenario{
+		Shape: Tasting, Seed: 5, Engines: 4, LoadShare: 0.5, Profile: DefaultEngine(), Scale: scale, Duration: 2 * time.Minute,
+		Loss: Loss{Share: 0.5, At: time.Minute, ListLag: 10 * time.Second},
+	}, false)
+	is.NoErr(err)
+	s := r.Policy
+	is.Equal(s.Failed, 0)
+	is.Equal(s.Finished+s.Refused+s.Unfinished, s.Arrived)
+	is.True(s.RetryRatio > 0)
+	is.True(s.RetryRatio <= retryShare+savedRetries/float64(s.Calls))
+	is.Equal(s.HeldAfter, int64(0))
+}
+
 func TestOutcome_CountsEachProgramOnce(t *testing.T) {
 	is := is.New(t)
 	plan := &Plan{Workspaces: []Workspace{{Name: "a", Weight: 1}, {Name: "b", Weight: 1}}}
--- a/internal/load/local.go
+++ b/internal/load/local.go
@@ -12,6 +12,7 @@
 
 	"ibisstall.example/ibisstall/internal/endpoint"
 	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/policy/limits"
 	"ibisstall.example/ibisstall/internal/standin/runner"
 	"ibisstall.example/ibisstall/internal/system/queue"
 )
@@ -24,7 +25,14 @@
 	follow    context.CancelFunc
 	followed  chan struct{}
 	sessions  bool
+	clock     Clock
+	endpoints []entity.Endpoint
 	attained  sync.Map // of *atomic.Int64 by root program, tokens
+
+	retryMu sync.Mutex
+	retries limits.RetryBudget
+	calls   int
+	repeats int
 }
 
 // localEngine is a stand-in engine with its server and client.
@@ -32,6 +40,7 @@
 	engine *runner.Engine
 	client *endpoint.Engine
 	server *http.Server
+	gone   atomic.Bool // taken away by a loss
 }
 
 // LocalConfig sets up a Local.
@@ -50,7 +59,7 @@
 
 // NewLocal starts the engines and the scheduler. Close stops them.
 func NewLocal(c LocalConfig) (*Local, error) {
-	l := &Local{sessions: c.Sessions, engines: make(map[string]*localEngine), followed: make(chan struct{})}
+	l := &Local{sessions: c.Sessions, clock: c.Clock, retries: newRetryBudget(), engines: make(map[string]*localEngine), followed: make(chan struct{})}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}}
 	endpoints := make([]entity.Endpoint, c.Engines)
 	for i := range endpoints {
@@ -68,6 +77,7 @@
 		}
 	}
 	l.scheduler = queue.NewLocal("load", scaledPolicy(c.Policy, c.Clock.Scale), hooks)
+	l.endpoints = endpoints
 	l.scheduler.Set(endpoints, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	l.follow = cancel
@@ -141,17 +151,41 @@
 // by themselves.
 const maxAnswer = 1024
 
-// Call implements Target.
+// Call implements Target. A model call may be repeated, so one that fails is
+// sent again elsewhere, within the budget of retries.
 func (l *Local) Call(ctx context.Context, c *conversation, _ *Step) (callResult, error) {
+	began := time.Now()
+	var avoid []string
+	l.attempt(0)
+	for n := 0; ; n++ {
+		res, used, err := l.once(ctx, c, avoid)
+		if err == nil {
+			res.FirstToken += time.Since(began) - res.Total
+			res.Total = time.Since(began)
+			return res, nil
+		}
+		var refused *RefusedError
+		if errors.As(err, &refused) || ctx.Err() != nil || !l.attempt(n+1) {
+			return res, err
+		}
+		avoid = append(avoid, used)
+		if err := l.backOff(ctx, n); err != nil {
+			return res, err
+		}
+	}
+}
+
+// once makes one attempt and returns the endpoint that it used.
+func (l *Local) once(ctx context.Context, c *conversation, avoid []string) (callResult, string, error) {
 	began := time.Now()
 	family := l.family(c.program.ID)
 	permit, err := l.scheduler.Acquire(ctx, queue.Request{
 		CallID: c.callID(), Program: c.program.ID, Workspace: c.program.Workspace,
 		Kind: entity.CallModel, Target: Model, Attained: family.Load(),
-		Prompt: c.prefix.Blocks(), PromptTokens: c.prefix.Tokens(), MaxTokens: maxAnswer,
+		Prompt: c.prefix.Blocks(), PromptTokens: c.prefix.Tokens(), MaxTokens: maxAnswer, Avoid: avoid,
 	})
 	if err != nil {
-		return callResult{}, refusalOf(err)
+		return callResult{}, "", refusalOf(err)
 	}
 	res := callResult{Prompt: c.prefix.Tokens(), Reusable: l.reusable(c)}
 	result := l.chat(ctx, permit, c, &res)
@@ -159,7 +193,7 @@
 	family.Add(result.Prefilled + result.Generated)
 	res.FirstToken = permit.Granted.Sub(began) + result.FirstToken
 	res.Total = time.Since(began)
-	return res, result.Err
+	return res, permit.Endpoint.Name, result.Err
 }
 
 func (l *Local) chat(ctx context.Context, permit queue.Permit, c *conversation, res *callResult) queue.Result {
@@ -200,11 +234,25 @@
 func (l *Local) reusable(c *conversation) int64 {
 	var most int64
 	for _, e := range l.engines {
+		if e.gone.Load() {
+			continue
+		}
 		most = max(most, e.engine.HeldTokens(c.prefix.Blocks()))
 	}
 	return min(most, c.prefix.Tokens()-1)
 }
 
+func (e *localEngine) heldTokens() int64 {
+	if e.gone.Load() {
+		return 0
+	}
+	var held int64
+	for _, s := range e.engine.Sessions() {
+		held += s.Tokens
+	}
+	return held
+}
+
 // heldPoll is the time between two looks at the memory that engines hold.
 const heldPoll = 10 * time.Millisecond
 
@@ -216,9 +264,7 @@
 	for {
 		var held int64
 		for _, e := range l.engines {
-			for _, s := range e.engine.Sessions() {
-				held += s.Tokens
-			}
+			held += e.heldTokens()
 		}
 		if held == 0 {
 			return 0
--- a/internal/load/outcome.go
+++ b/internal/load/outcome.go
@@ -150,6 +150,8 @@
 	Calls   int     `json:"calls"`
 	// TokensPerSecond counts generated tokens.
 	TokensPerSecond float64 `json:"generated_tokens_per_second"`
+	// RetryRatio is the number of retries for each call.
+	RetryRatio float64 `json:"retry_ratio"`
 	// HeldAfter counts the tokens that engines still hold for programs ten
 	// seconds after the run.
 	HeldAfter int64  `json:"held_tokens_after"`
--- a/internal/system/placement/place.go
+++ b/internal/system/placement/place.go
@@ -56,6 +56,7 @@
 		Cost:     max(1, c.PromptTokens-candidate.Held) + answerTokens(c, st),
 		Load:     estimate.Load{Running: candidate.Running, Waiting: candidate.Waiting, Permits: candidate.Permits},
 		Shortest: choice.Wait,
+		Probe:    candidate.Sick && candidate.Probe,
 	}
 	d.Run = max(0, time.Duration(choice.Seconds*float64(time.Second))-choice.Wait)
 	if choice.Import {
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -45,6 +45,8 @@
 	// Cost the service that is left, both in tokens.
 	Held, Cost int64
 	Load       estimate.Load
+	// Probe tells that the endpoint is sick and the call tries it.
+	Probe bool
 	// ImportFrom names the endpoint to import the program's KV cache from,
 	// empty for none.
 	ImportFrom string
--- a/internal/system/queue/queue_test.go
+++ b/internal/system/queue/queue_test.go
@@ -11,8 +11,10 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
+	"ibisstall.example/ibisstall/internal/endpoint"
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/policy/order"
+	"ibisstall.example/ibisstall/internal/system/placement"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -282,3 +284,63 @@
 	l.cleanup.Wait()
 	is.Equal(len(released), 0)
 }
+
+func TestLocal_SickEndpointIsLeftByItsWaitingCalls(t *testing.T) {
+	is := is.New(t)
+	endpoints := engines(2)
+	p := DefaultPolicy()
+	p.Admit, p.Recheck = false, 0
+	l := NewLocal("vm", p, Hooks{})
+	l.Set(endpoints, fixedPermits(endpoints, 1))
+	var first [2]Permit
+	for i := range first {
+		var err error
+		first[i], err = l.Acquire(t.Context(), request(fmt.Sprint("first-", i)))
+		is.NoErr(err)
+	}
+	sick, well := first[0], first[1]
+	granted := make(chan Permit, 4)
+	for i := range 4 {
+		go func() {
+			p, err := l.Acquire(t.Context(), request(fmt.Sprint("waiting-", i)))
+			if err != nil {
+				t.Error(err)
+			}
+			granted <- p
+		}()
+	}
+	eventually(t, "calls wait at both endpoints", func() bool {
+		a, _ := l.Server().Load(sick.Endpoint.Name)
+		b, _ := l.Server().Load(well.Endpoint.Name)
+		return a.Waiting+b.Waiting == 4 && a.Waiting > 0
+	})
+	for range p.Placement.Health.MinCalls { // what other calls met there
+		l.Placement().Finished(sick.Endpoint.Name, placement.Ended{Failed: true}, time.Now())
+	}
+	l.Release(sick, Result{Err: errors.New("connection refused")})
+	l.Release(well, Result{})
+	for range 4 {
+		p := <-granted
+		is.Equal(p.Endpoint.Name, well.Endpoint.Name)
+		l.Release(p, Result{})
+	}
+}
+
+func TestBlames(t *testing.T) {
+	cases := []struct {
+		name string
+		err  error
+		want bool
+	}{
+		{"success", nil, false},
+		{"the caller went away", context.Canceled, false},
+		{"a request that the engine refuses as bad", &endpoint.StatusError{Status: 400}, false},
+		{"an error of the engine", &endpoint.StatusError{Status: 500}, true},
+		{"a broken connection", endpoint.ErrUnanswered, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(blames(c.err), c.want)
+		})
+	}
+}
--- a/internal/system/queue/wait.go
+++ b/internal/system/queue/wait.go
@@ -37,7 +37,11 @@
 			}
 			err = d.replace(h, avoid)
 		case reply.State == AcquireGranted:
-			return reply.Granted, nil
+			if !d.fellSick(h) {
+				return reply.Granted, nil
+			}
+			avoid = d.avoid(avoid, h)
+			err = d.replace(h, avoid)
 		case reply.State == AcquireSentAway:
 			avoid = d.avoid(avoid, h)
 			err = d.replace(h, avoid)
@@ -91,6 +95,17 @@
 	return nil
 }
 
+// fellSick reports whether an endpoint fell sick while a call waited for it.
+// Its permits come back fast, each with a failure, so they must not be used
+// while another endpoint can be.
+func (d *dispatcher) fellSick(h *heldCall) bool {
+	if h.decision.Probe || !d.sys.Sick(h.endpoint) {
+		return false
+	}
+	elsewhere, err := d.sys.Place(h.call, time.Now())
+	return err == nil && elsewhere.Endpoint.Name != h.endpoint
+}
+
 // reconsider moves a waiting call if it would be done clearly earlier
 // elsewhere.
 func (d *dispatcher) reconsider(h *heldCall) {
@@ -103,7 +118,8 @@
 	if err != nil || there.Endpoint.Name == h.endpoint {
 		return
 	}
-	if usable && there.Seconds*d.policy.MoveMargin >= here.Seconds {
+	stay := usable && !d.sys.Sick(h.endpoint)
+	if stay && there.Seconds*d.policy.MoveMargin >= here.Seconds {
 		return
 	}
 	if d.lines.leave(h.endpoint, h.item.ID) {
