--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
+	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -22,6 +24,7 @@
 	Profile   EngineProfile
 	Scale     float64
 	Duration  time.Duration // of arrivals
+	Loss      Loss
 	// Without switches parts of the policy to those of the baseline.
 	Without []Part
 }
@@ -35,6 +38,8 @@
 	PartPlacement Part = "placement" // round robin instead
 	PartAdmission Part = "admission" // only full queues refuse
 	PartSpill     Part = "spill"     // waiting calls stay where they are
+	PartRetention Part = "retention" // engines hold cache until programs end
+	PartSessions  Part = "sessions"  // engines hold no cache for programs
 )
 
 // policy returns the policy without the parts that are switched off.
@@ -51,6 +56,8 @@
 			p.Admit = false
 		case PartSpill:
 			p.Recheck = 0
+		case PartRetention:
+			p.Retain = false
 		}
 	}
 	return p
@@ -72,6 +79,9 @@
 
 const (
 	warmUpShare = 0.2 // of the arrivals
+	// releaseWithin is the time after a run in which engines must hold no
+	// memory for its programs any more.
+	releaseWithin = 10 * time.Second
 	// patience is the time for programs to finish after the last arrival.
 	patience = 3 * time.Minute
 )
@@ -88,28 +98,38 @@
 		Shape: s.Shape, Seed: s.Seed, Engines: s.Engines, LoadShare: s.LoadShare,
 		ProgramsPerSec: rate, DurationSeconds: s.Duration.Seconds(), Scale: s.Scale,
 	}
-	if report.Policy, err = s.run(ctx, plan, s.policy()); err != nil {
+	sessions := !slices.Contains(s.Without, PartSessions)
+	if report.Policy, err = s.run(ctx, plan, s.policy(), sessions); err != nil {
 		return nil, err
 	}
 	if !compare {
 		return report, nil
 	}
-	if report.Baseline, err = s.run(ctx, plan, queue.BaselinePolicy()); err != nil {
+	if report.Baseline, err = s.run(ctx, plan, queue.BaselinePolicy(), false); err != nil {
 		return nil, err
 	}
 	return report, nil
 }
 
-func (s *Scenario) run(ctx context.Context, plan *Plan, policy queue.Policy) (*Summary, error) {
+func (s *Scenario) run(ctx context.Context, plan *Plan, policy queue.Policy, sessions bool) (*Summary, error) {
 	clock := Clock{Scale: s.Scale}
-	target, err := NewLocal(LocalConfig{Engines: s.Engines, Profile: s.Profile, Clock: clock, Policy: policy, Seed: s.Seed})
+	target, err := NewLocal(LocalConfig{Engines: s.Engines, Profile: s.Profile, Clock: clock, Policy: policy, Seed: s.Seed, Sessions: sessions})
 	if err != nil {
 		return nil, err
 	}
 	defer target.Close()
 	warmUp := time.Duration(warmUpShare * float64(s.Duration))
+	lossCtx, endLoss := context.WithCancel(ctx)
+	var loss sync.WaitGroup
+	loss.Go(func() { target.lose(lossCtx, s.Loss, &clock) })
 	out := Run(ctx, plan, target, RunConfig{Clock: clock, WarmUp: warmUp, Patience: patience})
+	endLoss()
+	loss.Wait()
 	summary := out.Summary()
+	summary.RetryRatio = target.RetryRatio()
+	heldCtx, cancel := context.WithTimeout(ctx, clock.real(releaseWithin))
+	defer cancel()
+	summary.HeldAfter = target.HeldTokens(heldCtx)
 	return &summary, ctx.Err()
 }
 
@@ -172,6 +192,8 @@
 	{"unfinished", func(s *Summary) string { return fmt.Sprint(s.Unfinished) }},
 	{"failed", func(s *Summary) string { return fmt.Sprint(s.Failed) }},
 	{"refusals by reason", func(s *Summary) string { return fmt.Sprint(s.Refusals) }},
+	{"retries for each call", func(s *Summary) string { return fmt.Sprintf("%.3f", s.RetryRatio) }},
+	{"tokens held after the run", func(s *Summary) string { return fmt.Sprint(s.HeldAfter) }},
 	{"fairness (Jain)", func(s *Summary) string { return fmt.Sprintf("%.3f", s.Fairness) }},
 	{"generated tokens/s", func(s *Summary) string { return fmt.Sprintf("%.0f", s.TokensPerSecond) }},
 }
