--- a/cmd/ibisstall/load.go
+++ b/cmd/ibisstall/load.go
@@ -20,12 +20,16 @@
 			"faster than real time by --scale. Program latency counts tool pauses, but not the time that callers think.",
 		examples: []string{
 			"ibisstall load --local --shape rounds --compare",
+			"ibisstall load --local --suite",
 			"ibisstall load --local --shape tasting --load 1.1 --json tasting.json --plot tasting.svg",
 		},
 		data: &LoadCommand{},
 	})
 }
 
+// listLag is the lag of the endpoint list after a loss of engines.
+const listLag = 10 * time.Second
+
 // LoadCommand is the subcommand load.
 type LoadCommand struct {
 	Shape    string        `long:"shape" choice:"tasting" choice:"rounds" default:"tasting" description:"kind of programs"`
@@ -35,8 +39,10 @@
 	Load     float64       `long:"load" default:"0.9" description:"arrival rate as a share of the engines' capacity"`
 	Duration time.Duration `long:"duration" default:"4m" description:"time of arrivals, in the time of the workload"`
 	Scale    float64       `long:"scale" default:"20" description:"how many times faster than real time to run"`
-	Without  []string      `long:"without" choice:"order" choice:"placement" choice:"admission" choice:"spill" description:"switch a part of the policy to the baseline's; may be repeated"`
+	Without  []string      `long:"without" choice:"order" choice:"placement" choice:"admission" choice:"spill" choice:"retention" choice:"sessions" description:"switch a part of the policy to the baseline's; may be repeated"`
 	Compare  bool          `long:"compare" description:"run the plain baseline on the same arrivals too"`
+	Lose     float64       `long:"lose" value-name:"SHARE" description:"take this share of the engines away at half time; the endpoint list shows it 10 s later"`
+	Suite    bool          `long:"suite" description:"run both shapes with 10 and 8 engines at 70, 90 and 110 % against the baseline, and print a Markdown table"`
 	JSON     string        `long:"json" value-name:"FILE" description:"write the results as JSON"`
 	Plot     string        `long:"plot" value-name:"FILE.svg" description:"write the results as a chart"`
 }
@@ -48,9 +54,13 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if c.Suite {
+		return c.suite(ctx)
+	}
 	report, err := load.RunScenario(ctx, load.Scenario{
 		Shape: load.Shape(c.Shape), Seed: c.Seed, Engines: c.Engines, LoadShare: c.Load,
 		Profile: load.DefaultEngine(), Scale: c.Scale, Duration: c.Duration, Without: c.parts(),
+		Loss: load.Loss{Share: c.Lose, At: c.Duration / 2, ListLag: listLag},
 	}, c.Compare)
 	if err != nil {
 		return fmt.Errorf("run load: %w", err)
@@ -58,6 +68,16 @@
 	return c.write(report)
 }
 
+func (c *LoadCommand) suite(ctx context.Context) error {
+	err := load.RunSuite(ctx, os.Stdout, load.SuiteConfig{
+		Seed: c.Seed, Profile: load.DefaultEngine(), Scale: c.Scale, Duration: c.Duration,
+	})
+	if err != nil {
+		return fmt.Errorf("run load: %w", err)
+	}
+	return nil
+}
+
 func (c *LoadCommand) parts() []load.Part {
 	parts := make([]load.Part, len(c.Without))
 	for i, name := range c.Without {
@@ -76,6 +96,8 @@
 		return &usageError{"--load must be above 0"}
 	case !(c.Scale > 0):
 		return &usageError{"--scale must be above 0"}
+	case !(c.Lose >= 0 && c.Lose < 1):
+		return &usageError{"--lose must be at least 0 and below 1"}
 	case c.Duration <= 0:
 		return &usageError{"--duration must be above 0"}
 	}
--- a/internal/load/local.go
+++ b/internal/load/local.go
@@ -12,6 +12,7 @@
 
 	"ibisstall.example/ibisstall/internal/endpoint"
 	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/policy/limits"
 	"ibisstall.example/ibisstall/internal/standin/runner"
 	"ibisstall.example/ibisstall/internal/system/queue"
 )
@@ -23,7 +24,15 @@
 	engines   map[string]*localEngine
 	follow    context.CancelFunc
 	followed  chan struct{}
+	sessions  bool
+	clock     Clock
+	endpoints []entity.Endpoint
 	attained  sync.Map // of *atomic.Int64 by root program, tokens
+
+	retryMu sync.Mutex
+	retries limits.RetryBudget
+	calls   int
+	repeats int
 }
 
 // localEngine is a stand-in engine with its server and client.
@@ -31,6 +40,7 @@
 	engine *runner.Engine
 	client *endpoint.Engine
 	server *http.Server
+	gone   atomic.Bool // taken away by a loss
 }
 
 // LocalConfig sets up a Local.
@@ -40,19 +50,16 @@
 	Clock   Clock
 	Policy  queue.Policy // in the time of the workload
 	Seed    uint64
+	// Sessions makes engines hold KV cache for programs until it is released.
+	Sessions bool
 }
 
-const (
-	// newsEvery is the time between two reads of the engines' news, in the
-	// time of the workload.
-	newsEvery = 500 * time.Millisecond
-	// maxIdleConns lets each engine's connections be reused at full load.
-	maxIdleConns = 512
-)
+// maxIdleConns lets each engine's connections be reused at full load.
+const maxIdleConns = 512
 
 // NewLocal starts the engines and the scheduler. Close stops them.
 func NewLocal(c LocalConfig) (*Local, error) {
-	l := &Local{engines: make(map[string]*localEngine), followed: make(chan struct{})}
+	l := &Local{sessions: c.Sessions, clock: c.Clock, retries: newRetryBudget(), engines: make(map[string]*localEngine), followed: make(chan struct{})}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}}
 	endpoints := make([]entity.Endpoint, c.Engines)
 	for i := range endpoints {
@@ -63,13 +70,20 @@
 		}
 		endpoints[i] = e
 	}
-	l.scheduler = queue.NewLocal("load", scaledPolicy(c.Policy, c.Clock.Scale), queue.Hooks{})
+	hooks := queue.Hooks{News: queue.EngineNews(l.client)}
+	if c.Sessions {
+		hooks.ReleaseSession = func(ctx context.Context, e entity.Endpoint, id entity.ProgramID) error {
+			return l.client(e).Release(ctx, id)
+		}
+	}
+	l.scheduler = queue.NewLocal("load", scaledPolicy(c.Policy, c.Clock.Scale), hooks)
+	l.endpoints = endpoints
 	l.scheduler.Set(endpoints, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	l.follow = cancel
 	go func() {
 		defer close(l.followed)
-		l.scheduler.FollowEngines(ctx, l, c.Clock.real(newsEvery))
+		l.scheduler.Run(ctx)
 	}()
 	return l, nil
 }
@@ -110,6 +124,8 @@
 	}
 }
 
+func (l *Local) client(e entity.Endpoint) *endpoint.Engine { return l.engines[e.Name].client }
+
 // Begin implements Target.
 func (l *Local) Begin(_ context.Context, p *Program, parent entity.ProgramID) error {
 	if parent == "" {
@@ -135,17 +151,41 @@
 // by themselves.
 const maxAnswer = 1024
 
-// Call implements Target.
+// Call implements Target. A model call may be repeated, so one that fails is
+// sent again elsewhere, within the budget of retries.
 func (l *Local) Call(ctx context.Context, c *conversation, _ *Step) (callResult, error) {
+	began := time.Now()
+	var avoid []string
+	l.attempt(0)
+	for n := 0; ; n++ {
+		res, used, err := l.once(ctx, c, avoid)
+		if err == nil {
+			res.FirstToken += time.Since(began) - res.Total
+			res.Total = time.Since(began)
+			return res, nil
+		}
+		var refused *RefusedError
+		if errors.As(err, &refused) || ctx.Err() != nil || !l.attempt(n+1) {
+			return res, err
+		}
+		avoid = append(avoid, used)
+		if err := l.backOff(ctx, n); err != nil {
+			return res, err
+		}
+	}
+}
+
+// once makes one attempt and returns the endpoint that it used.
+func (l *Local) once(ctx context.Context, c *conversation, avoid []string) (callResult, string, error) {
 	began := time.Now()
 	family := l.family(c.program.ID)
 	permit, err := l.scheduler.Acquire(ctx, queue.Request{
 		CallID: c.callID(), Program: c.program.ID, Workspace: c.program.Workspace,
 		Kind: entity.CallModel, Target: Model, Attained: family.Load(),
-		Prompt: c.prefix.Blocks(), PromptTokens: c.prefix.Tokens(), MaxTokens: maxAnswer,
+		Prompt: c.prefix.Blocks(), PromptTokens: c.prefix.Tokens(), MaxTokens: maxAnswer, Avoid: avoid,
 	})
 	if err != nil {
-		return callResult{}, refusalOf(err)
+		return callResult{}, "", refusalOf(err)
 	}
 	res := callResult{Prompt: c.prefix.Tokens(), Reusable: l.reusable(c)}
 	result := l.chat(ctx, permit, c, &res)
@@ -153,15 +193,17 @@
 	family.Add(result.Prefilled + result.Generated)
 	res.FirstToken = permit.Granted.Sub(began) + result.FirstToken
 	res.Total = time.Since(began)
-	return res, result.Err
+	return res, permit.Endpoint.Name, result.Err
 }
 
 func (l *Local) chat(ctx context.Context, permit queue.Permit, c *conversation, res *callResult) queue.Result {
 	var first, last time.Time
 	chunks := 0
-	answer, err := l.engines[permit.Endpoint.Name].client.Chat(ctx, endpoint.ChatRequest{
-		CallID: c.callID(), Model: Model, Messages: c.messages, MaxTokens: maxAnswer,
-	}, func(endpoint.Chunk) error {
+	request := endpoint.ChatRequest{CallID: c.callID(), Model: Model, Messages: c.messages, MaxTokens: maxAnswer}
+	if l.sessions {
+		request.Session = c.program.ID
+	}
+	answer, err := l.client(permit.Endpoint).Chat(ctx, request, func(endpoint.Chunk) error {
 		last = time.Now()
 		if chunks == 0 {
 			first = last
@@ -192,30 +234,53 @@
 func (l *Local) reusable(c *conversation) int64 {
 	var most int64
 	for _, e := range l.engines {
+		if e.gone.Load() {
+			continue
+		}
 		most = max(most, e.engine.HeldTokens(c.prefix.Blocks()))
 	}
 	return min(most, c.prefix.Tokens()-1)
 }
 
-func refusalOf(err error) error {
-	var overload *queue.OverloadError
-	if errors.As(err, &overload) {
-		return &RefusedError{Reason: overload.Reason, RetryAfter: overload.RetryAfter}
+func (e *localEngine) heldTokens() int64 {
+	if e.gone.Load() {
+		return 0
 	}
-	return err
+	var held int64
+	for _, s := range e.engine.Sessions() {
+		held += s.Tokens
+	}
+	return held
 }
 
-// Load implements placement.News.
-func (l *Local) Load(ctx context.Context, e entity.Endpoint) (endpoint.LoadReport, error) {
-	return l.engines[e.Name].client.Load(ctx)
-}
+// heldPoll is the time between two looks at the memory that engines hold.
+const heldPoll = 10 * time.Millisecond
 
-// CacheEvents implements placement.News.
-func (l *Local) CacheEvents(ctx context.Context, e entity.Endpoint, from uint64) (endpoint.CachePage, error) {
-	return l.engines[e.Name].client.CacheEvents(ctx, from)
+// HeldTokens returns the tokens that the engines hold for programs, as soon as
+// there are none, or when the context ends.
+func (l *Local) HeldTokens(ctx context.Context) int64 {
+	tick := time.NewTicker(heldPoll)
+	defer tick.Stop()
+	for {
+		var held int64
+		for _, e := range l.engines {
+			held += e.heldTokens()
+		}
+		if held == 0 {
+			return 0
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return held
+		}
+	}
 }
 
-// CacheSnapshot implements placement.News.
-func (l *Local) CacheSnapshot(ctx context.Context, e entity.Endpoint) (endpoint.CacheSnapshot, error) {
-	return l.engines[e.Name].client.CacheSnapshot(ctx)
+func refusalOf(err error) error {
+	var overload *queue.OverloadError
+	if errors.As(err, &overload) {
+		return &RefusedError{Reason: overload.Reason, RetryAfter: overload.RetryAfter}
+	}
+	return err
 }
