Count silence only while waiting for the engine; retry failed resumes

A caller that took its chunks slowly made the stream look silent, so it was resumed for nothing. A resume answered with a 5xx status ended the call although the engine could still have the stream; now it counts as one of the bounded attempts.

--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -176,6 +176,9 @@
 		return r, nil
 	})
 	var status *StatusError
+	if errors.As(err, &status) && (status.Status >= http.StatusInternalServerError || status.Status == http.StatusTooManyRequests) {
+		return &interruption{cause: fmt.Errorf("resume answered with status %d", status.Status)}
+	}
 	if errors.As(err, &status) {
 		return fmt.Errorf("%w: not resumable, status %d", ErrUnanswered, status.Status)
 	}
@@ -200,22 +203,25 @@
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	res, err := hc.Do(r)
+	w.stop()
 	if err != nil {
 		return interrupted(ctx, sent.classify(ctx, err))
 	}
 	if res.StatusCode != http.StatusOK {
+		res.Body = watchedBody{ReadCloser: res.Body, watch: w}
 		return e.refusal(res)
 	}
 	if err := checkStream(res, a.callID); err != nil {
 		_ = res.Body.Close()
 		return err
 	}
-	err = a.readFrom(watchedBody{Reader: res.Body, watch: w}, e.options.MaxAnswer)
+	watched := watchedBody{ReadCloser: res.Body, watch: w}
+	err = a.readFrom(watched, e.options.MaxAnswer)
 	if err != nil {
 		_ = res.Body.Close()
 		return interrupted(ctx, err)
 	}
-	finishBody(res.Body)
+	finishBody(watched)
 	return nil
 }
 
--- a/internal/endpoint/engine_test.go
+++ b/internal/endpoint/engine_test.go
@@ -89,6 +89,10 @@
 		{"a stream cut three times is resumed", []runner.Fault{{Mode: runner.FaultCut, After: 3, Count: 3}}, nil, true},
 		{"a silent stream is probed and resumed", []runner.Fault{{Mode: runner.FaultStall, After: 5, Count: 1}}, nil, true},
 		{"a stream cut before its first chunk is resumed", []runner.Fault{{Mode: runner.FaultCut, Count: 1}}, nil, true},
+		{"a resume that fails for a moment is tried again", []runner.Fault{
+			{Mode: runner.FaultCut, After: 2, Count: 1},
+			{Mode: runner.FaultStatus, Status: http.StatusBadGateway, Count: 2, Path: "/v1/streams"},
+		}, nil, true},
 		{"a call that the engine never took is unanswered", []runner.Fault{{Mode: runner.FaultDown, Count: 1}}, endpoint.ErrUnanswered, true},
 		{"a hung engine is unanswered", []runner.Fault{{Mode: runner.FaultHang}}, endpoint.ErrUnanswered, true},
 		{"a crossed chunk is a mismatch", []runner.Fault{{Mode: runner.FaultCrossed, After: 3}}, endpoint.ErrMismatch, false},
--- a/internal/endpoint/transport.go
+++ b/internal/endpoint/transport.go
@@ -154,29 +154,30 @@
 // errSilent means that no byte came for the limit.
 var errSilent = errors.New("no bytes from the runner")
 
-// watch cancels a request when no byte has come for a time.
+// watch cancels a request when the runner lets a time pass without a byte. It
+// runs while the client waits for the runner, not while the caller takes its
+// time with what has come.
 type watch struct {
 	timer *time.Timer
 	limit time.Duration
 }
 
+// newWatch returns a watch that runs.
 func newWatch(limit time.Duration, cancel context.CancelCauseFunc) *watch {
 	return &watch{timer: time.AfterFunc(limit, func() { cancel(errSilent) }), limit: limit}
 }
 
 func (w *watch) stop() { w.timer.Stop() }
 
-// watchedBody resets the watch with each byte.
+// watchedBody runs the watch during each read.
 type watchedBody struct {
-	io.Reader
+	io.ReadCloser
 	watch *watch
 }
 
 // Read implements io.Reader.
 func (b watchedBody) Read(p []byte) (int, error) {
-	n, err := b.Reader.Read(p)
-	if n > 0 {
-		b.watch.timer.Reset(b.watch.limit)
-	}
-	return n, err
+	b.watch.timer.Reset(b.watch.limit)
+	defer b.watch.stop()
+	return b.ReadCloser.Read(p)
 }
