Measure the demand for models, and order listed ones only

The demand is the time that calls hold permits, in engines; calls refused for want of an engine count as average ones. Names come from callers, so what operators have not listed is never ordered. The sliding sum of the health statistics serves here too, in a package of its own.

--- a/internal/policy/orders/orders.go
+++ b/internal/policy/orders/orders.go
@@ -23,6 +23,18 @@
 // engine busy.
 type Demand map[Item]float64
 
+// Plus returns the sum of two demands.
+func (d Demand) Plus(o Demand) Demand {
+	sum := make(Demand, len(d)+len(o))
+	for i, n := range d {
+		sum[i] += n
+	}
+	for i, n := range o {
+		sum[i] += n
+	}
+	return sum
+}
+
 // Engine is the state of an engine.
 type Engine struct {
 	Name string
--- a/internal/system/health/health.go
+++ b/internal/system/health/health.go
@@ -11,6 +11,7 @@
 
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/policy/health"
+	"ibisstall.example/ibisstall/internal/system/rolling"
 	"ibisstall.example/ibisstall/internal/timeline"
 )
 
@@ -46,6 +47,12 @@
 	views   map[string]health.View
 }
 
+// window sums up this VM's calls of one endpoint.
+type window struct {
+	recent rolling.Sum[health.Stats]
+	own    health.Stats // since the endpoint began to recover
+}
+
 // New returns a System that finds every endpoint healthy.
 func New(o Options) *System {
 	if o.Recorder == nil {
@@ -74,7 +81,8 @@
 		w = &window{}
 		s.windows[endpoint] = w
 	}
-	w.add(time.Since(s.start), s.options.Params.Window, stats)
+	w.recent.Add(time.Since(s.start), s.options.Params.Window, stats)
+	w.own = w.own.Plus(stats)
 }
 
 // Share returns the part of its usual work that an endpoint is to be given, 0
@@ -110,7 +118,7 @@
 	defer s.mu.Unlock()
 	out := make(map[string]health.Stats)
 	for name, w := range s.windows {
-		stats := w.sum(time.Since(s.start), s.options.Params.Window)
+		stats := w.recent.Over(time.Since(s.start), s.options.Params.Window)
 		if stats.Failures > 0 || s.views[name].State == health.Slow {
 			out[name] = stats
 		}
@@ -185,7 +193,7 @@
 func (s *System) known(ep entity.Endpoint, peers []map[string]health.Stats, probe health.Probe) health.Endpoint {
 	e := health.Endpoint{Name: ep.Name, Group: groupOf(ep), Probe: probe}
 	if w := s.windows[ep.Name]; w != nil {
-		e.Stats = w.sum(time.Since(s.start), s.options.Params.Window)
+		e.Stats = w.recent.Over(time.Since(s.start), s.options.Params.Window)
 		e.Own = w.own
 	}
 	for _, p := range peers {
--- /dev/null
+++ b/internal/system/orders/meter_test.go
@@ -0,0 +1,41 @@
+package orders
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisstall.example/ibisstall/internal/endpoint"
+	"ibisstall.example/ibisstall/internal/policy/orders"
+)
+
+func TestMeter_DemandIsInEngines(t *testing.T) {
+	is := is.New(t)
+	model := orders.Item{Kind: endpoint.OrderLoadModel, Name: "atlas"}
+	unknown := orders.Item{Kind: endpoint.OrderLoadModel, Name: "borealis"}
+	m := NewMeter(time.Minute, 4)
+	for range 60 {
+		m.Called(model, 8*time.Second) // 8 calls under way on average
+	}
+	m.Refused(unknown)
+	demand := m.Demand()
+	is.Equal(demand[model], 2.0)
+	is.True(demand[unknown] > 0)
+
+	sum := demand.Plus(orders.Demand{model: 1})
+	is.Equal(sum[model], 3.0)
+	is.Equal(demand[model], 2.0)
+}
+
+func TestMeter_ForgetsItemsWithoutCalls(t *testing.T) {
+	is := is.New(t)
+	m := NewMeter(10*time.Millisecond, 1)
+	m.Called(orders.Item{Kind: endpoint.OrderLoadModel, Name: "atlas"}, time.Second)
+	deadline := time.Now().Add(5 * time.Second)
+	for len(m.Demand()) > 0 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(len(m.Demand()), 0)
+	is.Equal(len(m.items), 0)
+}
--- a/internal/system/orders/orders.go
+++ b/internal/system/orders/orders.go
@@ -50,6 +50,9 @@
 	Usable func(engine string) bool
 	// Demand returns the demand in this data centre.
 	Demand func() orders.Demand
+	// Known tells whether operators have listed an item. Callers choose the
+	// names that they ask for; nothing else is ever ordered.
+	Known func(orders.Item) bool
 	// Leads tells whether this VM gives the orders at present.
 	Leads func() bool
 	// Weights limits the loads from the weight store. It is this data
@@ -267,7 +270,7 @@
 	for _, name := range names {
 		states = append(states, t.engineState(name))
 	}
-	planned, next := orders.Decide(t.now, t.options.Params, t.state, states, t.options.Demand())
+	planned, next := orders.Decide(t.now, t.options.Params, t.state, states, t.demand())
 	t.state = next
 	for _, p := range planned {
 		if p.Item.Kind != endpoint.OrderSetRole && !t.options.Weights.Allow() {
@@ -280,6 +283,17 @@
 	return nil
 }
 
+// demand returns the demand for items that operators have listed.
+func (t *tick) demand() orders.Demand {
+	out := make(orders.Demand)
+	for item, n := range t.options.Demand() {
+		if t.options.Known(item) {
+			out[item] = n
+		}
+	}
+	return out
+}
+
 // engineState is the state of an engine as the policy sees it.
 func (t *tick) engineState(name string) orders.Engine {
 	r := t.reports[name]
--- a/internal/system/orders/orders_test.go
+++ b/internal/system/orders/orders_test.go
@@ -59,6 +59,7 @@
 		Engines:  func() map[string]Engine { return s.clients },
 		Usable:   func(string) bool { return true },
 		Demand:   func() orders.Demand { return s.demand },
+		Known:    func(i orders.Item) bool { return i.Name != "unlisted" },
 		Leads:    func() bool { return true },
 		Weights:  rate.NewLimiter(rate.Inf, 1),
 		Params:   orders.Params{High: 0.85, Low: 0.5, MaxLoading: 4},
@@ -108,6 +109,14 @@
 	is.True(s.record("e2").Done)
 }
 
+func TestSystem_UnlistedModelIsNeverOrdered(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, true, 0, "b", "b")
+	s.ask("unlisted", 5)
+	is.NoErr(s.system("vm-1").Tick(t.Context()))
+	is.Equal(s.given(), 0)
+}
+
 func TestSystem_RolesFollowDemand(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, true, 0, "b", "b", "b")
