--- a/internal/platform/batchrpc/batchrpc_test.go
+++ b/internal/platform/batchrpc/batchrpc_test.go
@@ -27,13 +27,14 @@
 func newPeer(t *testing.T) *peer {
 	t.Helper()
 	p := &peer{service: platformsvc.NewServer(platformsvc.NewStore())}
-	committer := batch.New(p.service.Direct("peer"), batch.Options{})
+	direct := p.service.Direct("peer")
+	committer := batch.New(direct, batch.Options{})
 	var err error
 	p.server, err = mesh.Listen(mesh.ServerOptions{Addr: "127.0.0.1:0"})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := p.server.Register(ServiceName, NewService(committer, timeout)); err != nil {
+	if err := p.server.Register(ServiceName, NewService(committer, direct.Objects(), timeout)); err != nil {
 		t.Fatal(err)
 	}
 	var wait sync.WaitGroup
@@ -81,6 +82,25 @@
 	is.Equal(len(rows), 1)
 }
 
+func TestRelayObjects_ServesWhileTheVMIsCutOffFromThePlatform(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	p := newPeer(t)
+	p.cutOff(t, platformsvc.Fault{Service: platformsvc.Objects, DC: "self", Down: true})
+	relays := []string{p.addr()}
+	objects := NewRelayObjects(p.service.Direct("self").Objects(), p.client, timeout, func() []string { return relays })
+	is.NoErr(objects.Put(ctx, "a", []byte("data")))
+	data, err := objects.Get(ctx, "a")
+	is.NoErr(err)
+	is.Equal(string(data), "data")
+	is.NoErr(objects.Delete(ctx, "a"))
+	_, err = objects.Get(ctx, "a")
+	is.True(errors.Is(err, platform.ErrNotFound))
+	relays = nil
+	_, err = objects.Get(ctx, "a")
+	is.True(errors.Is(err, platform.ErrUnavailable))
+}
+
 func TestRelay_GivesTheOwnErrorWithoutARelay(t *testing.T) {
 	is := is.New(t)
 	p := newPeer(t)
--- a/internal/platform/batchrpc/relay.go
+++ b/internal/platform/batchrpc/relay.go
@@ -51,7 +51,7 @@
 // read has a read made by another VM. A read has no effect, so that any
 // failure leads to the next VM.
 func (r *Relay) read(ctx context.Context, localErr error, method string, args any) ([]platform.Row, error) {
-	for _, addr := range r.first() {
+	for _, addr := range first(r.relays()) {
 		var reply RowsReply
 		if call(ctx, r.mesh, r.timeout, addr, method, args, &reply) != nil {
 			continue
@@ -70,7 +70,7 @@
 	if !unavailable(ctx, localErr) {
 		return localErr
 	}
-	for _, addr := range r.first() {
+	for _, addr := range first(r.relays()) {
 		err := r.commitAt(ctx, addr, writes)
 		if !unavailable(ctx, err) {
 			return err
@@ -92,10 +92,8 @@
 	}
 }
 
-func (r *Relay) first() []string {
-	addrs := r.relays()
-	return addrs[:min(len(addrs), maxRelays)]
-}
+// first returns the VMs that a request is sent to.
+func first(addrs []string) []string { return addrs[:min(len(addrs), maxRelays)] }
 
 // unavailable reports an error that another VM's access may help.
 func unavailable(ctx context.Context, err error) bool {
--- a/internal/platform/batchrpc/service.go
+++ b/internal/platform/batchrpc/service.go
@@ -43,12 +43,13 @@
 // on from VM to VM.
 type Service struct {
 	committer *batch.Committer
+	objects   platform.Objects
 	timeout   time.Duration
 }
 
 // NewService returns a service whose requests take at most timeout.
-func NewService(committer *batch.Committer, timeout time.Duration) *Service {
-	return &Service{committer: committer, timeout: timeout}
+func NewService(committer *batch.Committer, objects platform.Objects, timeout time.Duration) *Service {
+	return &Service{committer: committer, objects: objects, timeout: timeout}
 }
 
 // Commit commits groups.
--- a/internal/system/journal/bench_test.go
+++ b/internal/system/journal/bench_test.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	if err := server.Register(batchrpc.ServiceName, batchrpc.NewService(committer, DefaultTimeout)); err != nil {
+	if err := server.Register(batchrpc.ServiceName, batchrpc.NewService(committer, nil, DefaultTimeout)); err != nil {
 		b.Fatal(err)
 	}
 	var wait sync.WaitGroup
