--- a/internal/platform/httpclient/call.go
+++ b/internal/platform/httpclient/call.go
@@ -107,7 +107,7 @@
 	}
 	attemptCtx, cancel := context.WithTimeout(ctx, c.options.AttemptTimeout)
 	defer cancel()
-	answer, err := c.exchange(attemptCtx, q)
+	answer, err := c.exchange(attemptCtx, s, q)
 	if err == nil {
 		return c.settle(s, q, answer)
 	}
@@ -134,11 +134,11 @@
 }
 
 // exchange sends a request and reads its whole answer.
-func (c *Client) exchange(ctx context.Context, q call) (*answer, error) {
+func (c *Client) exchange(ctx context.Context, s *service, q call) (*answer, error) {
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
 	ctx = httptrace.WithClientTrace(ctx, trace)
-	request, err := http.NewRequestWithContext(ctx, q.method, c.options.BaseURL+q.path, bytes.NewReader(q.body))
+	request, err := http.NewRequestWithContext(ctx, q.method, s.baseURL+q.path, bytes.NewReader(q.body))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
 	}
--- a/internal/platform/httpclient/client.go
+++ b/internal/platform/httpclient/client.go
@@ -20,8 +20,12 @@
 
 // Options configure a Client. Zero fields but BaseURL take the defaults.
 type Options struct {
-	BaseURL string // without a trailing slash
-	DC      string // data centre of this VM
+	// BaseURL is that of the table service, and of the other services where
+	// theirs are empty.
+	BaseURL    string
+	ObjectsURL string
+	VMListURL  string
+	DC         string // data centre of this VM
 	// Timeout bounds a call with its retries.
 	Timeout time.Duration
 	// AttemptTimeout is how long one attempt may stay without its answer
@@ -59,6 +63,7 @@
 // service is one of the services with its breaker.
 type service struct {
 	name    string
+	baseURL string // without a trailing slash
 	breaker *breaker.Breaker
 }
 
@@ -70,7 +75,12 @@
 
 // New returns a client. It makes no connection yet.
 func New(o Options) *Client {
-	o.BaseURL = strings.TrimRight(o.BaseURL, "/")
+	if o.ObjectsURL == "" {
+		o.ObjectsURL = o.BaseURL
+	}
+	if o.VMListURL == "" {
+		o.VMListURL = o.BaseURL
+	}
 	if o.Timeout == 0 {
 		o.Timeout = DefaultTimeout
 	}
@@ -92,15 +102,15 @@
 	if o.OnReplaced == nil {
 		o.OnReplaced = func(string) {}
 	}
-	newService := func(name string) *service {
-		return &service{name: name, breaker: breaker.New(o.Breaker)}
+	newService := func(name, baseURL string) *service {
+		return &service{name: name, baseURL: strings.TrimRight(baseURL, "/"), breaker: breaker.New(o.Breaker)}
 	}
 	return &Client{
 		options: o,
 		budget:  newRetryBudget(o.RetryShare),
-		table:   newService("table"),
-		objects: newService("objects"),
-		vms:     newService("vms"),
+		table:   newService("table", o.BaseURL),
+		objects: newService("objects", o.ObjectsURL),
+		vms:     newService("vms", o.VMListURL),
 	}
 }
 
--- a/internal/platform/httpclient/client_test.go
+++ b/internal/platform/httpclient/client_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
@@ -147,3 +149,29 @@
 	is.True(checkGet(keys, nil) != nil)
 	is.NoErr(checkGet(keys, []platform.Row{{Key: keys[0]}}))
 }
+
+func TestClient_EachServiceHasItsOwnURL(t *testing.T) {
+	is := is.New(t)
+	asked := make(map[string]string) // path by service
+	serve := func(service, answer string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked[service] = r.URL.Path
+			_, _ = io.WriteString(w, answer)
+		}))
+		t.Cleanup(s.Close)
+		return s.URL + "/" + service
+	}
+	c := New(Options{
+		BaseURL:    serve("table", `{"rows":[]}`),
+		ObjectsURL: serve("objects", ""),
+		VMListURL:  serve("list", `{"vms":[{"id":"a"}]}`) + "/",
+	})
+	t.Cleanup(c.Close)
+	_, err := c.Scan(t.Context(), "programs", "", "", 10)
+	is.NoErr(err)
+	is.NoErr(c.Objects().Put(t.Context(), "a", []byte("x")))
+	vms, err := c.List(t.Context())
+	is.NoErr(err)
+	is.Equal(len(vms), 1)
+	is.Equal(asked, map[string]string{"table": "/table/v1/table/scan", "objects": "/objects/v1/objects/a", "list": "/list/v1/vms"})
+}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -124,7 +124,7 @@
 		{"policy", "placement", PlacementPrefixAware, "how an endpoint is chosen for a call", false, oneOf(&p.Placement, PlacementPrefixAware, PlacementPlain)},
 		{"policy", "ageing", "30s", "wait that makes up for any service that a program has had", false, duration(&p.Ageing)},
 		{"policy", "retry_ratio", "0.1", "retries per first attempt, of calls that may be repeated", false, ratio(&p.RetryRatio)},
-		{"engine", "max_concurrent", "256", "most calls let into one engine at once; the system finds how many are good", false, intBetween(&e.MaxConcurrent, 1, 10_000)},
+		{"engine", "max_concurrent", "256", "most calls let into one endpoint at once; the system finds how many are good", false, intBetween(&e.MaxConcurrent, 1, 10_000)},
 		{"engine", "silence_limit", "5s", "time without bytes after which a stream is resumed over a new connection", false, duration(&e.SilenceLimit)},
 		{"engine", "hold", "30s", "longest time for which a program's KV cache is kept over a tool pause", false, duration(&e.Hold)},
 		{"engine", "sweep_interval", "30s", "time between searches for KV cache of programs that are gone", false, duration(&e.SweepInterval)},
--- a/internal/vm/build.go
+++ b/internal/vm/build.go
@@ -16,6 +16,7 @@
 	"ibisstall.example/ibisstall/internal/mesh"
 	"ibisstall.example/ibisstall/internal/platform/batch"
 	"ibisstall.example/ibisstall/internal/platform/httpclient"
+	"ibisstall.example/ibisstall/internal/settings"
 	"ibisstall.example/ibisstall/internal/system/directory"
 	"ibisstall.example/ibisstall/internal/system/journal"
 	"ibisstall.example/ibisstall/internal/system/mirror"
@@ -38,6 +39,8 @@
 func (v *VM) build() error {
 	v.platform = httpclient.New(httpclient.Options{
 		BaseURL:    v.s.Platform.TableURL,
+		ObjectsURL: v.s.Platform.ObjectsURL,
+		VMListURL:  v.s.Platform.VMListURL,
 		DC:         v.s.VM.DC,
 		Timeout:    v.s.Platform.Timeout,
 		MaxTries:   uint(v.s.Platform.Attempts),
@@ -95,10 +98,20 @@
 		VMList:    v.platform,
 		Recorder:  v.recorder,
 		Logger:    v.log,
+		Timing:    timing(v.s.Membership),
 	})
 	return err
 }
 
+// timing returns the pace of probing that the settings ask for.
+func timing(s settings.Membership) membership.Timing {
+	t := membership.DefaultTiming()
+	t.ProbeEvery = s.ProbeInterval
+	t.AckTimeout = s.ProbeTimeout
+	t.SuspicionTimeout = s.Suspicion
+	return t
+}
+
 // developmentKey signs the traffic of a fleet without a key file, which
 // settings allow on loopback only.
 const developmentKey = "ibisstall-fleet-without-a-key-file"
--- a/internal/vm/queues.go
+++ b/internal/vm/queues.go
@@ -14,16 +14,9 @@
 // buildQueues makes the scheduler, whose queues are spread over the VMs of
 // their endpoints' data centres.
 func (v *VM) buildQueues() *queue.Remote {
-	policy := queue.DefaultPolicy()
-	if v.s.Policy.Order == settings.OrderFirstCome {
-		policy.Queue.Order = order.KindFCFS
-	}
-	if v.s.Policy.Placement == settings.PlacementPlain {
-		policy.Placement.Placer = placement.KindRoundRobin
-	}
 	return queue.NewRemote(queue.RemoteOptions{
 		VM:     v.id,
-		Policy: policy,
+		Policy: queuePolicy(v.s),
 		Hooks: queue.Hooks{
 			ReleaseSession: func(ctx context.Context, ep entity.Endpoint, id entity.ProgramID) error {
 				return v.engine(ep).Release(ctx, id)
@@ -35,6 +28,23 @@
 	})
 }
 
+// queuePolicy returns the decisions on calls that the settings select.
+func queuePolicy(s *settings.Settings) queue.Policy {
+	policy := queue.DefaultPolicy()
+	fair := &policy.Queue.Fair
+	fair.AgeingRate = float64(fair.AttainedCap) / s.Policy.Ageing.Seconds()
+	limit := &policy.Queue.Permits
+	limit.Max = s.Engine.MaxConcurrent
+	limit.Start = min(limit.Start, limit.Max)
+	if s.Policy.Order == settings.OrderFirstCome {
+		policy.Queue.Order = order.KindFCFS
+	}
+	if s.Policy.Placement == settings.PlacementPlain {
+		policy.Placement.Placer = placement.KindRoundRobin
+	}
+	return policy
+}
+
 // importSession copies a program's KV cache from one engine to another.
 func (v *VM) importSession(ctx context.Context, from, to entity.Endpoint, id entity.ProgramID) error {
 	kv, err := v.engine(from).Export(ctx, id)
--- /dev/null
+++ b/internal/vm/settings_test.go
@@ -0,0 +1,43 @@
+package vm
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisstall.example/ibisstall/internal/membership"
+	"ibisstall.example/ibisstall/internal/policy/order"
+	"ibisstall.example/ibisstall/internal/policy/placement"
+	"ibisstall.example/ibisstall/internal/settings"
+	"ibisstall.example/ibisstall/internal/system/queue"
+)
+
+func TestQueuePolicy_DefaultSettingsKeepTheDefaultPolicy(t *testing.T) {
+	is := is.New(t)
+	is.Equal(queuePolicy(settings.Default()), queue.DefaultPolicy())
+}
+
+func TestQueuePolicy_SettingsTakeEffect(t *testing.T) {
+	is := is.New(t)
+	s := settings.Default()
+	s.Policy.Order = settings.OrderFirstCome
+	s.Policy.Placement = settings.PlacementPlain
+	s.Policy.Ageing = 10 * time.Second
+	s.Engine.MaxConcurrent = 4
+	p := queuePolicy(s)
+	is.Equal(p.Queue.Order, order.KindFCFS)
+	is.Equal(p.Placement.Placer, placement.KindRoundRobin)
+	is.Equal(p.Queue.Fair.AgeingRate*10, float64(p.Queue.Fair.AttainedCap))
+	is.Equal(p.Queue.Permits.Max, 4)
+	is.Equal(p.Queue.Permits.Start, 4)
+}
+
+func TestTiming_SettingsTakeEffect(t *testing.T) {
+	is := is.New(t)
+	is.Equal(timing(settings.Default().Membership), membership.DefaultTiming())
+	got := timing(settings.Membership{ProbeInterval: 3 * time.Second, ProbeTimeout: time.Second, Suspicion: 2 * time.Second})
+	is.Equal(got.ProbeEvery, 3*time.Second)
+	is.Equal(got.AckTimeout, time.Second)
+	is.Equal(got.SuspicionTimeout, 2*time.Second)
+}
