--- a/internal/logging/tag/tag.go
+++ b/internal/logging/tag/tag.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/timeline"
 )
 
 // Keys of each line.
@@ -22,15 +23,24 @@
 // VM is the VM that a line comes from.
 func VM(id string) zap.Field { return zap.String("vm", id) }
 
-// DC is a data centre.
+// DC is the data centre of that VM.
 func DC(name string) zap.Field { return zap.String("dc", name) }
 
+// PeerDC is the data centre of the VM that a line is about.
+func PeerDC(name string) zap.Field { return zap.String("peer_dc", name) }
+
 // PeerVM is another VM that a line is about.
 func PeerVM(id string) zap.Field { return zap.String("peer_vm", id) }
 
 // VMState is the state of another VM.
 func VMState(s entity.VMState) zap.Field { return zap.String("vm_state", s.String()) }
 
+// Event is the kind of an event of the time line.
+func Event(kind timeline.Kind) zap.Field { return zap.String("event", string(kind)) }
+
+// MeshAddress is the address that other VMs call, host:port.
+func MeshAddress(hostPort string) zap.Field { return zap.String("mesh_address", hostPort) }
+
 // Address is a network address, host:port.
 func Address(hostPort string) zap.Field { return zap.String("address", hostPort) }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -14,6 +14,7 @@
 
 	"ibisstall.example/ibisstall/internal/clock"
 	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/logging/tag"
 	"ibisstall.example/ibisstall/internal/platform"
 	"ibisstall.example/ibisstall/internal/timeline"
 )
@@ -168,7 +169,7 @@
 			if ctx.Err() != nil {
 				return
 			}
-			m.log.Error("membership datagram not received", zap.Error(err))
+			m.log.Error("membership datagram not received", tag.Error(err))
 			<-m.clock.After(m.timing.Tick)
 			continue
 		}
@@ -210,7 +211,7 @@
 func (m *Membership) transmit(s *Send) {
 	datagram, err := m.keys.encode(&s.Message)
 	if err != nil {
-		m.log.Error("membership message not encoded", zap.Error(err))
+		m.log.Error("membership message not encoded", tag.Error(err))
 		return
 	}
 	// A datagram that can't be sent is a lost one; probing finds out.
@@ -233,7 +234,7 @@
 	m.metrics.event(kind)
 	detail := fmt.Sprintf("%s in %s, incarnation %d", e.VM.ID, e.VM.DC, e.VM.Incarnation)
 	m.recorder.Record(timeline.Event{Kind: kind, Detail: detail})
-	m.log.Info("membership changed", zap.String("event", string(kind)), zap.String("vm", e.VM.ID), zap.String("dc", e.VM.DC))
+	m.log.Info("membership changed", tag.Event(kind), tag.PeerVM(e.VM.ID), tag.PeerDC(e.VM.DC))
 }
 
 var timelineKinds = map[EventKind]timeline.Kind{
--- a/internal/membership/seeds.go
+++ b/internal/membership/seeds.go
@@ -5,8 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"go.uber.org/zap"
-
+	"ibisstall.example/ibisstall/internal/logging/tag"
 	"ibisstall.example/ibisstall/internal/platform"
 )
 
@@ -33,7 +32,7 @@
 	defer cancel()
 	listed, err := m.vmList.List(ctx)
 	if err != nil {
-		m.log.Debug("VM list not read", zap.Error(err))
+		m.log.Debug("VM list not read", tag.Error(err))
 		return
 	}
 	m.step(SetSeeds{Addrs: mergeSeeds(m.seeds, listed)})
--- a/internal/system/config/config.go
+++ b/internal/system/config/config.go
@@ -21,6 +21,7 @@
 
 	"ibisstall.example/ibisstall/internal/clock"
 	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/logging/tag"
 	"ibisstall.example/ibisstall/internal/platform"
 	"ibisstall.example/ibisstall/internal/timeline"
 )
@@ -142,7 +143,7 @@
 	}
 	m.o.Members.SetConfigVersion(c.Version)
 	m.o.Recorder.Record(timeline.Event{Kind: timeline.ConfigInForce, Detail: fmt.Sprintf("version %d by %s", c.Version, c.Author)})
-	m.o.Logger.Info("configuration in force", zap.Uint64("version", c.Version), zap.String("author", c.Author))
+	m.o.Logger.Info("configuration in force", tag.ConfigVersion(c.Version), tag.Author(c.Author))
 	return nil
 }
 
--- a/internal/system/config/spread.go
+++ b/internal/system/config/spread.go
@@ -8,9 +8,8 @@
 	"slices"
 	"sync"
 
-	"go.uber.org/zap"
-
 	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/logging/tag"
 	"ibisstall.example/ibisstall/internal/policy/ownership"
 )
 
@@ -57,7 +56,7 @@
 	}
 	if err != nil {
 		m.pollFailures.Inc()
-		m.o.Logger.Warn("configuration not read", zap.Error(err))
+		m.o.Logger.Warn("configuration not read", tag.Error(err))
 		return
 	}
 	m.mu.Lock()
@@ -99,7 +98,7 @@
 		}
 		if err := m.fetch(ctx, vm); err != nil {
 			m.fetchFailures.Inc()
-			m.o.Logger.Warn("configuration not fetched", zap.String("vm", vm.ID), zap.Error(err))
+			m.o.Logger.Warn("configuration not fetched", tag.PeerVM(vm.ID), tag.Error(err))
 		}
 	}
 	holders = m.holders()
--- a/internal/system/lease/dc.go
+++ b/internal/system/lease/dc.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"go.uber.org/zap"
 
 	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/logging/tag"
 	"ibisstall.example/ibisstall/internal/platform"
 	"ibisstall.example/ibisstall/internal/policy/ownership"
 )
@@ -76,7 +76,7 @@
 func (d *DC) report(ctx context.Context, err error) {
 	if err != nil && ctx.Err() == nil {
 		d.failures.Inc()
-		d.o.Logger.Warn("data centre lease not served", zap.Error(err))
+		d.o.Logger.Warn("data centre lease not served", tag.Error(err))
 	}
 }
 
--- a/internal/system/lease/vm.go
+++ b/internal/system/lease/vm.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"go.uber.org/zap"
 
+	"ibisstall.example/ibisstall/internal/logging/tag"
 	"ibisstall.example/ibisstall/internal/platform"
 	"ibisstall.example/ibisstall/internal/timeline"
 )
@@ -48,7 +48,7 @@
 func (l *VM) Run(ctx context.Context) {
 	l.o.every(ctx, l.o.Renew, func(ctx context.Context) {
 		if err := l.Renew(ctx); err != nil && ctx.Err() == nil {
-			l.o.Logger.Warn("VM lease not renewed", zap.Error(err))
+			l.o.Logger.Warn("VM lease not renewed", tag.Error(err))
 		}
 	})
 }
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -15,6 +15,7 @@
 
 	"go.uber.org/zap"
 
+	"ibisstall.example/ibisstall/internal/connlimit"
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/front"
 	"ibisstall.example/ibisstall/internal/keys"
@@ -104,6 +105,7 @@
 	if v.listener, err = net.Listen("tcp", v.s.VM.Listen); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
+	v.listener = connlimit.Listen(v.listener, v.s.Limits.Connections)
 	if v.callerTLS != nil {
 		v.listener = tls.NewListener(v.listener, v.callerTLS.Server("h2", "http/1.1"))
 	}
@@ -187,7 +189,7 @@
 	v.spawn(func() { failed <- serveHTTP(server, v.listener) })
 	v.spawn(func() { failed <- serveHTTP(adminServer, v.admin) })
 	v.startLoops(background)
-	v.log.Info("serving", zap.String("listen", v.Addr()), zap.String("mesh", v.MeshAddr()))
+	v.log.Info("serving", tag.Address(v.Addr()), tag.MeshAddress(v.MeshAddr()))
 
 	var err error
 	select {
