Ids that no other workspace can meet, and full pages in program lists

The id of a program starts with a tag of its workspace: an id of another one is refused by the front before anything is looked up, so that the answer takes the same work whether the program exists or not.

--- a/internal/front/calls.go
+++ b/internal/front/calls.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return owner.CallArgs{}, err
 	}
-	program, err := programID(h.id, "id")
+	program, err := programOf(workspace, h.id, "id")
 	if err != nil {
 		return owner.CallArgs{}, err
 	}
--- a/internal/front/fleet.go
+++ b/internal/front/fleet.go
@@ -56,7 +56,7 @@
 	}
 	var program entity.ProgramID
 	if p.Program != nil {
-		id, err := programID(*p.Program, "program")
+		id, err := programOf("", *p.Program, "program")
 		if err != nil {
 			return nil, err
 		}
--- a/internal/front/programs.go
+++ b/internal/front/programs.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"ibisstall.example/ibisstall/gen/programs"
 	"ibisstall.example/ibisstall/gen/types"
 	"ibisstall.example/ibisstall/internal/entity"
@@ -34,14 +31,14 @@
 	case p.Parent != nil && p.Budget != nil:
 		return nil, failure(nameBadRequest, "a sub-agent draws on its parent's budget and has none of its own", "budget")
 	case p.Parent != nil:
-		if args.Parent, err = programID(*p.Parent, "parent"); err != nil {
+		if args.Parent, err = programOf(workspace, *p.Parent, "parent"); err != nil {
 			return nil, err
 		}
 	case p.Budget == nil:
 		return nil, failure(nameBadRequest, "a program needs a budget or a parent", "budget")
 	default:
 		args.Budget = entity.Budget{Tokens: p.Budget.Tokens, Turns: p.Budget.Turns, Seconds: p.Budget.Seconds}
-		args.ID = s.f.rootID(workspace, requestID)
+		args.ID = entity.RootIDFor(s.f.o.DC, workspace, requestID)
 	}
 	reply, err := s.f.o.Router.Create(ctx, args)
 	if err != nil {
@@ -50,14 +47,6 @@
 	return programBody(&reply), nil
 }
 
-// rootID names a new program after its request, so that a repeat of the
-// request names the same program on any VM of the data centre.
-func (f *Front) rootID(workspace, requestID string) entity.ProgramID {
-	sum := xxhash.Sum64String(workspace + "\x00" + requestID)
-	again := xxhash.Sum64String(requestID + "\x00" + workspace)
-	return entity.NewProgramID(f.o.DC, fmt.Sprintf("%016x%016x", sum, again), "")
-}
-
 // List lists programs.
 func (s programService) List(ctx context.Context, p *programs.ListPayload) ([]*types.Program, error) {
 	workspace, err := s.f.reader(p.Authorization)
@@ -127,15 +116,21 @@
 	if err != nil {
 		return owner.ProgramArgs{}, err
 	}
-	pid, err := programID(id, "id")
+	pid, err := programOf(workspace, id, "id")
 	return owner.ProgramArgs{ID: pid, Workspace: workspace}, err
 }
 
-func programID(text, param string) (entity.ProgramID, error) {
+// programOf reads the id of a program of a workspace; an empty workspace, that
+// of operators, may see all. An id of another workspace is refused here, before
+// anything is looked up, as one that names no program.
+func programOf(workspace, text, param string) (entity.ProgramID, error) {
 	id := entity.ProgramID(text)
 	if err := id.Validate(); err != nil {
 		return "", failure(nameBadRequest, err.Error(), param)
 	}
+	if workspace != "" && !id.MayBelongTo(workspace) {
+		return "", failure(nameNotFound, "no such program", "")
+	}
 	return id, nil
 }
 
--- a/internal/system/owner/lifecycle.go
+++ b/internal/system/owner/lifecycle.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/mesh"
 	"ibisstall.example/ibisstall/internal/system/journal"
@@ -78,7 +75,7 @@
 	if err := checkActive(parent, f.rootRow()); err != nil {
 		return ProgramReply{}, err
 	}
-	id := childID(args)
+	id := entity.ChildIDFor(args.Parent, args.RequestID)
 	_, err = f.save(ctx, func(e *edit) error { return e.addChild(id, parent, f, args) })
 	if errors.Is(err, errChildExists) {
 		err = nil
@@ -90,14 +87,6 @@
 	return f.reply(id, args.Workspace)
 }
 
-// childID derives the id of a sub-agent from its request, so that a repeat
-// names the same one.
-func childID(args CreateArgs) entity.ProgramID {
-	root := args.Parent.Root()
-	sum := xxhash.Sum64String(string(args.Parent) + "\x00" + args.RequestID)
-	return root + entity.ProgramID(fmt.Sprintf(".c%016x", sum))
-}
-
 // errChildExists ends a change that would make a sub-agent a second time.
 var errChildExists = errors.New("sub-agent exists")
 
--- a/internal/vm/build.go
+++ b/internal/vm/build.go
@@ -169,7 +169,7 @@
 	return front.Options{
 		DC:        v.s.VM.DC,
 		Router:    v.router,
-		Lister:    lister{v},
+		Lister:    lister{v.batch},
 		Config:    v.table,
 		Fleet:     &fleet{v},
 		Operators: v.operators.Load,
@@ -200,24 +200,6 @@
 	})
 }
 
-// lister lists programs from the platform.
-type lister struct{ v *VM }
-
-// List implements front.Lister.
-func (l lister) List(ctx context.Context, dc, workspace string, after entity.ProgramID, limit int) ([]*entity.Program, error) {
-	rows, err := journal.List(ctx, l.v.batch, dc, after, limit)
-	if err != nil {
-		return nil, err
-	}
-	out := rows[:0]
-	for _, p := range rows {
-		if workspace == "" || p.Workspace == workspace {
-			out = append(out, p)
-		}
-	}
-	return out, nil
-}
-
 // register publishes the services that other VMs call.
 func (v *VM) register() error {
 	return errors.Join(
