Events of the platform and of sick endpoints, readiness before the first table

- A loop of the VM records PlatformLost, PlatformBack, EndpointSick and EndpointRecovered, and tells the other VMs whether this one reaches the platform.
Nothing recorded them before.
- /readyz failed while version 0 of the table was in force, so that the first edit could not go through a balancer.
A VM that has read that there is no table, or has one from a peer, is ready.
- The gauge of the certificate's end covers the certificate between VMs, too.
- /metrics shows the membership's and the configuration's metrics, which were registered in sets that nobody served.

--- a/internal/metric/vm.go
+++ b/internal/metric/vm.go
@@ -20,14 +20,14 @@
 	NamePrograms = Prefix + "programs_owned_count"
 	// NameQueued is the number of calls that wait on this VM.
 	NameQueued = Prefix + "calls_queued_count"
-	// NameCertificateEnd is the time until a certificate ends.
+	// NameCertificateEnd is the time until the first of the VM's certificates,
+	// that for callers and that between VMs, ends.
 	NameCertificateEnd = Prefix + "certificate_remaining_seconds"
 )
 
 // VMGauges are the readings of one VM. A nil function leaves its gauge out.
 type VMGauges struct {
 	VMs               func() float64
-	ConfigVersion     func() float64
 	PlatformReachable func() float64
 	Buffered          func() float64
 	BufferFill        func() float64
@@ -40,7 +40,6 @@
 func (g VMGauges) Register(r *Registry) {
 	for name, f := range map[string]func() float64{
 		NameVMs:               g.VMs,
-		NameConfigVersion:     g.ConfigVersion,
 		NamePlatformReachable: g.PlatformReachable,
 		NameBuffered:          g.Buffered,
 		NameBufferFill:        g.BufferFill,
--- a/internal/system/config/config.go
+++ b/internal/system/config/config.go
@@ -113,6 +113,14 @@
 // InForce returns the version in force. It is shared and must not be modified.
 func (m *Manager) InForce() *entity.Config { return m.inForce.Load() }
 
+// Known reports whether this VM knows what is in force: it has a version, or
+// has read from the platform that there is none yet.
+func (m *Manager) Known() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.read || m.InForce().Version > 0
+}
+
 // Changed returns a channel that is closed when the next version is in force.
 func (m *Manager) Changed() <-chan struct{} {
 	m.mu.Lock()
--- a/internal/vm/admin.go
+++ b/internal/vm/admin.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"ibisstall.example/ibisstall/internal/metric"
+	"ibisstall.example/ibisstall/internal/tlsconf"
 )
 
 // adminServer serves metrics and health on an address of its own.
@@ -27,7 +29,6 @@
 func (v *VM) gauges() metric.VMGauges {
 	g := metric.VMGauges{
 		VMs:               func() float64 { return float64(v.Peers()) },
-		ConfigVersion:     func() float64 { return float64(v.config().Version) },
 		PlatformReachable: func() float64 { return flag(v.platform.Reachable()) },
 		Buffered:          func() float64 { return float64(v.journal.Buffered()) },
 		BufferFill: func() float64 {
@@ -35,12 +36,28 @@
 		},
 		Programs: func() float64 { return float64(v.owner.Owned()) },
 	}
-	if v.callerTLS != nil {
-		g.CertificateEnd = func() float64 { return time.Until(v.callerTLS.Expiry()).Seconds() }
-	}
+	g.CertificateEnd = certificateEnd(v.callerTLS, v.meshTLS)
 	return g
 }
 
+// certificateEnd returns the reading of the time until the first of the
+// certificates ends; nil if there is none.
+func certificateEnd(sources ...*tlsconf.Source) func() float64 {
+	sources = slices.DeleteFunc(sources, func(s *tlsconf.Source) bool { return s == nil })
+	if len(sources) == 0 {
+		return nil
+	}
+	return func() float64 {
+		first := sources[0].Expiry()
+		for _, s := range sources[1:] {
+			if end := s.Expiry(); end.Before(first) {
+				first = end
+			}
+		}
+		return time.Until(first).Seconds()
+	}
+}
+
 func flag(on bool) float64 {
 	if on {
 		return 1
--- a/internal/vm/build.go
+++ b/internal/vm/build.go
@@ -98,6 +98,7 @@
 		VMList:    v.platform,
 		Recorder:  v.recorder,
 		Logger:    v.log,
+		Metrics:   v.metrics.Set(),
 		Timing:    timing(v.s.Membership),
 	})
 	return err
--- a/internal/vm/config.go
+++ b/internal/vm/config.go
@@ -24,6 +24,7 @@
 		Timeout:   v.s.Platform.Timeout,
 		Recorder:  v.recorder,
 		Logger:    v.log,
+		Metrics:   v.metrics.Set(),
 	})
 	return err
 }
--- a/internal/vm/loops.go
+++ b/internal/vm/loops.go
@@ -18,6 +18,7 @@
 // startLoops runs the systems that have a tick.
 func (v *VM) startLoops(ctx context.Context) {
 	v.watchTLS(ctx)
+	v.watchLoop(ctx)
 	v.loop(ctx, ownerTick, func(ctx context.Context) { v.owner.Tick(ctx) })
 	v.loop(ctx, v.s.Platform.VMListInterval, v.readList)
 	v.loop(ctx, keysEvery, v.readOperators)
--- /dev/null
+++ b/internal/vm/vm_test.go
@@ -0,0 +1,165 @@
+package vm_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"ibisstall.example/ibisstall/internal/keys"
+	"ibisstall.example/ibisstall/internal/settings"
+	"ibisstall.example/ibisstall/internal/standin/platformsvc"
+	"ibisstall.example/ibisstall/internal/vm"
+)
+
+// lone is one VM before a platform that holds nothing yet.
+type lone struct {
+	vm       *vm.VM
+	platform *platformsvc.Server
+	operator string
+	admin    string
+}
+
+func startLone(t *testing.T, adjust func(*lone, *settings.Settings)) *lone {
+	t.Helper()
+	l := &lone{platform: platformsvc.NewServer(platformsvc.NewStore()), operator: keys.Generate()}
+	server := httptest.NewServer(l.platform)
+	t.Cleanup(server.Close)
+	s := settings.Default()
+	s.VM.DC, s.VM.Region, s.VM.ID = "amman-a", "amman", "a1"
+	s.VM.Listen, s.VM.MeshListen, s.VM.GossipListen, s.VM.AdminListen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	s.Platform.TableURL, s.Platform.ObjectsURL, s.Platform.VMListURL = server.URL, server.URL, server.URL
+	s.Keys.OperatorKeyHashes = []string{keys.HashOf(l.operator).String()}
+	if adjust != nil {
+		adjust(l, s)
+	}
+	var err error
+	if l.vm, err = vm.New(s, zap.NewNop()); err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- l.vm.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		<-done
+	})
+	return l
+}
+
+func (l *lone) get(t *testing.T, url string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+l.operator)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body)
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(15 * time.Second)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatal("not in time: " + what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func TestReady_AVMThatHasReadThatThereIsNoTableTakesTheFirstOne(t *testing.T) {
+	is := is.New(t)
+	l := startLone(t, nil)
+	url := "http://" + l.vm.Addr()
+	eventually(t, "ready", func() bool {
+		status, _ := l.get(t, url+"/readyz")
+		return status == http.StatusNoContent
+	})
+	req, err := http.NewRequest(http.MethodPut, url+"/v1/table", strings.NewReader(`{"rows":[]}`))
+	is.NoErr(err)
+	req.Header.Set("Authorization", "Bearer "+l.operator)
+	req.Header.Set("If-Match", `"0"`)
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusOK)
+}
+
+func TestReady_AVMThatKnowsNothingYetIsNotReady(t *testing.T) {
+	is := is.New(t)
+	l := startLone(t, func(l *lone, _ *settings.Settings) {
+		is.NoErr(l.platform.SetControl(platformsvc.Control{Faults: []platformsvc.Fault{{Service: platformsvc.Table, Down: true}}}))
+	})
+	url := "http://" + l.vm.Addr()
+	eventually(t, "the loss of the platform is an event", func() bool {
+		_, body := l.get(t, url+"/v1/timeline")
+		return strings.Contains(body, "platform unreachable")
+	})
+	status, body := l.get(t, url+"/readyz")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(body, `"type":"not_run"`))
+	is.NoErr(l.platform.SetControl(platformsvc.Control{}))
+	eventually(t, "ready after the return of the platform", func() bool {
+		status, _ := l.get(t, url+"/readyz")
+		_, events := l.get(t, url+"/v1/timeline")
+		return status == http.StatusNoContent && strings.Contains(events, "platform reachable")
+	})
+}
+
+var sample = regexp.MustCompile(`(?m)^([a-z_0-9]+)(?:\{([^}]*)\})? `)
+
+func TestMetrics_NamesHaveUnitsAndLabelsAreBounded(t *testing.T) {
+	is := is.New(t)
+	l := startLone(t, func(l *lone, s *settings.Settings) { s.VM.AdminListen = freeAddress(t, l) })
+	var text string
+	eventually(t, "the membership counts", func() bool {
+		var status int
+		status, text = l.get(t, "http://"+l.admin+"/metrics")
+		return status == http.StatusOK && strings.Contains(text, "ibisstall_events_total")
+	})
+	if os.Getenv("SHOW_METRICS") != "" {
+		t.Log(text)
+	}
+	unit := regexp.MustCompile(`_(total|seconds|bytes|tokens|ratio|count|version|info)$`)
+	series := make(map[string]int)
+	for _, m := range sample.FindAllStringSubmatch(text, -1) {
+		if !strings.HasPrefix(m[1], "ibisstall_") {
+			continue // of the process and the runtime
+		}
+		series[m[1]]++
+		if !unit.MatchString(m[1]) {
+			t.Errorf("%s names no unit", m[1])
+		}
+	}
+	for name, n := range series {
+		if n > 65 {
+			t.Errorf("%s has %d series", name, n)
+		}
+	}
+	for _, name := range []string{"ibisstall_membership_bytes_sent_total", "ibisstall_config_version", "ibisstall_platform_reachable_count", "ibisstall_vms_alive_count"} {
+		is.Equal(series[name], 1)
+	}
+}
+
+func freeAddress(t *testing.T, l *lone) string {
+	t.Helper()
+	s := httptest.NewServer(nil)
+	defer s.Close()
+	l.admin = strings.TrimPrefix(s.URL, "http://")
+	return l.admin
+}
--- /dev/null
+++ b/internal/vm/watch_test.go
@@ -0,0 +1,45 @@
+package vm
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/timeline"
+)
+
+func TestWatch_Platform(t *testing.T) {
+	is := is.New(t)
+	var kinds []timeline.Kind
+	w := &watch{}
+	for _, reachable := range []bool{true, false, false, true, true, false} {
+		if e, changed := w.platform(reachable); changed {
+			kinds = append(kinds, e.Kind)
+		}
+	}
+	is.Equal(kinds, []timeline.Kind{timeline.PlatformLost, timeline.PlatformBack, timeline.PlatformLost})
+}
+
+func TestWatch_Endpoints(t *testing.T) {
+	is := is.New(t)
+	a, b := entity.Endpoint{Name: "a"}, entity.Endpoint{Name: "b"}
+	steps := []struct {
+		name   string
+		all    []entity.Endpoint
+		sick   string
+		events []timeline.Event
+	}{
+		{"healthy ones are not told", []entity.Endpoint{a, b}, "", nil},
+		{"one falls sick", []entity.Endpoint{a, b}, "a", []timeline.Event{{Kind: timeline.EndpointSick, Endpoint: "a"}}},
+		{"it stays sick", []entity.Endpoint{a, b}, "a", nil},
+		{"it recovers as another falls sick", []entity.Endpoint{a, b}, "b", []timeline.Event{
+			{Kind: timeline.EndpointRecovered, Endpoint: "a"}, {Kind: timeline.EndpointSick, Endpoint: "b"}}},
+		{"a sick one goes", []entity.Endpoint{a}, "b", nil},
+		{"it comes back healthy", []entity.Endpoint{a, b}, "", nil},
+	}
+	w := &watch{}
+	for _, s := range steps {
+		is.Equal(w.endpoints(s.all, func(name string) bool { return name == s.sick }), s.events)
+	}
+}
