--- a/internal/system/config/config.go
+++ b/internal/system/config/config.go
@@ -21,6 +21,7 @@
 
 	"ibisstall.example/ibisstall/internal/clock"
 	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/logging/tag"
 	"ibisstall.example/ibisstall/internal/platform"
 	"ibisstall.example/ibisstall/internal/timeline"
 )
@@ -112,6 +113,14 @@
 // InForce returns the version in force. It is shared and must not be modified.
 func (m *Manager) InForce() *entity.Config { return m.inForce.Load() }
 
+// Known reports whether this VM knows what is in force: it has a version, or
+// has read from the platform that there is none yet.
+func (m *Manager) Known() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.read || m.InForce().Version > 0
+}
+
 // Changed returns a channel that is closed when the next version is in force.
 func (m *Manager) Changed() <-chan struct{} {
 	m.mu.Lock()
@@ -142,7 +151,7 @@
 	}
 	m.o.Members.SetConfigVersion(c.Version)
 	m.o.Recorder.Record(timeline.Event{Kind: timeline.ConfigInForce, Detail: fmt.Sprintf("version %d by %s", c.Version, c.Author)})
-	m.o.Logger.Info("configuration in force", zap.Uint64("version", c.Version), zap.String("author", c.Author))
+	m.o.Logger.Info("configuration in force", tag.ConfigVersion(c.Version), tag.Author(c.Author))
 	return nil
 }
 
--- a/internal/vm/build.go
+++ b/internal/vm/build.go
@@ -16,6 +16,7 @@
 	"ibisstall.example/ibisstall/internal/mesh"
 	"ibisstall.example/ibisstall/internal/platform/batch"
 	"ibisstall.example/ibisstall/internal/platform/httpclient"
+	"ibisstall.example/ibisstall/internal/settings"
 	"ibisstall.example/ibisstall/internal/system/directory"
 	"ibisstall.example/ibisstall/internal/system/journal"
 	"ibisstall.example/ibisstall/internal/system/mirror"
@@ -38,6 +39,8 @@
 func (v *VM) build() error {
 	v.platform = httpclient.New(httpclient.Options{
 		BaseURL:    v.s.Platform.TableURL,
+		ObjectsURL: v.s.Platform.ObjectsURL,
+		VMListURL:  v.s.Platform.VMListURL,
 		DC:         v.s.VM.DC,
 		Timeout:    v.s.Platform.Timeout,
 		MaxTries:   uint(v.s.Platform.Attempts),
@@ -95,10 +98,21 @@
 		VMList:    v.platform,
 		Recorder:  v.recorder,
 		Logger:    v.log,
+		Metrics:   v.metrics.Set(),
+		Timing:    timing(v.s.Membership),
 	})
 	return err
 }
 
+// timing returns the pace of probing that the settings ask for.
+func timing(s settings.Membership) membership.Timing {
+	t := membership.DefaultTiming()
+	t.ProbeEvery = s.ProbeInterval
+	t.AckTimeout = s.ProbeTimeout
+	t.SuspicionTimeout = s.Suspicion
+	return t
+}
+
 // developmentKey signs the traffic of a fleet without a key file, which
 // settings allow on loopback only.
 const developmentKey = "ibisstall-fleet-without-a-key-file"
@@ -156,7 +170,7 @@
 	return front.Options{
 		DC:        v.s.VM.DC,
 		Router:    v.router,
-		Lister:    lister{v},
+		Lister:    lister{v.batch},
 		Config:    v.table,
 		Fleet:     &fleet{v},
 		Operators: v.operators.Load,
@@ -187,24 +201,6 @@
 	})
 }
 
-// lister lists programs from the platform.
-type lister struct{ v *VM }
-
-// List implements front.Lister.
-func (l lister) List(ctx context.Context, dc, workspace string, after entity.ProgramID, limit int) ([]*entity.Program, error) {
-	rows, err := journal.List(ctx, l.v.batch, dc, after, limit)
-	if err != nil {
-		return nil, err
-	}
-	out := rows[:0]
-	for _, p := range rows {
-		if workspace == "" || p.Workspace == workspace {
-			out = append(out, p)
-		}
-	}
-	return out, nil
-}
-
 // register publishes the services that other VMs call.
 func (v *VM) register() error {
 	return errors.Join(
