Run the load against a running system

A program is made over the public interface, calls carry their new messages only, and refusals are told from failures by their status. Callers can't see what engines had cached, so the wasted prefix is null there.

--- a/cmd/ibisstall/load.go
+++ b/cmd/ibisstall/load.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
 	"ibisstall.example/ibisstall/internal/load"
+	"ibisstall.example/ibisstall/internal/settings"
 )
 
 func init() {
@@ -27,6 +29,9 @@
 	})
 }
 
+// realTime is the scale of a run against a running system.
+const realTime = 1
+
 // listLag is the lag of the endpoint list after a loss of engines.
 const listLag = 10 * time.Second
 
@@ -35,6 +40,10 @@
 	Shape    string        `long:"shape" choice:"tasting" choice:"rounds" default:"tasting" description:"kind of programs"`
 	Seed     uint64        `long:"seed" default:"1" description:"seed of the arrivals and programs"`
 	Local    bool          `long:"local" description:"run against stand-in engines in this process"`
+	URL      string        `long:"url" description:"run against the system at this URL, in real time, as one workspace"`
+	KeyFile  string        `long:"key-file" value-name:"FILE" description:"file with the workspace's key, closed to others; for --url"`
+	Model    string        `long:"model" default:"agent" description:"model to call; for --url"`
+	Rate     float64       `long:"rate" default:"0.2" description:"programs a second; for --url"`
 	Engines  int           `long:"engines" default:"10" description:"number of stand-in engines"`
 	Load     float64       `long:"load" default:"0.9" description:"arrival rate as a share of the engines' capacity"`
 	Duration time.Duration `long:"duration" default:"4m" description:"time of arrivals, in the time of the workload"`
@@ -57,6 +66,9 @@
 	if c.Suite {
 		return c.suite(ctx)
 	}
+	if c.URL != "" {
+		return c.remote(ctx)
+	}
 	report, err := load.RunScenario(ctx, load.Scenario{
 		Shape: load.Shape(c.Shape), Seed: c.Seed, Engines: c.Engines, LoadShare: c.Load,
 		Profile: load.DefaultEngine(), Scale: c.Scale, Duration: c.Duration, Without: c.parts(),
@@ -78,6 +90,22 @@
 	return nil
 }
 
+// remote runs against a running system.
+func (c *LoadCommand) remote(ctx context.Context) error {
+	key, err := settings.ReadSecret(c.KeyFile)
+	if err != nil {
+		return fmt.Errorf("workspace's key: %w", err)
+	}
+	target := load.NewRemote(c.URL, string(key.Reveal()), c.Model, &http.Client{})
+	report, err := load.RunRemote(ctx, load.PlanConfig{
+		Shape: load.Shape(c.Shape), Seed: c.Seed, Rate: c.Rate, Duration: c.Duration,
+	}, realTime, target)
+	if err != nil {
+		return fmt.Errorf("run load: %w", err)
+	}
+	return c.write(report)
+}
+
 func (c *LoadCommand) parts() []load.Part {
 	parts := make([]load.Part, len(c.Without))
 	for i, name := range c.Without {
@@ -88,8 +116,14 @@
 
 func (c *LoadCommand) check() error {
 	switch {
-	case !c.Local:
-		return &usageError{"load needs --local"}
+	case c.Local == (c.URL != ""):
+		return &usageError{"load needs either --local or --url"}
+	case c.URL != "" && c.KeyFile == "":
+		return &usageError{"--url needs --key-file"}
+	case c.URL != "" && (c.Compare || c.Suite || c.Lose > 0 || len(c.Without) > 0):
+		return &usageError{"--compare, --suite, --lose and --without need --local"}
+	case !(c.Rate > 0):
+		return &usageError{"--rate must be above 0"}
 	case c.Engines <= 0:
 		return &usageError{"--engines must be above 0"}
 	case !(c.Load > 0):
--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -184,8 +184,8 @@
 	{"p95, s", func(s *Summary) string { return seconds(s.FirstToken.P95) }},
 	{"between tokens p50, ms", func(s *Summary) string { return seconds(s.BetweenTokens.P50 * 1000) }},
 	{"p95, ms", func(s *Summary) string { return seconds(s.BetweenTokens.P95 * 1000) }},
-	{"wasted prefix", func(s *Summary) string { return fmt.Sprintf("%.3f", s.WastedPrefix) }},
-	{"reusable prefix", func(s *Summary) string { return fmt.Sprintf("%.3f", s.ReusablePrefix) }},
+	{"wasted prefix", func(s *Summary) string { return share(s.WastedPrefix) }},
+	{"reusable prefix", func(s *Summary) string { return share(s.ReusablePrefix) }},
 	{"programs arrived", func(s *Summary) string { return fmt.Sprint(s.Arrived) }},
 	{"finished", func(s *Summary) string { return fmt.Sprint(s.Finished) }},
 	{"refused at the first call", func(s *Summary) string { return fmt.Sprint(s.Refused) }},
@@ -199,3 +199,11 @@
 }
 
 func seconds(v float64) string { return fmt.Sprintf("%.2f", v) }
+
+// share formats a share that may not be known.
+func share(v *float64) string {
+	if v == nil {
+		return "unknown"
+	}
+	return fmt.Sprintf("%.3f", *v)
+}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -71,8 +71,8 @@
 		is.Equal(s.Failed, 0)
 		is.True(s.Calls > s.Finished)
 		is.True(s.ProgramLatency.P50 > 0 && s.ProgramLatency.P50 <= s.ProgramLatency.P99)
-		is.True(s.WastedPrefix >= 0 && s.WastedPrefix <= 1)
-		is.True(s.ReusablePrefix > 0.5) // the shared context
+		is.True(*s.WastedPrefix >= 0 && *s.WastedPrefix <= 1)
+		is.True(*s.ReusablePrefix > 0.5) // the shared context
 		is.Equal(s.HeldAfter, int64(0))
 	}
 	is.Equal(r.Policy.Arrived, r.Baseline.Arrived) // the same arrivals
--- a/internal/load/outcome.go
+++ b/internal/load/outcome.go
@@ -130,10 +130,10 @@
 	FirstToken     Percentiles `json:"first_token_seconds"`
 	BetweenTokens  Percentiles `json:"between_tokens_seconds"`
 	// WastedPrefix is the share of the prompt tokens held by some engine that
-	// was computed again.
-	WastedPrefix float64 `json:"wasted_prefix_ratio"`
-	// ReusablePrefix is the share of the prompt tokens held by some engine.
-	ReusablePrefix float64 `json:"reusable_prefix_ratio"`
+	// was computed again, ReusablePrefix the share of the prompt tokens held by
+	// some engine. Both are nil where that isn't known.
+	WastedPrefix   *float64 `json:"wasted_prefix_ratio"`
+	ReusablePrefix *float64 `json:"reusable_prefix_ratio"`
 
 	Arrived    int `json:"programs_arrived"`
 	Finished   int `json:"programs_finished"`
@@ -162,12 +162,14 @@
 func (o *Outcome) Summary() Summary {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	wasted := ratio(float64(o.wasted), float64(o.reusable))
+	reusable := ratio(float64(o.reusable), float64(o.prompt))
 	s := Summary{
 		ProgramLatency: percentilesOf(o.latency),
 		FirstToken:     percentilesOf(o.firstToken),
 		BetweenTokens:  percentilesOf(o.betweens),
-		WastedPrefix:   ratio(float64(o.wasted), float64(o.reusable)),
-		ReusablePrefix: ratio(float64(o.reusable), float64(o.prompt)),
+		WastedPrefix:   &wasted,
+		ReusablePrefix: &reusable,
 		Arrived:        o.arrived, Finished: o.finished, Unfinished: o.unfinished, Failed: o.failed,
 		Refused: o.refusedNew, Refusals: o.refusals, Calls: o.calls,
 		Fairness:        o.fairness(),
--- /dev/null
+++ b/internal/load/remote.go
@@ -0,0 +1,254 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"ibisstall.example/ibisstall/internal/entity"
+)
+
+// Remote runs a load against a running system, as one workspace. What engines
+// have cached is not known to callers, so the wasted prefix isn't either.
+type Remote struct {
+	url, key, model string
+	run             string // tells the request ids of runs apart
+	client          *http.Client
+	programs        sync.Map // entity.ProgramID of the system by that of the plan
+}
+
+// NewRemote returns a target for a system. The URL is of a VM, or of the
+// balancer before the VMs; the key is a workspace's.
+func NewRemote(url, key, model string, client *http.Client) *Remote {
+	return &Remote{url: strings.TrimSuffix(url, "/"), key: key, model: model, run: fmt.Sprintf("%016x", rand.Uint64()), client: client}
+}
+
+// budgetBody is the budget of a new program.
+type budgetBody struct {
+	Tokens  int64 `json:"tokens"`
+	Turns   int64 `json:"turns"`
+	Seconds int64 `json:"seconds"`
+}
+
+// createBody asks for a new program.
+type createBody struct {
+	Parent string      `json:"parent,omitempty"`
+	Budget *budgetBody `json:"budget,omitempty"`
+}
+
+// programBudget is wide enough for every generated program.
+var programBudget = budgetBody{Tokens: 1 << 20, Turns: 1000, Seconds: 3600}
+
+// Begin implements Target.
+func (r *Remote) Begin(ctx context.Context, p *Program, parent entity.ProgramID) error {
+	body := createBody{Budget: &programBudget}
+	if parent != "" {
+		body = createBody{Parent: r.idOf(parent)}
+	}
+	res, err := r.post(ctx, "/v1/programs", "begin-"+string(p.ID), body)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	var made struct {
+		ID string `json:"id"`
+	}
+	if err := json.NewDecoder(res.Body).Decode(&made); err != nil {
+		return fmt.Errorf("read new program: %w", err)
+	}
+	r.programs.Store(p.ID, made.ID)
+	return nil
+}
+
+func (r *Remote) idOf(id entity.ProgramID) string {
+	made, _ := r.programs.Load(id)
+	s, _ := made.(string)
+	return s
+}
+
+// endTimeout bounds the end of one program.
+const endTimeout = 10 * time.Second
+
+// End implements Target.
+func (r *Remote) End(p *Program) {
+	if !p.ID.IsRoot() {
+		return // ends with its root
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, r.url+"/v1/programs/"+r.idOf(p.ID), nil)
+	if err != nil {
+		return
+	}
+	req.Header.Set("Authorization", "Bearer "+r.key)
+	if res, err := r.client.Do(req); err == nil {
+		res.Body.Close()
+	}
+}
+
+// chatBody is a streamed model call.
+type chatBody struct {
+	Model         string           `json:"model"`
+	Messages      []entity.Message `json:"messages"`
+	MaxTokens     int64            `json:"max_tokens"`
+	Stream        bool             `json:"stream"`
+	StreamOptions streamOptions    `json:"stream_options"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// Call implements Target. The system keeps the history, so a call carries its
+// new messages only.
+func (r *Remote) Call(ctx context.Context, c *conversation, _ *Step) (callResult, error) {
+	began := time.Now()
+	body := chatBody{
+		Model: r.model, Messages: c.messages[len(c.messages)-c.unsent:], MaxTokens: maxAnswer,
+		Stream: true, StreamOptions: streamOptions{IncludeUsage: true},
+	}
+	res, err := r.post(ctx, "/v1/programs/"+r.idOf(c.program.ID)+"/chat/completions", c.callID(), body)
+	if err != nil {
+		return callResult{}, err
+	}
+	defer res.Body.Close()
+	return readStream(res.Body, began)
+}
+
+// streamEvent is what the load reads of a chunk.
+type streamEvent struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Usage *struct {
+		PromptTokens     int64 `json:"prompt_tokens"`
+		CompletionTokens int64 `json:"completion_tokens"`
+	} `json:"usage"`
+	Error *struct {
+		Type    string `json:"type"`
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+var errCutStream = errors.New("stream ended without its end mark")
+
+func readStream(body io.Reader, began time.Time) (callResult, error) {
+	const endMark = "[DONE]"
+	var out callResult
+	var text strings.Builder
+	var first, last time.Time
+	chunks := 0
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		data, isData := bytes.CutPrefix(lines.Bytes(), []byte("data: "))
+		if !isData {
+			continue
+		}
+		if string(data) == endMark {
+			out.finish(began, first, last, chunks)
+			out.Answer = textMessage("assistant", text.String())
+			return out, nil
+		}
+		var e streamEvent
+		if err := json.Unmarshal(data, &e); err != nil {
+			return out, fmt.Errorf("read chunk: %w", err)
+		}
+		if e.Error != nil {
+			return out, fmt.Errorf("call failed in its stream: %s: %s", e.Error.Type, e.Error.Message)
+		}
+		if e.Usage != nil {
+			out.Prompt, out.Generated = e.Usage.PromptTokens, e.Usage.CompletionTokens
+		}
+		if len(e.Choices) == 0 {
+			continue
+		}
+		text.WriteString(e.Choices[0].Delta.Content)
+		last = time.Now()
+		if chunks == 0 {
+			first = last
+		}
+		chunks++
+	}
+	if err := lines.Err(); err != nil {
+		return out, fmt.Errorf("read stream: %w", err)
+	}
+	return out, errCutStream
+}
+
+func (r *callResult) finish(began, first, last time.Time, chunks int) {
+	r.Total = time.Since(began)
+	if chunks > 0 {
+		r.FirstToken = first.Sub(began)
+	}
+	if chunks > 1 {
+		r.Between = last.Sub(first) / time.Duration(chunks-1)
+	}
+}
+
+// post sends a request and returns a good answer, a *RefusedError for a call
+// that was not run, or another error.
+func (r *Remote) post(ctx context.Context, path, key string, body any) (*http.Response, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, fmt.Errorf("encode request: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, fmt.Errorf("make request: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+r.key)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Idempotency-Key", r.run+"-"+key)
+	res, err := r.client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("send request: %w", err)
+	}
+	if res.StatusCode < http.StatusBadRequest {
+		return res, nil
+	}
+	defer res.Body.Close()
+	return nil, refusalOfStatus(res)
+}
+
+// defaultRetryAfter is used where a refusal names no time to come back after.
+const defaultRetryAfter = time.Second
+
+func refusalOfStatus(res *http.Response) error {
+	const maxErrorBody = 4096
+	text, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBody))
+	if res.StatusCode != http.StatusTooManyRequests && res.StatusCode != http.StatusServiceUnavailable {
+		return fmt.Errorf("status %d: %s", res.StatusCode, text)
+	}
+	after := defaultRetryAfter
+	if s, err := time.ParseDuration(res.Header.Get("Retry-After") + "s"); err == nil {
+		after = s
+	}
+	return &RefusedError{Reason: http.StatusText(res.StatusCode), RetryAfter: after}
+}
+
+// RunRemote plays a plan against a running system. Arrivals and pauses go
+// faster than real time by scale, which is 1 for a system at its real speed.
+func RunRemote(ctx context.Context, plan PlanConfig, scale float64, target *Remote) (*Report, error) {
+	p, err := NewPlan(plan)
+	if err != nil {
+		return nil, err
+	}
+	warmUp := time.Duration(warmUpShare * float64(plan.Duration))
+	summary := Run(ctx, p, target, RunConfig{Clock: Clock{Scale: scale}, WarmUp: warmUp, Patience: patience}).Summary()
+	summary.WastedPrefix, summary.ReusablePrefix = nil, nil
+	return &Report{
+		Shape: plan.Shape, Seed: plan.Seed, ProgramsPerSec: plan.Rate,
+		DurationSeconds: plan.Duration.Seconds(), Scale: scale, Policy: &summary,
+	}, ctx.Err()
+}
--- a/internal/load/suite.go
+++ b/internal/load/suite.go
@@ -55,7 +55,7 @@
 
 func writeMarkdown(w io.Writer, where, which string, s *Summary) {
 	l := s.ProgramLatency
-	fmt.Fprintf(w, "| %s | %s | %.1f | %.1f | %.1f | %.1f | %.2f | %.0f | %.3f | %d | %d | %d | %.3f | %d |\n",
+	fmt.Fprintf(w, "| %s | %s | %.1f | %.1f | %.1f | %.1f | %.2f | %.0f | %s | %d | %d | %d | %.3f | %d |\n",
 		where, which, l.P50, l.P95, l.P99, s.Longest, s.FirstToken.P95, s.BetweenTokens.P95*1000,
-		s.WastedPrefix, s.Finished, s.Refused, s.Unfinished, s.Fairness, s.HeldAfter)
+		share(s.WastedPrefix), s.Finished, s.Refused, s.Unfinished, s.Fairness, s.HeldAfter)
 }
