Give up engines that are out of reach sooner

A stream from a black-holed engine was probed 30 times, 150 s at the default limit of silence. Now one probe without an answer ends a call that has had no chunk, and three limits of silence one in the middle of its answer.

--- a/internal/endpoint/assembly.go
+++ b/internal/endpoint/assembly.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/tidwall/gjson"
 
@@ -122,7 +123,8 @@
 	maxTokens int64
 	onChunk   func(Chunk) error
 
-	next    int // number of the next event wanted
+	reached time.Time // last time that a connection to the engine had answered
+	next    int       // number of the next event wanted
 	text    strings.Builder
 	hasText bool
 	calls   []toolCall
@@ -131,6 +133,10 @@
 	done    bool
 }
 
+func newAssembly(req *ChatRequest, onChunk func(Chunk) error) *assembly {
+	return &assembly{callID: req.CallID, maxTokens: req.MaxTokens, onChunk: onChunk, reached: time.Now()}
+}
+
 // chunkError is an error of the caller's onChunk.
 type chunkError struct{ err error }
 
--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return ChatAnswer{}, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	a := &assembly{callID: req.CallID, maxTokens: req.MaxTokens, onChunk: onChunk}
+	a := newAssembly(&req, onChunk)
 	return e.conclude(ctx, &req, a, e.open(ctx, &req, body, a))
 }
 
@@ -61,7 +61,7 @@
 // the request is not sent. An engine that doesn't have the stream any more
 // gives ErrUnanswered.
 func (e *Engine) Resume(ctx context.Context, req ChatRequest, onChunk func(Chunk) error) (ChatAnswer, error) {
-	a := &assembly{callID: req.CallID, maxTokens: req.MaxTokens, onChunk: onChunk}
+	a := newAssembly(&req, onChunk)
 	return e.conclude(ctx, &req, a, e.resume(ctx, a))
 }
 
@@ -123,10 +123,23 @@
 			idle = 0
 			pause.Reset()
 		}
+		if resumable(ctx, err) && e.outOfReach(a) {
+			return fmt.Errorf("%w: engine is out of reach: %w", ErrUnanswered, err)
+		}
 	}
 	return err
 }
 
+// outOfReach reports whether an engine has not answered for so long that the
+// call is better made elsewhere. Before the first chunk that costs little.
+func (e *Engine) outOfReach(a *assembly) bool {
+	limit := e.options.OutOfReach
+	if a.next == 0 {
+		limit = e.options.Silence
+	}
+	return time.Since(a.reached) > limit
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -215,6 +228,7 @@
 		_ = res.Body.Close()
 		return err
 	}
+	defer func() { a.reached = time.Now() }()
 	watched := watchedBody{ReadCloser: res.Body, watch: w}
 	err = a.readFrom(watched, e.options.MaxAnswer)
 	if err != nil {
--- a/internal/endpoint/silence_test.go
+++ b/internal/endpoint/silence_test.go
@@ -44,7 +44,7 @@
 			is := is.New(t)
 			standin := runner.NewEngine(runner.EngineOptions{Models: []string{model}, DecodePerToken: 2 * time.Millisecond})
 			p, ep := newProxied(t, httptest.NewServer(standin))
-			client := endpoint.NewEngine(ep, newClient(t), endpoint.Options{Silence: 60 * time.Millisecond})
+			client := endpoint.NewEngine(ep, newClient(t), endpoint.Options{Silence: 60 * time.Millisecond, OutOfReach: time.Minute})
 			rec := &recorder{t: t}
 			var healing *time.Timer
 			got, err := client.Chat(t.Context(), chatRequest("c-1", runner.MarkerSay+sentence), func(chunk endpoint.Chunk) error {
@@ -68,6 +68,40 @@
 	}
 }
 
+func TestEngine_ChatGivesAnEngineOutOfReachUp(t *testing.T) {
+	cases := []struct {
+		name   string
+		after  int // chunks before the network drops everything
+		resume int // attempts at most
+	}{
+		{"before the first chunk after one probe", 0, 1},
+		{"in the middle of an answer after some", 3, 3},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			standin := runner.NewEngine(runner.EngineOptions{Models: []string{model}, DecodePerToken: 2 * time.Millisecond})
+			p, ep := newProxied(t, httptest.NewServer(standin))
+			resumes := 0
+			client := endpoint.NewEngine(ep, newClient(t), endpoint.Options{
+				Silence:  50 * time.Millisecond,
+				OnResume: func(string) { resumes++ },
+			})
+			if c.after == 0 {
+				is.NoErr(p.Set(faultproxy.Blackhole))
+			}
+			_, err := client.Chat(t.Context(), chatRequest("c-1", runner.MarkerSay+sentence), func(chunk endpoint.Chunk) error {
+				if chunk.Seq == c.after {
+					return p.Set(faultproxy.Blackhole)
+				}
+				return nil
+			})
+			is.True(errors.Is(err, endpoint.ErrUnanswered))
+			is.True(resumes >= 1 && resumes <= c.resume)
+		})
+	}
+}
+
 // TestCaller_IdleConnectionsThatWentSilent shows why a call that must not be
 // repeated goes over a new connection.
 func TestCaller_IdleConnectionsThatWentSilent(t *testing.T) {
--- a/internal/endpoint/transport.go
+++ b/internal/endpoint/transport.go
@@ -20,6 +20,7 @@
 	DefaultResumes       = 30
 	DefaultMaxAnswer     = 64 << 20 // bytes
 	DefaultAdminDeadline = 2 * time.Second
+	silencesOutOfReach   = 3
 	cancelDeadline       = 2 * time.Second
 	drainBytes           = 16 << 10
 )
@@ -32,6 +33,10 @@
 	// Resumes is the number of times that a stream is resumed without a new
 	// chunk in between.
 	Resumes int
+	// OutOfReach is the time without an answer to an attempt to resume after
+	// which a stream is given up; one that has had no chunk yet is given up
+	// after Silence.
+	OutOfReach time.Duration
 	// MaxAnswer is the largest answer in bytes.
 	MaxAnswer int64
 	// AdminDeadline bounds each request that is not a call.
@@ -44,6 +49,9 @@
 	if o.Silence <= 0 {
 		o.Silence = DefaultSilence
 	}
+	if o.OutOfReach <= 0 {
+		o.OutOfReach = silencesOutOfReach * o.Silence
+	}
 	if o.Resumes <= 0 {
 		o.Resumes = DefaultResumes
 	}
