--- a/internal/endpoint/transport.go
+++ b/internal/endpoint/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -19,6 +20,7 @@
 	DefaultResumes       = 30
 	DefaultMaxAnswer     = 64 << 20 // bytes
 	DefaultAdminDeadline = 2 * time.Second
+	silencesOutOfReach   = 3
 	cancelDeadline       = 2 * time.Second
 	drainBytes           = 16 << 10
 )
@@ -31,6 +33,10 @@
 	// Resumes is the number of times that a stream is resumed without a new
 	// chunk in between.
 	Resumes int
+	// OutOfReach is the time without an answer to an attempt to resume after
+	// which a stream is given up; one that has had no chunk yet is given up
+	// after Silence.
+	OutOfReach time.Duration
 	// MaxAnswer is the largest answer in bytes.
 	MaxAnswer int64
 	// AdminDeadline bounds each request that is not a call.
@@ -43,6 +49,9 @@
 	if o.Silence <= 0 {
 		o.Silence = DefaultSilence
 	}
+	if o.OutOfReach <= 0 {
+		o.OutOfReach = silencesOutOfReach * o.Silence
+	}
 	if o.Resumes <= 0 {
 		o.Resumes = DefaultResumes
 	}
@@ -105,11 +114,21 @@
 // trace returns a context under which the request reports how far it got.
 func (s *sending) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:      func(httptrace.GotConnInfo) { s.connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			s.connected.Store(true)
+			if speaksHTTP2(info.Conn) {
+				s.wrote.Store(true) // it reports the header only after it has left
+			}
+		},
 		WroteHeaders: func() { s.wrote.Store(true) },
 	})
 }
 
+func speaksHTTP2(c net.Conn) bool {
+	secure, ok := c.(*tls.Conn)
+	return ok && secure.ConnectionState().NegotiatedProtocol == "h2"
+}
+
 // classify turns a transport error into ErrNotSent or ErrUnanswered. The last
 // bytes of a request's header leave only after WroteHeaders, and a failed
 // connection is closed before the transport returns, so a request whose
