Report how late the machine's timers were in a load run

Stand-in engines run slower than their profile on a machine that is short of processor time. Runs are only comparable with the lateness beside them.

--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -195,6 +195,7 @@
 	{"retries for each call", func(s *Summary) string { return fmt.Sprintf("%.3f", s.RetryRatio) }},
 	{"tokens held after the run", func(s *Summary) string { return fmt.Sprint(s.HeldAfter) }},
 	{"fairness (Jain)", func(s *Summary) string { return fmt.Sprintf("%.3f", s.Fairness) }},
+	{"timers late p95, ms", func(s *Summary) string { return seconds(s.Lateness.P95 * 1000) }},
 	{"generated tokens/s", func(s *Summary) string { return fmt.Sprintf("%.0f", s.TokensPerSecond) }},
 }
 
--- a/internal/load/outcome.go
+++ b/internal/load/outcome.go
@@ -17,6 +17,7 @@
 	latency    *hdrhistogram.Histogram // microseconds
 	firstToken *hdrhistogram.Histogram
 	betweens   *hdrhistogram.Histogram
+	lateness   *hdrhistogram.Histogram // of timers, in real time
 	arrived    int
 	finished   int
 	unfinished int
@@ -45,7 +46,7 @@
 		return hdrhistogram.New(lowestMicros, highestMicros, significantDig)
 	}
 	return &Outcome{
-		latency: histogram(), firstToken: histogram(), betweens: histogram(),
+		latency: histogram(), firstToken: histogram(), betweens: histogram(), lateness: histogram(),
 		refusals: make(map[string]int),
 		offered:  make(map[string]float64, len(plan.Workspaces)),
 		served:   make(map[string]float64, len(plan.Workspaces)),
@@ -154,8 +155,12 @@
 	RetryRatio float64 `json:"retry_ratio"`
 	// HeldAfter counts the tokens that engines still hold for programs ten
 	// seconds after the run.
-	HeldAfter int64  `json:"held_tokens_after"`
-	Error     string `json:"last_error,omitempty"`
+	HeldAfter int64 `json:"held_tokens_after"`
+	// Lateness tells by how much timers of the machine fired too late, in
+	// real seconds: if it is long, the machine was short of processor time,
+	// and the other figures are worse than the policy's own.
+	Lateness Percentiles `json:"timer_lateness_seconds"`
+	Error    string      `json:"last_error,omitempty"`
 }
 
 // Summary returns the result.
@@ -173,6 +178,7 @@
 		Arrived:        o.arrived, Finished: o.finished, Unfinished: o.unfinished, Failed: o.failed,
 		Refused: o.refusedNew, Refusals: o.refusals, Calls: o.calls,
 		Fairness:        o.fairness(),
+		Lateness:        percentilesOf(o.lateness),
 		Longest:         o.longest.Seconds(),
 		TokensPerSecond: ratio(float64(o.generated), o.Elapsed.Seconds()),
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -87,6 +87,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.Clock.real(last+cfg.Patience))
 	defer cancel()
+	watchCtx, endWatch := context.WithCancel(ctx)
+	var watch sync.WaitGroup
+	watch.Go(func() { watchLateness(watchCtx, r.out.lateness) })
 	var programs sync.WaitGroup
 	for i := range plan.Programs {
 		p := &plan.Programs[i]
@@ -96,6 +99,8 @@
 		programs.Go(func() { r.program(ctx, p) })
 	}
 	programs.Wait()
+	endWatch()
+	watch.Wait()
 	r.out.Elapsed = r.cfg.Clock.workload(time.Since(r.cfg.Clock.start))
 	return r.out
 }
--- a/internal/load/suite.go
+++ b/internal/load/suite.go
@@ -34,8 +34,8 @@
 // policy and the baseline, and writes a Markdown table as it goes.
 func RunSuite(ctx context.Context, w io.Writer, c SuiteConfig) error {
 	fmt.Fprintf(w, "Seed %d, %s of arrivals, scale %g. Latencies of whole programs in seconds.\n\n", c.Seed, c.Duration, c.Scale)
-	fmt.Fprintln(w, "| site | load | | p50 | p95 | p99 | longest | first token p95 | between tokens p95, ms | wasted prefix | finished | refused | unfinished | fairness | held after |")
-	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	fmt.Fprintln(w, "| site | load | | p50 | p95 | p99 | longest | first token p95 | between tokens p95, ms | wasted prefix | finished | refused | unfinished | fairness | held after | timers late p95, ms |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for _, s := range suiteSites {
 		for _, share := range suiteLoads {
 			r, err := RunScenario(ctx, Scenario{
@@ -55,7 +55,7 @@
 
 func writeMarkdown(w io.Writer, where, which string, s *Summary) {
 	l := s.ProgramLatency
-	fmt.Fprintf(w, "| %s | %s | %.1f | %.1f | %.1f | %.1f | %.2f | %.0f | %s | %d | %d | %d | %.3f | %d |\n",
+	fmt.Fprintf(w, "| %s | %s | %.1f | %.1f | %.1f | %.1f | %.2f | %.0f | %s | %d | %d | %d | %.3f | %d | %.1f |\n",
 		where, which, l.P50, l.P95, l.P99, s.Longest, s.FirstToken.P95, s.BetweenTokens.P95*1000,
-		share(s.WastedPrefix), s.Finished, s.Refused, s.Unfinished, s.Fairness, s.HeldAfter)
+		share(s.WastedPrefix), s.Finished, s.Refused, s.Unfinished, s.Fairness, s.HeldAfter, s.Lateness.P95*1000)
 }
