--- a/internal/system/owner/family.go
+++ b/internal/system/owner/family.go
@@ -254,13 +254,6 @@
 	f.attained += tokens
 }
 
-// idle reports whether no call is under way.
-func (f *family) idle() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.running == 0
-}
-
 // dropEnded forgets the calls that ended more than keep ago.
 func (f *family) dropEnded(now time.Time, keep time.Duration) {
 	f.mu.Lock()
