--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -116,7 +116,7 @@
 			wait(ctx, pause.NextBackOff())
 		}
 		e.options.OnResume(req.CallID)
-		e.conns.reused.CloseIdleConnections()
+		e.conns.distrust()
 		err = e.resume(ctx, a)
 		idle++
 		if a.next > before {
@@ -166,7 +166,7 @@
 // resume asks over a new connection for the events that are missing. An
 // engine that doesn't know the stream can't answer the call any more.
 func (e *Engine) resume(ctx context.Context, a *assembly) error {
-	err := e.read(ctx, e.conns.fresh, a, func(ctx context.Context) (*http.Request, error) {
+	err := e.read(ctx, e.conns.fresh(), a, func(ctx context.Context) (*http.Request, error) {
 		u := e.ep.URL + "/v1/streams/" + url.PathEscape(a.callID) + "?from=" + strconv.Itoa(a.next)
 		r, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
 		if err != nil {
@@ -176,6 +176,9 @@
 		return r, nil
 	})
 	var status *StatusError
+	if errors.As(err, &status) && (status.Status >= http.StatusInternalServerError || status.Status == http.StatusTooManyRequests) {
+		return &interruption{cause: fmt.Errorf("resume answered with status %d", status.Status)}
+	}
 	if errors.As(err, &status) {
 		return fmt.Errorf("%w: not resumable, status %d", ErrUnanswered, status.Status)
 	}
@@ -200,22 +203,25 @@
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	res, err := hc.Do(r)
+	w.stop()
 	if err != nil {
 		return interrupted(ctx, sent.classify(ctx, err))
 	}
 	if res.StatusCode != http.StatusOK {
+		res.Body = watchedBody{ReadCloser: res.Body, watch: w}
 		return e.refusal(res)
 	}
 	if err := checkStream(res, a.callID); err != nil {
 		_ = res.Body.Close()
 		return err
 	}
-	err = a.readFrom(watchedBody{Reader: res.Body, watch: w}, e.options.MaxAnswer)
+	watched := watchedBody{ReadCloser: res.Body, watch: w}
+	err = a.readFrom(watched, e.options.MaxAnswer)
 	if err != nil {
 		_ = res.Body.Close()
 		return interrupted(ctx, err)
 	}
-	finishBody(res.Body)
+	finishBody(watched)
 	return nil
 }
 
@@ -282,7 +288,7 @@
 	if err != nil {
 		return
 	}
-	if res, err := e.conns.fresh.Do(r); err == nil {
+	if res, err := e.conns.fresh().Do(r); err == nil {
 		finishBody(res.Body)
 	}
 }
--- a/internal/platform/httpclient/client_test.go
+++ b/internal/platform/httpclient/client_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
@@ -12,6 +14,7 @@
 
 	"ibisstall.example/ibisstall/internal/platform"
 	"ibisstall.example/ibisstall/internal/platform/breaker"
+	"ibisstall.example/ibisstall/internal/platform/wire"
 	"ibisstall.example/ibisstall/internal/standin/platformsvc"
 )
 
@@ -142,8 +145,59 @@
 
 func TestClient_RefusesAnAnswerToAnotherRequest(t *testing.T) {
 	is := is.New(t)
+	ctx := context.Background()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(wire.HeaderRequest, "other")
+		_, _ = w.Write([]byte(`{}`))
+	}))
+	defer server.Close()
+	c := New(Options{BaseURL: server.URL})
+	defer c.Close()
+	is.True(errors.Is(c.Commit(ctx, put("a", "1", 0)), platform.ErrUnknown))
+	_, err := c.Scan(ctx, "t", "", "", 1)
+	is.True(errors.Is(err, platform.ErrUnavailable))
+
 	keys := []platform.Key{{Table: "t", ID: "a"}}
 	is.True(checkGet(keys, []platform.Row{{Key: platform.Key{Table: "t", ID: "b"}}}) != nil)
 	is.True(checkGet(keys, nil) != nil)
 	is.NoErr(checkGet(keys, []platform.Row{{Key: keys[0]}}))
 }
+
+func TestClient_EachServiceHasItsOwnURL(t *testing.T) {
+	is := is.New(t)
+	asked := make(map[string]string) // path by service
+	serve := func(service, answer string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked[service] = r.URL.Path
+			_, _ = io.WriteString(w, answer)
+		}))
+		t.Cleanup(s.Close)
+		return s.URL + "/" + service
+	}
+	c := New(Options{
+		BaseURL:    serve("table", `{"rows":[]}`),
+		ObjectsURL: serve("objects", ""),
+		VMListURL:  serve("list", `{"vms":[{"id":"a"}]}`) + "/",
+	})
+	t.Cleanup(c.Close)
+	_, err := c.Scan(t.Context(), "programs", "", "", 10)
+	is.NoErr(err)
+	is.NoErr(c.Objects().Put(t.Context(), "a", []byte("x")))
+	vms, err := c.List(t.Context())
+	is.NoErr(err)
+	is.Equal(len(vms), 1)
+	is.Equal(asked, map[string]string{"table": "/table/v1/table/scan", "objects": "/objects/v1/objects/a", "list": "/list/v1/vms"})
+}
+
+func TestClient_ImpatientCallersDoNotOpenTheBreaker(t *testing.T) {
+	is := is.New(t)
+	service, c := newPair(t, Options{})
+	is.NoErr(service.SetControl(platformsvc.Control{Faults: []platformsvc.Fault{{Service: platformsvc.Table, DelayMS: 50}}}))
+	for range 2 * breaker.DefaultFailures {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		_, err := c.Get(ctx, []platform.Key{{Table: "t", ID: "a"}})
+		cancel()
+		is.True(errors.Is(err, platform.ErrUnavailable))
+	}
+	is.True(c.Reachable())
+}
--- a/internal/vm/build.go
+++ b/internal/vm/build.go
@@ -14,8 +14,9 @@
 	"ibisstall.example/ibisstall/internal/front"
 	"ibisstall.example/ibisstall/internal/membership"
 	"ibisstall.example/ibisstall/internal/mesh"
+	"ibisstall.example/ibisstall/internal/platform/batchrpc"
+	"ibisstall.example/ibisstall/internal/settings"
 	"ibisstall.example/ibisstall/internal/system/directory"
-	"ibisstall.example/ibisstall/internal/system/journal"
 	"ibisstall.example/ibisstall/internal/system/mirror"
 	"ibisstall.example/ibisstall/internal/system/owner"
 	"ibisstall.example/ibisstall/internal/system/queue"
@@ -89,10 +90,21 @@
 		VMList:    v.platform,
 		Recorder:  v.recorder,
 		Logger:    v.log,
+		Metrics:   v.metrics.Set(),
+		Timing:    timing(v.s.Membership),
 	})
 	return err
 }
 
+// timing returns the pace of probing that the settings ask for.
+func timing(s settings.Membership) membership.Timing {
+	t := membership.DefaultTiming()
+	t.ProbeEvery = s.ProbeInterval
+	t.AckTimeout = s.ProbeTimeout
+	t.SuspicionTimeout = s.Suspicion
+	return t
+}
+
 // developmentKey signs the traffic of a fleet without a key file, which
 // settings allow on loopback only.
 const developmentKey = "ibisstall-fleet-without-a-key-file"
@@ -151,7 +163,7 @@
 	return front.Options{
 		DC:        v.s.VM.DC,
 		Router:    v.router,
-		Lister:    lister{v},
+		Lister:    lister{v.batch},
 		Config:    v.table,
 		Fleet:     &fleet{v},
 		Operators: v.operators.Load,
@@ -166,31 +178,13 @@
 	}
 }
 
-// lister lists programs from the platform.
-type lister struct{ v *VM }
-
-// List implements front.Lister.
-func (l lister) List(ctx context.Context, dc, workspace string, after entity.ProgramID, limit int) ([]*entity.Program, error) {
-	rows, err := journal.List(ctx, l.v.batch, dc, after, limit)
-	if err != nil {
-		return nil, err
-	}
-	out := rows[:0]
-	for _, p := range rows {
-		if workspace == "" || p.Workspace == workspace {
-			out = append(out, p)
-		}
-	}
-	return out, nil
-}
-
 // register publishes the services that other VMs call.
 func (v *VM) register() error {
 	return errors.Join(
 		v.meshIn.Register(owner.ServiceName, owner.NewService(v.owner, findLimit)),
 		v.meshIn.Register(configService, &configRPC{v}),
 		v.meshIn.Register(relayService, &relayRPC{v}),
-		v.meshIn.Register(batchService, &batchRPC{v}),
+		v.meshIn.Register(batchrpc.ServiceName, batchrpc.NewService(v.writer, v.s.Platform.Timeout)),
 		v.meshIn.Register(fleetService, &fleetRPC{v}),
 		v.meshIn.Register(queue.ServiceName, v.schedule.Server()),
 		v.meshIn.Register(mirror.ServiceName, mirror.NewService(v.copies)),
--- a/internal/vm/loops.go
+++ b/internal/vm/loops.go
@@ -18,6 +18,7 @@
 // startLoops runs the systems that have a tick.
 func (v *VM) startLoops(ctx context.Context) {
 	v.watchTLS(ctx)
+	v.watchLoop(ctx)
 	v.loop(ctx, ownerTick, v.tickOwner)
 	v.loop(ctx, v.s.Platform.VMListInterval, v.readList)
 	v.loop(ctx, keysEvery, v.readOperators)
@@ -26,7 +27,6 @@
 	v.spawn(func() { v.schedule.Run(ctx) })
 	v.spawn(func() { v.followMembers(ctx) })
 	v.spawn(func() { v.table.Run(ctx) })
-	v.spawn(func() { v.relay.Run(ctx) })
 	v.spawn(func() { v.lease.Run(ctx) })
 	v.spawn(func() { v.dcLease.Run(ctx) })
 	v.spawn(func() { v.ownership.Run(ctx) })
--- a/internal/vm/platform.go
+++ b/internal/vm/platform.go
@@ -8,8 +8,8 @@
 
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/mesh"
-	"ibisstall.example/ibisstall/internal/platform"
 	"ibisstall.example/ibisstall/internal/platform/batch"
+	"ibisstall.example/ibisstall/internal/platform/batchrpc"
 	"ibisstall.example/ibisstall/internal/platform/httpclient"
 	policy "ibisstall.example/ibisstall/internal/policy/ownership"
 	"ibisstall.example/ibisstall/internal/system/journal"
@@ -19,24 +19,21 @@
 	"ibisstall.example/ibisstall/internal/system/relay"
 )
 
-// Names of the net/rpc services towards the platform.
-const (
-	relayService = "Relay"
-	batchService = "Batch"
-)
-
-// roleBatcher is the soft role of writing for all VMs of a data centre.
-const roleBatcher policy.Role = "batcher"
+// relayService is the name of the net/rpc service for VMs that are cut off from
+// the platform.
+const relayService = "Relay"
 
-// forwardFrom is the number of VMs from which on the writes of a data centre go
-// through one of its VMs.
-const forwardFrom = 30
+// batchFrom is the number of VMs from which on the writes of a data centre go
+// through one of them.
+const batchFrom = 4
 
 // buildPlatform makes the path to the platform: group commit over a relay over
 // the own connection.
 func (v *VM) buildPlatform() error {
 	v.platform = httpclient.New(httpclient.Options{
 		BaseURL:    v.s.Platform.TableURL,
+		ObjectsURL: v.s.Platform.ObjectsURL,
+		VMListURL:  v.s.Platform.VMListURL,
 		DC:         v.s.VM.DC,
 		Timeout:    v.s.Platform.Timeout,
 		MaxTries:   uint(v.s.Platform.Attempts),
@@ -44,23 +41,23 @@
 	})
 	var err error
 	v.relay, err = relay.New(relay.Options{
-		Self:         v.id,
-		DC:           v.s.VM.DC,
-		Table:        v.platform,
-		Objects:      v.platform.Objects(),
-		Reachable:    v.platform.Reachable,
-		View:         v.view,
-		Call:         v.callRelay,
-		SetReachable: func(ok bool) { v.members.SetPlatformReachable(ok) },
-		Recorder:     v.recorder,
-		Metrics:      v.metrics.Set(),
+		Self:      v.id,
+		DC:        v.s.VM.DC,
+		Table:     v.platform,
+		Objects:   v.platform.Objects(),
+		Reachable: v.platform.Reachable,
+		View:      v.view,
+		Call:      v.callRelay,
+		Metrics:   v.metrics.Set(),
 	})
 	if err != nil {
 		return err
 	}
 	spacing := v.s.Journal.BatchInterval
-	v.batch = batch.New(v.relay, batch.Options{MinSpacing: spacing, Timeout: v.s.Platform.Timeout, Forwarder: &forwarder{v}})
-	v.writer = batch.New(v.relay, batch.Options{MinSpacing: spacing, Timeout: v.s.Platform.Timeout})
+	timeout := v.s.Platform.Timeout
+	forwarder := batchrpc.NewForwarder(v.meshOut, timeout, v.batcher)
+	v.batch = batch.New(v.relay, batch.Options{MinSpacing: spacing, Timeout: timeout, Forwarder: forwarder})
+	v.writer = batch.New(v.relay, batch.Options{MinSpacing: spacing, Timeout: timeout})
 	return nil
 }
 
@@ -88,47 +85,15 @@
 	return nil
 }
 
-// forwarder sends batches to the VM that writes for the data centre. A small
-// fleet needs none: each VM writes by itself.
-type forwarder struct{ v *VM }
-
-// Forward implements batch.Forwarder.
-func (f *forwarder) Forward(ctx context.Context, groups [][]platform.Write) ([]batch.Result, error) {
-	view := f.v.view()
-	if len(view) < forwardFrom {
-		return nil, platform.ErrUnavailable
-	}
-	vm, ok := policy.PlatformRole(roleBatcher, f.v.s.VM.DC, view)
-	if !ok || vm.ID == f.v.id {
-		return nil, platform.ErrUnavailable
+// batcher returns the VM that writes for the data centre. A small data centre
+// needs none: each VM writes by itself.
+func (v *VM) batcher() (addr string, ok bool) {
+	view := v.view()
+	if policy.Living(view)[v.s.VM.DC] < batchFrom {
+		return "", false
 	}
-	var reply BatchReply
-	err := f.v.meshOut.Call(ctx, vm.MeshAddr, batchService+".Commit", BatchArgs{Groups: groups}, &reply)
-	switch {
-	case err == nil:
-		return reply.Results, nil
-	case errors.Is(err, mesh.ErrNotSent):
-		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
-	default:
-		return nil, fmt.Errorf("%w: %w", platform.ErrUnknown, err)
-	}
-}
-
-// BatchArgs carry the groups of a VM's batch.
-type BatchArgs struct{ Groups [][]platform.Write }
-
-// BatchReply carries the result of each group.
-type BatchReply struct{ Results []batch.Result }
-
-// batchRPC commits the groups of other VMs.
-type batchRPC struct{ v *VM }
-
-// Commit commits groups and returns a result for each.
-func (r *batchRPC) Commit(args BatchArgs, reply *BatchReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), r.v.s.Platform.Timeout)
-	defer cancel()
-	reply.Results = r.v.writer.CommitGroups(ctx, args.Groups)
-	return nil
+	vm, ok := policy.PlatformRole(policy.RoleBatcher, v.s.VM.DC, view)
+	return vm.MeshAddr, ok && vm.ID != v.id
 }
 
 // buildOwnership makes the leases and the system that decides who owns what.
