Authenticate connections between VMs before any call

Without mutual TLS anybody who reached a VM's mesh address could call the owner's methods; only datagrams were signed. Nothing reaches net/rpc before that, and a refusal is logged.

Besides: concurrent calls share one dial and stop waiting for it at their own deadline (ten calls to a silent address dialled one after the other before); a broken connection is replaced at the next call and not only at the next heartbeat; a listener that can't accept for want of file descriptors tries again instead of ending the VM.

--- a/internal/mesh/client.go
+++ b/internal/mesh/client.go
@@ -15,6 +15,9 @@
 // ClientOptions configure a Client. TLS nil means plain TCP.
 type ClientOptions struct {
 	TLS *tls.Config
+	// Keys are the fleet's keys, at most two for a rotation. Without keys any
+	// process can take part.
+	Keys [][]byte
 	// LocalIP is the address that connections come from; the system's choice
 	// if nil.
 	LocalIP     net.IP
@@ -40,20 +43,36 @@
 }
 
 // Client calls other VMs. It keeps one connection to each address that is in
-// use and drops it when its heartbeat fails.
+// use and drops it when it breaks or its heartbeat fails.
 type Client struct {
 	o ClientOptions
 
-	mu    sync.Mutex
-	peers map[string]*peer // guarded by mu
+	mu     sync.Mutex
+	peers  map[string]*peer // guarded by mu
+	closed bool             // guarded by mu
 }
 
-// peer is the connection to one address. Its lock serialises dialling, so that
-// concurrent calls share one connection.
+// peer holds the connection to one address.
 type peer struct {
-	mu   sync.Mutex
-	rpc  *rpc.Client // nil when not connected
-	stop chan struct{}
+	mu     sync.Mutex
+	link   *link    // nil when not connected
+	dial   *dialing // nil when no dial is under way
+	closed bool
+}
+
+// link is one connection.
+type link struct {
+	rpc  *rpc.Client
+	conn *deadlineConn
+	stop chan struct{} // ends the heartbeat
+}
+
+// dialing is an attempt to connect that concurrent calls share. done closes
+// when link or err is set.
+type dialing struct {
+	done chan struct{}
+	link *link
+	err  error
 }
 
 // NewClient makes a client without connections.
@@ -84,65 +103,109 @@
 	defer c.mu.Unlock()
 	p, ok := c.peers[addr]
 	if !ok {
-		p = &peer{}
+		p = &peer{closed: c.closed}
 		c.peers[addr] = p
 	}
 	return p
 }
 
+// connect returns the connection to an address. The wait for a dial ends with
+// ctx; the dial itself goes on for the calls that share it.
 func (c *Client) connect(ctx context.Context, addr string) (*rpc.Client, error) {
 	p := c.peer(addr)
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.rpc != nil {
-		return p.rpc, nil
+	if p.closed {
+		defer p.mu.Unlock()
+		return nil, net.ErrClosed
 	}
-	conn, err := c.dial(ctx, addr)
-	if err != nil {
-		return nil, err
+	if p.link != nil && !p.link.conn.broken() {
+		defer p.mu.Unlock()
+		return p.link.rpc, nil
+	}
+	d := p.dial
+	if d == nil {
+		d = &dialing{done: make(chan struct{})}
+		p.dial = d
+		go c.open(addr, p, d)
 	}
-	p.rpc = rpc.NewClient(&deadlineConn{Conn: conn, readLimit: c.o.Silence, writeLimit: c.o.Silence})
-	p.stop = make(chan struct{})
-	go c.heartbeat(addr, p, p.rpc, p.stop)
-	return p.rpc, nil
+	p.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-d.done:
+	}
+	if d.err != nil {
+		return nil, d.err
+	}
+	return d.link.rpc, nil
 }
 
-func (c *Client) dial(ctx context.Context, addr string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.o.DialTimeout)
-	defer cancel()
-	dialer := &net.Dialer{}
+// open connects to an address and starts the heartbeat.
+func (c *Client) open(addr string, p *peer, d *dialing) {
+	defer close(d.done)
+	conn, err := c.dial(addr)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dial = nil
+	switch {
+	case err != nil:
+		d.err = err
+	case p.closed:
+		conn.Close()
+		d.err = net.ErrClosed
+	default:
+		guarded := newDeadlineConn(conn, c.o.Silence)
+		d.link = &link{rpc: rpc.NewClient(guarded), conn: guarded, stop: make(chan struct{})}
+		p.link = d.link
+		go c.heartbeat(addr, p, d.link)
+	}
+}
+
+func (c *Client) dial(addr string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: c.o.DialTimeout}
 	if c.o.LocalIP != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: c.o.LocalIP}
 	}
-	if c.o.TLS == nil {
-		return dialer.DialContext(ctx, "tcp", addr)
+	conn, err := dialer.Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	if c.o.TLS != nil {
+		conn = tls.Client(conn, c.o.TLS)
+	}
+	if err := authenticate(conn, c.o.Keys, c.o.DialTimeout, true); err != nil {
+		conn.Close()
+		return nil, err
 	}
-	return (&tls.Dialer{NetDialer: dialer, Config: c.o.TLS}).DialContext(ctx, "tcp", addr)
+	return conn, nil
 }
 
-// heartbeat pings until a ping fails or stop closes, then drops the
-// connection; every call that waits on it gets ErrLost.
-func (c *Client) heartbeat(addr string, p *peer, conn *rpc.Client, stop <-chan struct{}) {
+// heartbeat pings until a ping fails, the connection breaks or stop closes, and
+// drops the connection; every call that waits on it gets ErrLost.
+func (c *Client) heartbeat(addr string, p *peer, l *link) {
 	ticker := time.NewTicker(c.o.Heartbeat)
 	defer ticker.Stop()
 	for number := uint64(1); ; number++ {
 		select {
-		case <-stop:
+		case <-l.stop:
+			return
+		case <-l.conn.failed:
+			c.drop(addr, p, l)
 			return
 		case <-ticker.C:
 		}
-		if !c.ping(conn, number) {
-			c.drop(addr, p, conn)
+		if !c.ping(l, number) {
+			c.drop(addr, p, l)
 			return
 		}
 	}
 }
 
-func (c *Client) ping(conn *rpc.Client, number uint64) bool {
+func (c *Client) ping(l *link, number uint64) bool {
 	timeout := time.NewTimer(c.o.Silence)
 	defer timeout.Stop()
 	var reply uint64
-	call := conn.Go(heartbeatName+".Ping", number, &reply, make(chan *rpc.Call, 1))
+	call := l.rpc.Go(heartbeatName+".Ping", number, &reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		return call.Error == nil && reply == number
@@ -151,29 +214,38 @@
 	}
 }
 
-func (c *Client) drop(addr string, p *peer, conn *rpc.Client) {
+func (c *Client) drop(addr string, p *peer, l *link) {
 	p.mu.Lock()
-	if p.rpc == conn {
-		p.rpc = nil
+	if p.link == l {
+		p.link = nil
 	}
+	closed := p.closed
 	p.mu.Unlock()
-	conn.Close()
-	c.o.Recorder.Record(timeline.Event{Kind: timeline.ConnectionReplaced, Detail: "mesh " + addr})
+	l.rpc.Close()
+	if !closed {
+		c.o.Recorder.Record(timeline.Event{Kind: timeline.ConnectionReplaced, Detail: "mesh " + addr})
+	}
 }
 
-// Close drops all connections.
+// Close drops all connections. Later calls get ErrNotSent.
 func (c *Client) Close() {
 	c.mu.Lock()
 	peers := c.peers
 	c.peers = make(map[string]*peer)
+	c.closed = true
 	c.mu.Unlock()
 	for _, p := range peers {
-		p.mu.Lock()
-		if p.rpc != nil {
-			close(p.stop)
-			p.rpc.Close()
-			p.rpc = nil
-		}
-		p.mu.Unlock()
+		p.close()
+	}
+}
+
+func (p *peer) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	if p.link != nil {
+		close(p.link.stop)
+		p.link.rpc.Close()
+		p.link = nil
 	}
 }
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -29,13 +29,16 @@
 	return nil
 }
 
+// acceptPause is the time between two attempts to accept after a failure.
+const acceptPause = 50 * time.Millisecond
+
 const heartbeatName = "Heartbeat"
 
 // Server serves calls of other VMs.
 type Server struct {
 	listener net.Listener
 	rpc      *rpc.Server
-	silence  time.Duration
+	options  ServerOptions
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{} // guarded by mu; nil once closed
@@ -46,6 +49,12 @@
 	Addr    string
 	TLS     *tls.Config
 	Silence time.Duration
+	// Keys are the fleet's keys, at most two for a rotation. Without keys any
+	// process can call.
+	Keys [][]byte
+	// OnRefused is called with each connection that did not prove to come
+	// from the fleet.
+	OnRefused func(addr string, err error)
 }
 
 // Listen opens the listener. Services are registered before Serve.
@@ -60,7 +69,10 @@
 	if o.Silence == 0 {
 		o.Silence = DefaultSilence
 	}
-	s := &Server{listener: l, rpc: rpc.NewServer(), silence: o.Silence, conns: make(map[net.Conn]struct{})}
+	if o.OnRefused == nil {
+		o.OnRefused = func(string, error) {}
+	}
+	s := &Server{listener: l, rpc: rpc.NewServer(), options: o, conns: make(map[net.Conn]struct{})}
 	if err := s.Register(heartbeatName, heartbeatService{}); err != nil {
 		return nil, err
 	}
@@ -86,7 +98,10 @@
 			return nil
 		}
 		if err != nil {
-			return fmt.Errorf("mesh accept: %w", err)
+			// As when the process has no file descriptor left: others will
+			// be closed.
+			time.Sleep(acceptPause)
+			continue
 		}
 		go s.serveConn(conn)
 	}
@@ -98,7 +113,12 @@
 		return
 	}
 	defer s.untrack(conn)
-	s.rpc.ServeConn(&deadlineConn{Conn: conn, readLimit: s.silence, writeLimit: s.silence})
+	silence := s.options.Silence
+	if err := authenticate(conn, s.options.Keys, silence, false); err != nil {
+		s.options.OnRefused(conn.RemoteAddr().String(), err)
+		return
+	}
+	s.rpc.ServeConn(newDeadlineConn(conn, silence))
 }
 
 func (s *Server) track(conn net.Conn) bool {
--- a/internal/vm/build.go
+++ b/internal/vm/build.go
@@ -50,6 +50,7 @@
 	v.meshOut = mesh.NewClient(mesh.ClientOptions{
 		Recorder: v.recorder,
 		TLS:      v.meshClientTLS(),
+		Keys:     v.fleetKeys(),
 		LocalIP:  ownIP(v.s.VM.MeshListen),
 	})
 	if err := v.buildMembership(); err != nil {
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -112,7 +112,13 @@
 	if v.admin, err = net.Listen("tcp", v.s.VM.AdminListen); err != nil {
 		return fmt.Errorf("listen for metrics: %w", err)
 	}
-	if v.meshIn, err = mesh.Listen(mesh.ServerOptions{Addr: v.s.VM.MeshListen, TLS: v.meshServerTLS()}); err != nil {
+	v.meshIn, err = mesh.Listen(mesh.ServerOptions{
+		Addr:      v.s.VM.MeshListen,
+		TLS:       v.meshServerTLS(),
+		Keys:      v.fleetKeys(),
+		OnRefused: v.reportStranger,
+	})
+	if err != nil {
 		return err
 	}
 	if v.gossip, err = membership.ListenUDP(v.s.VM.GossipListen); err != nil {
@@ -121,6 +127,11 @@
 	return nil
 }
 
+// reportStranger logs a connection that did not come from the fleet.
+func (v *VM) reportStranger(addr string, err error) {
+	v.log.Warn("connection to the mesh address refused", tag.Address(addr), tag.Error(err))
+}
+
 // close releases what bind opened.
 func (v *VM) close() {
 	if v.listener != nil {
