Typed errors for all bad input, and no body held for those without a key

A request with a body is refused before its body is read unless its key is accepted, so that only callers with a key can make a VM hold bodies. A header over the limit gets a typed 431 instead of plain text. Errors in decoding name the field or header as the caller sent it and carry Ibisstall-Error, as all others did. stream_options.include_obfuscation of the official client is accepted.

--- a/internal/front/auth.go
+++ b/internal/front/auth.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"sync"
 
+	"ibisstall.example/ibisstall/gen/types"
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/keys"
 )
@@ -50,6 +51,22 @@
 	return name, nil
 }
 
+// known refuses a request with a body that carries no accepted key of any
+// kind, so that only those with a key can make the VM hold a body.
+func (f *Front) known(r *http.Request) *types.Failure {
+	key, ok := keys.Bearer(r.Header)
+	if !ok {
+		return failure(nameUnauthorized, "a bearer key is needed", "Authorization")
+	}
+	if _, ok := f.o.Operators().Holder(key); ok {
+		return nil
+	}
+	if _, ok := f.workspaces.of(f.o.Config.InForce()).Holder(key); ok {
+		return nil
+	}
+	return failure(nameUnauthorized, "the key is not accepted", "Authorization")
+}
+
 // operator checks an operator's key.
 func (f *Front) operator(authorization *string) error {
 	key, err := bearer(authorization)
--- a/internal/front/chatbody.go
+++ b/internal/front/chatbody.go
@@ -32,6 +32,8 @@
 
 type streamOptions struct {
 	IncludeUsage bool `json:"include_usage"`
+	// IncludeObfuscation is accepted and has no effect.
+	IncludeObfuscation bool `json:"include_obfuscation"`
 }
 
 // parseChat reads a chat-completions body. Its errors name the field.
--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"net/http"
+	"strings"
 
 	goahttp "goa.design/goa/v3/http"
 	goa "goa.design/goa/v3/pkg"
@@ -148,6 +149,23 @@
 	return b
 }
 
+// headersByField are the headers that fields of the design come from.
+var headersByField = map[string]string{
+	"after":           "Ibisstall-After",
+	"no_repeat":       "Ibisstall-No-Repeat",
+	"idempotency_key": "Idempotency-Key",
+	"edit_id":         "Idempotency-Key",
+	"if_match":        "If-Match",
+}
+
+// paramOf names a field of the design as the caller sent it.
+func paramOf(field string) string {
+	if header, ok := headersByField[field]; ok {
+		return header
+	}
+	return strings.TrimPrefix(field, "body.")
+}
+
 // formatError makes the body of an error. Errors of goa itself mean that a
 // request did not decode or validate.
 func formatError(_ context.Context, err error) goahttp.Statuser {
@@ -159,7 +177,7 @@
 	if errors.As(err, &decode) && !decode.Fault {
 		param := ""
 		if decode.Field != nil {
-			param = *decode.Field
+			param = paramOf(*decode.Field)
 		}
 		return bodyOf(failure(nameBadRequest, decode.Message, param), http.StatusBadRequest)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -53,6 +53,7 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
+	Header     int64 // bytes
 	Body       int64 // bytes
 	JSONDepth  int
 	SlowSender time.Duration // for the whole body
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	goahttp "goa.design/goa/v3/http"
@@ -50,7 +51,7 @@
 	dec := json.NewDecoder(d.body)
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(v); err != nil {
-		return err
+		return fieldError(err)
 	}
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
 		return goa.DecodePayloadError("the body has something behind its object")
@@ -58,6 +59,31 @@
 	return nil
 }
 
+// unknownField starts the message of encoding/json on a field that the target
+// doesn't have; the quoted name follows.
+const unknownField = "json: unknown field "
+
+// fieldError adds the field to an error of encoding/json that tells it.
+func fieldError(err error) error {
+	message, field := "", ""
+	var wrongType *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &wrongType) && wrongType.Field != "":
+		field = wrongType.Field
+		message = field + " has the wrong type"
+	case strings.HasPrefix(err.Error(), unknownField):
+		field = strings.Trim(strings.TrimPrefix(err.Error(), unknownField), `"`)
+		message = "unknown field " + field
+	default:
+		return err
+	}
+	decode := &goa.ServiceError{}
+	if errors.As(goa.DecodePayloadError(message), &decode) {
+		decode.Field = &field
+	}
+	return decode
+}
+
 // limited reads each body whole, within the limits on size, time and depth,
 // before the request costs anything else.
 func (f *Front) limited(next http.Handler) http.Handler {
@@ -75,9 +101,16 @@
 }
 
 func (f *Front) readLimited(w http.ResponseWriter, r *http.Request) ([]byte, *errorBody) {
+	if headerBytes(r) > f.o.Limits.Header {
+		message := "the header is larger than " + strconv.FormatInt(f.o.Limits.Header, 10) + " bytes"
+		return nil, bodyOf(failure(nameTooLarge, message, "header"), http.StatusRequestHeaderFieldsTooLarge)
+	}
 	if r.ContentLength == 0 || r.Body == nil {
 		return nil, nil
 	}
+	if err := f.known(r); err != nil {
+		return nil, bodyOf(err, http.StatusUnauthorized)
+	}
 	control := http.NewResponseController(w)
 	// A server without deadlines has a limit on the whole request instead.
 	_ = control.SetReadDeadline(time.Now().Add(f.o.Limits.SlowSender))
@@ -96,6 +129,17 @@
 	return body, nil
 }
 
+// headerBytes returns the size of a request's line and header.
+func headerBytes(r *http.Request) int64 {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return int64(n)
+}
+
 // writeError writes an error outside the methods of the design.
 func writeError(w http.ResponseWriter, b *errorBody) {
 	w.Header().Set("Content-Type", "application/json")
@@ -113,12 +157,20 @@
 	})
 }
 
-// notFoundWriter turns a plain-text 404 or 405 into a typed error.
+// notFoundWriter turns a plain-text 404 or 405 into a typed error, and names
+// the type of errors in decoding in their header.
 type notFoundWriter struct {
 	http.ResponseWriter
 	replaced bool
 }
 
+// namesOfUndecoded are the types of errors that arise before a method of the
+// design is reached; their bodies are typed already.
+var namesOfUndecoded = map[int]string{
+	http.StatusBadRequest:          nameBadRequest,
+	http.StatusInternalServerError: nameInternal,
+}
+
 // Unwrap gives http.ResponseController the writer below.
 func (w *notFoundWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
@@ -127,6 +179,9 @@
 	typed := w.Header().Get("Ibisstall-Error") != "" || w.Header().Get("goa-error") != ""
 	unrouted := (status == http.StatusNotFound || status == http.StatusMethodNotAllowed) && !typed
 	if !unrouted {
+		if name, undecoded := namesOfUndecoded[status]; undecoded && !typed {
+			w.Header().Set("Ibisstall-Error", name)
+		}
 		w.ResponseWriter.WriteHeader(status)
 		return
 	}
--- a/internal/vm/build.go
+++ b/internal/vm/build.go
@@ -178,6 +178,7 @@
 		NewID:     newID,
 		Now:       time.Now,
 		Limits: front.Limits{
+			Header:         int64(v.s.Limits.Header),
 			Body:           int64(v.s.Limits.Body),
 			JSONDepth:      v.s.Limits.JSONDepth,
 			SlowSender:     v.s.Limits.SlowSender,
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -235,7 +235,9 @@
 		Handler:           v.front.Handler(),
 		ReadHeaderTimeout: v.s.Limits.SlowSender,
 		IdleTimeout:       v.s.Limits.Idle,
-		MaxHeaderBytes:    int(v.s.Limits.Header),
+		// The limit itself is checked where it can be answered by a typed
+		// error; this is where the server stops to read.
+		MaxHeaderBytes: 2 * int(v.s.Limits.Header),
 	}
 }
 
