--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return ChatAnswer{}, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	a := &assembly{callID: req.CallID, maxTokens: req.MaxTokens, onChunk: onChunk}
+	a := newAssembly(&req, onChunk)
 	return e.conclude(ctx, &req, a, e.open(ctx, &req, body, a))
 }
 
@@ -61,7 +61,7 @@
 // the request is not sent. An engine that doesn't have the stream any more
 // gives ErrUnanswered.
 func (e *Engine) Resume(ctx context.Context, req ChatRequest, onChunk func(Chunk) error) (ChatAnswer, error) {
-	a := &assembly{callID: req.CallID, maxTokens: req.MaxTokens, onChunk: onChunk}
+	a := newAssembly(&req, onChunk)
 	return e.conclude(ctx, &req, a, e.resume(ctx, a))
 }
 
@@ -116,17 +116,30 @@
 			wait(ctx, pause.NextBackOff())
 		}
 		e.options.OnResume(req.CallID)
-		e.conns.reused.CloseIdleConnections()
+		e.conns.distrust()
 		err = e.resume(ctx, a)
 		idle++
 		if a.next > before {
 			idle = 0
 			pause.Reset()
 		}
+		if resumable(ctx, err) && e.outOfReach(a) {
+			return fmt.Errorf("%w: engine is out of reach: %w", ErrUnanswered, err)
+		}
 	}
 	return err
 }
 
+// outOfReach reports whether an engine has not answered for so long that the
+// call is better made elsewhere. Before the first chunk that costs little.
+func (e *Engine) outOfReach(a *assembly) bool {
+	limit := e.options.OutOfReach
+	if a.next == 0 {
+		limit = e.options.Silence
+	}
+	return time.Since(a.reached) > limit
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -166,7 +179,7 @@
 // resume asks over a new connection for the events that are missing. An
 // engine that doesn't know the stream can't answer the call any more.
 func (e *Engine) resume(ctx context.Context, a *assembly) error {
-	err := e.read(ctx, e.conns.fresh, a, func(ctx context.Context) (*http.Request, error) {
+	err := e.read(ctx, e.conns.fresh(), a, func(ctx context.Context) (*http.Request, error) {
 		u := e.ep.URL + "/v1/streams/" + url.PathEscape(a.callID) + "?from=" + strconv.Itoa(a.next)
 		r, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
 		if err != nil {
@@ -176,6 +189,9 @@
 		return r, nil
 	})
 	var status *StatusError
+	if errors.As(err, &status) && (status.Status >= http.StatusInternalServerError || status.Status == http.StatusTooManyRequests) {
+		return &interruption{cause: fmt.Errorf("resume answered with status %d", status.Status)}
+	}
 	if errors.As(err, &status) {
 		return fmt.Errorf("%w: not resumable, status %d", ErrUnanswered, status.Status)
 	}
@@ -200,22 +216,26 @@
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	res, err := hc.Do(r)
+	w.stop()
 	if err != nil {
 		return interrupted(ctx, sent.classify(ctx, err))
 	}
 	if res.StatusCode != http.StatusOK {
+		res.Body = watchedBody{ReadCloser: res.Body, watch: w}
 		return e.refusal(res)
 	}
 	if err := checkStream(res, a.callID); err != nil {
 		_ = res.Body.Close()
 		return err
 	}
-	err = a.readFrom(watchedBody{Reader: res.Body, watch: w}, e.options.MaxAnswer)
+	defer func() { a.reached = time.Now() }()
+	watched := watchedBody{ReadCloser: res.Body, watch: w}
+	err = a.readFrom(watched, e.options.MaxAnswer)
 	if err != nil {
 		_ = res.Body.Close()
 		return interrupted(ctx, err)
 	}
-	finishBody(res.Body)
+	finishBody(watched)
 	return nil
 }
 
@@ -282,7 +302,7 @@
 	if err != nil {
 		return
 	}
-	if res, err := e.conns.fresh.Do(r); err == nil {
+	if res, err := e.conns.fresh().Do(r); err == nil {
 		finishBody(res.Body)
 	}
 }
