Read the address of a VM under its key of the log vocabulary

The line that a VM serves names its address as `address` now, not `listen`; the deployment test reads it there. It checks as much as before.

--- a/cmd/ibisstall/deployment_test.go
+++ b/cmd/ibisstall/deployment_test.go
@@ -60,7 +60,7 @@
 func servingAddress(line string) string {
 	var entry struct {
 		Message string `json:"message"`
-		Listen  string `json:"listen"`
+		Listen  string `json:"address"`
 	}
 	if json.Unmarshal([]byte(line), &entry) != nil || entry.Message != "serving" {
 		return ""
