--- a/internal/vm/build.go
+++ b/internal/vm/build.go
@@ -39,6 +39,7 @@
 	v.meshOut = mesh.NewClient(mesh.ClientOptions{
 		Recorder: v.recorder,
 		TLS:      v.meshClientTLS(),
+		Keys:     v.fleetKeys(),
 		LocalIP:  ownIP(v.s.VM.MeshListen),
 	})
 	if err := errors.Join(v.buildPlatform(), v.buildMembership()); err != nil {
@@ -170,6 +171,7 @@
 		NewID:     newID,
 		Now:       time.Now,
 		Limits: front.Limits{
+			Header:         int64(v.s.Limits.Header),
 			Body:           int64(v.s.Limits.Body),
 			JSONDepth:      v.s.Limits.JSONDepth,
 			SlowSender:     v.s.Limits.SlowSender,
