Charge attempts that an engine failed after running them

An engine's error answer counted no tokens, whether the engine had run the call or not, so a 500 in the middle of generation left its tokens out of the budget. Only answers that say not run (4xx, 503, or the header) count nothing now; others count the whole grant, which keeps the bound.

A request that the engine refuses for what it asks (400, 413, 422) is not sent to further engines any more and is answered as a bad request instead of as not run, which asked the caller to repeat it for ever.

--- a/internal/system/owner/chat.go
+++ b/internal/system/owner/chat.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	"ibisstall.example/ibisstall/internal/endpoint"
@@ -49,6 +50,9 @@
 		if err == nil {
 			return r.record(ctx, callID, answer)
 		}
+		if refusesRequest(err) {
+			return Result{}, mesh.NewFault(mesh.CodeBadRequest, "the engine refuses the request: %v", err)
+		}
 		if !f.mayRetryChat(ctx, err, attempt) {
 			return Result{}, err
 		}
@@ -69,9 +73,7 @@
 		return false
 	}
 	var status *endpoint.StatusError
-	if errors.As(err, &status) && status.Ran && status.Status < 500 {
-		return false
-	}
+	errors.As(err, &status)
 	retryable := errors.Is(err, endpoint.ErrNotSent) ||
 		errors.Is(err, endpoint.ErrUnanswered) ||
 		errors.Is(err, endpoint.ErrMismatch) ||
@@ -79,6 +81,20 @@
 	return retryable && f.owner.retries.allow()
 }
 
+// refusesRequest tells whether an engine refused a call for what it asks, so
+// that every other engine would refuse it, too.
+func refusesRequest(err error) bool {
+	var status *endpoint.StatusError
+	if !errors.As(err, &status) {
+		return false
+	}
+	switch status.Status {
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return true
+	}
+	return false
+}
+
 // attempt sends the call once. The flight is written while the call waits for
 // its permit; the call is sent only when both are there.
 func (r *chatRun) attempt(ctx context.Context, callID string) (endpoint.ChatAnswer, error) {
@@ -109,10 +125,15 @@
 }
 
 // unsettled returns the tokens to count for an attempt that failed: none if it
-// never ran, else all that it may have generated.
+// certainly never ran, else all that it may have generated. An engine that
+// answers with an error says by the status, or by a header, whether it ran the
+// call; see endpoint.StatusError.
 func unsettled(err error, grant int64) int64 {
 	var status *endpoint.StatusError
-	if errors.Is(err, endpoint.ErrNotSent) || errors.As(err, &status) {
+	if errors.Is(err, endpoint.ErrNotSent) {
+		return 0
+	}
+	if errors.As(err, &status) && !status.Ran {
 		return 0
 	}
 	return grant
