--- a/internal/system/sweep/bench_test.go
+++ b/internal/system/sweep/bench_test.go
@@ -34,7 +34,7 @@
 	}
 	s := New(Options{
 		Engines: func() map[string]Engine { return engines },
-		Gone:    func(context.Context, []entity.ProgramID) ([]entity.ProgramID, error) { return nil, nil },
+		LookUp:  func(context.Context, []entity.ProgramID) (map[entity.ProgramID]Status, error) { return nil, nil },
 		Retain:  retain.DefaultParams(time.Hour),
 	})
 	for range b.N {
--- a/internal/system/sweep/sweep.go
+++ b/internal/system/sweep/sweep.go
@@ -8,6 +8,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,7 +29,7 @@
 	defaultParallel = 16
 	releaseTries    = 3
 	releasePause    = 50 * time.Millisecond
-	goneAtOnce      = 1000 // programs asked for in one call
+	lookUpAtOnce    = 1000 // programs asked for in one call
 	longestAbsence  = time.Hour
 )
 
@@ -42,15 +44,22 @@
 type Options struct {
 	// Engines returns the engines that this VM sweeps at present, by name.
 	Engines func() map[string]Engine
-	// Gone returns which of the programs have ended: finished, cancelled or
-	// expired. A program that can't be looked up must not be returned.
-	Gone func(ctx context.Context, ids []entity.ProgramID) ([]entity.ProgramID, error)
+	// LookUp returns what is known of programs. Those that can't be looked up
+	// are left out and keep their memory. What is returned beside an error is
+	// valid.
+	LookUp func(ctx context.Context, ids []entity.ProgramID) (map[entity.ProgramID]Status, error)
 	// Retain sets for how long memory of paused programs is held.
 	Retain retain.Params
 	// Parallel bounds the engines that are spoken to at a time.
 	Parallel int
 }
 
+// Status is what is known of a program.
+type Status struct {
+	Gone bool   // it has ended: finished, cancelled or expired
+	Tool string // what it waits for, empty if unknown
+}
+
 // Sweeper frees memory. It is safe for concurrent use.
 type Sweeper struct {
 	options Options
@@ -111,6 +120,34 @@
 	}
 }
 
+// Tool returns the tool that a program waits for, empty if it is not known to
+// wait for one.
+func (s *Sweeper) Tool(id entity.ProgramID) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away[id].tool
+}
+
+// Forget drops the pauses of programs that this VM no longer owns: how they
+// end is seen elsewhere.
+func (s *Sweeper) Forget(owned func(entity.ProgramID) bool) {
+	for _, id := range s.absent() {
+		if owned(id) {
+			continue
+		}
+		s.mu.Lock()
+		delete(s.away, id)
+		s.mu.Unlock()
+	}
+	s.forget(time.Now())
+}
+
+func (s *Sweeper) absent() []entity.ProgramID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.away))
+}
+
 // forget counts programs that have been away for too long as lost, which
 // bounds the memory of absences.
 func (s *Sweeper) forget(now time.Time) {
@@ -129,11 +166,11 @@
 	engines := s.options.Engines()
 	s.forget(time.Now())
 	found, report := s.list(ctx, engines)
-	gone, err := s.gone(ctx, found)
+	known, err := s.lookUp(ctx, found)
 	if err != nil {
 		report.Failed++
 	}
-	s.release(ctx, found, gone, &report)
+	s.release(ctx, found, known, &report)
 	if err != nil {
 		return report, fmt.Errorf("%w: %w", ErrIncomplete, err)
 	}
@@ -190,9 +227,9 @@
 	return holdings{engine: e, sessions: sessions, memory: memory}, nil
 }
 
-// gone finds the programs that are gone. What was found before an error is
-// valid.
-func (s *Sweeper) gone(ctx context.Context, found []holdings) (map[entity.ProgramID]bool, error) {
+// lookUp looks the programs up that engines hold memory for. What was found
+// before an error is valid.
+func (s *Sweeper) lookUp(ctx context.Context, found []holdings) (map[entity.ProgramID]Status, error) {
 	seen := make(map[entity.ProgramID]bool)
 	var ids []entity.ProgramID
 	for _, h := range found {
@@ -203,28 +240,26 @@
 			}
 		}
 	}
-	gone := make(map[entity.ProgramID]bool)
+	known := make(map[entity.ProgramID]Status, len(ids))
 	for len(ids) > 0 {
-		n := min(goneAtOnce, len(ids))
-		list, err := s.options.Gone(ctx, ids[:n])
+		n := min(lookUpAtOnce, len(ids))
+		page, err := s.options.LookUp(ctx, ids[:n])
+		maps.Copy(known, page)
 		if err != nil {
-			return gone, fmt.Errorf("looking programs up: %w", err)
-		}
-		for _, id := range list {
-			gone[id] = true
+			return known, fmt.Errorf("looking programs up: %w", err)
 		}
 		ids = ids[n:]
 	}
-	return gone, nil
+	return known, nil
 }
 
 // release frees what is to be freed at all engines.
-func (s *Sweeper) release(ctx context.Context, found []holdings, gone map[entity.ProgramID]bool, report *Report) {
+func (s *Sweeper) release(ctx context.Context, found []holdings, known map[entity.ProgramID]Status, report *Report) {
 	var mu sync.Mutex
 	var group errgroup.Group
 	group.SetLimit(s.options.Parallel)
 	for _, h := range found {
-		ended, paused := split(h.sessions, gone)
+		ended, paused := split(h.sessions, known)
 		letGo := s.letGo(h.memory, paused)
 		group.Go(func() error {
 			endedFailed := releaseAll(ctx, h.engine, ended)
@@ -242,14 +277,19 @@
 
 // split divides sessions into those of programs that are gone and those that
 // pause.
-func split(sessions []endpoint.Session, gone map[entity.ProgramID]bool) (ended []entity.ProgramID, paused []retain.Paused) {
+func split(sessions []endpoint.Session, known map[entity.ProgramID]Status) (ended []entity.ProgramID, paused []retain.Paused) {
 	for _, session := range sessions {
 		away := time.Duration(session.IdleSeconds * float64(time.Second))
 		switch {
-		case gone[session.Program]:
+		case known[session.Program].Gone:
 			ended = append(ended, session.Program)
 		case away > 0:
-			paused = append(paused, retain.Paused{Program: session.Program, Tokens: session.Tokens, Away: away})
+			paused = append(paused, retain.Paused{
+				Program: session.Program,
+				Tool:    known[session.Program].Tool,
+				Tokens:  session.Tokens,
+				Away:    away,
+			})
 		}
 	}
 	return ended, paused
@@ -259,9 +299,6 @@
 func (s *Sweeper) letGo(m retain.Memory, paused []retain.Paused) []entity.ProgramID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i := range paused {
-		paused[i].Tool = s.away[paused[i].Program].tool
-	}
 	return retain.Release(s.options.Retain, m, paused, s.pauses)
 }
 
--- a/internal/system/sweep/sweep_test.go
+++ b/internal/system/sweep/sweep_test.go
@@ -29,10 +29,12 @@
 	mu   sync.Mutex
 	gone map[entity.ProgramID]bool
 	down bool // programs can't be looked up
+	// tools are what programs wait for, by the owners' knowledge.
+	tools map[entity.ProgramID]string
 }
 
 func newFleet(t *testing.T, engines int, cacheTokens int64) *fleet {
-	f := &fleet{t: t, gone: make(map[entity.ProgramID]bool)}
+	f := &fleet{t: t, gone: make(map[entity.ProgramID]bool), tools: make(map[entity.ProgramID]string)}
 	transport := &http.Transport{}
 	t.Cleanup(transport.CloseIdleConnections)
 	for i := range engines {
@@ -71,17 +73,15 @@
 	f.gone[id] = true
 }
 
-func (f *fleet) lookUp(_ context.Context, ids []entity.ProgramID) ([]entity.ProgramID, error) {
+func (f *fleet) lookUp(_ context.Context, ids []entity.ProgramID) (map[entity.ProgramID]Status, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
 		return nil, errors.New("platform is down")
 	}
-	var out []entity.ProgramID
+	out := make(map[entity.ProgramID]Status, len(ids))
 	for _, id := range ids {
-		if f.gone[id] {
-			out = append(out, id)
-		}
+		out[id] = Status{Gone: f.gone[id], Tool: f.tools[id]}
 	}
 	return out, nil
 }
@@ -102,7 +102,7 @@
 }
 
 func (f *fleet) sweeper(hold time.Duration) *Sweeper {
-	return New(Options{Engines: f.engines, Gone: f.lookUp, Retain: retain.DefaultParams(hold)})
+	return New(Options{Engines: f.engines, LookUp: f.lookUp, Retain: retain.DefaultParams(hold)})
 }
 
 func TestSweeper_TickFreesWhatGoneProgramsHold(t *testing.T) {
@@ -177,7 +177,7 @@
 		if id == "amman-a.quick" {
 			tool = "quick"
 		}
-		s.Paused(id, tool)
+		f.tools[id] = tool
 	}
 	for range 50 {
 		s.pauses.Observe("quick", 10*time.Millisecond)
@@ -244,3 +244,17 @@
 	running.Wait()
 	is.Equal(letGo, 0)
 }
+
+func TestSweeper_PausesOfOwnedProgramsAreKnown(t *testing.T) {
+	is := is.New(t)
+	s := newFleet(t, 1, 1<<20).sweeper(time.Hour)
+	s.Paused("amman-a.p1", "lookup")
+	s.Paused("amman-a.p2", "lookup")
+	s.Paused("amman-a.p3", "lookup")
+	s.Returned("amman-a.p2")
+	is.Equal(s.Tool("amman-a.p1"), "lookup")
+	is.Equal(s.Tool("amman-a.p2"), "")
+	s.Forget(func(id entity.ProgramID) bool { return id != "amman-a.p1" })
+	is.Equal(s.Tool("amman-a.p1"), "") // handed over to another VM
+	is.Equal(s.Tool("amman-a.p3"), "lookup")
+}
