Take models and leaving from the runners' own reports

The VM list lags, and an engine that was ordered to load a model is not found by its calls until the list shows it. Each way of leaving gives one event.

--- a/internal/system/directory/directory.go
+++ b/internal/system/directory/directory.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"ibisstall.example/ibisstall/internal/entity"
@@ -22,10 +23,17 @@
 	mu       sync.Mutex
 	listed   []entity.Endpoint   // from the VM list
 	leaving  map[string]struct{} // names with a sign of leaving
+	reported map[string]report   // what runners say of themselves, by name
 	snapshot []entity.Endpoint   // never changed once published
 	changed  chan struct{}       // closed and replaced at each change
 }
 
+// report is what a runner says of itself.
+type report struct {
+	models  []string
+	leaving bool
+}
+
 // New makes a Directory of the static endpoints; list may be nil.
 func New(static []entity.Endpoint, list platform.VMList, recorder timeline.Recorder) *Directory {
 	d := &Directory{
@@ -33,6 +41,7 @@
 		recorder: recorder,
 		static:   static,
 		leaving:  make(map[string]struct{}),
+		reported: make(map[string]report),
 		changed:  make(chan struct{}),
 	}
 	d.publish()
@@ -73,7 +82,23 @@
 	}
 	d.leaving[name] = struct{}{}
 	d.publish()
-	d.recorder.Record(timeline.Event{Kind: timeline.EndpointLeaving, Endpoint: name})
+}
+
+// Reported takes in what a runner says of itself: the models that it has
+// loaded, which win over those of the list, and whether it is leaving. Its
+// next report may take the leaving back.
+func (d *Directory) Reported(name string, models []string, leaving bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before, known := d.reported[name]
+	if known && before.leaving == leaving && slices.Equal(before.models, models) {
+		return
+	}
+	if !contains(d.listed, name) && !contains(d.static, name) {
+		return // it has gone from the list meanwhile
+	}
+	d.reported[name] = report{models: slices.Clone(models), leaving: leaving}
+	d.publish()
 }
 
 // Tick reads the VM list. An unreachable list changes nothing.
@@ -120,6 +145,11 @@
 			delete(d.leaving, name)
 		}
 	}
+	for name := range d.reported {
+		if !contains(d.listed, name) && !contains(d.static, name) {
+			delete(d.reported, name)
+		}
+	}
 }
 
 func contains(list []entity.Endpoint, name string) bool {
@@ -142,11 +172,40 @@
 	}
 	out = append(out, d.listed...)
 	for i := range out {
-		if _, leaving := d.leaving[out[i].Name]; leaving {
-			out[i].Leaving = true
-		}
+		d.amend(&out[i])
 	}
+	before := d.snapshot
 	d.snapshot = out
+	for i := range out {
+		if out[i].Leaving && !leavingIn(before, out[i].Name) {
+			d.recorder.Record(timeline.Event{Kind: timeline.EndpointLeaving, Endpoint: out[i].Name})
+		}
+	}
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
+
+// amend adds to an endpoint what is known of it beside the list. The caller
+// holds mu.
+func (d *Directory) amend(ep *entity.Endpoint) {
+	if _, leaving := d.leaving[ep.Name]; leaving {
+		ep.Leaving = true
+	}
+	r, known := d.reported[ep.Name]
+	if !known {
+		return
+	}
+	ep.Leaving = ep.Leaving || r.leaving
+	if ep.Kind == entity.KindEngine {
+		ep.Models = r.models
+	}
+}
+
+func leavingIn(list []entity.Endpoint, name string) bool {
+	for i := range list {
+		if list[i].Name == name {
+			return list[i].Leaving
+		}
+	}
+	return false
+}
--- a/internal/system/directory/directory_test.go
+++ b/internal/system/directory/directory_test.go
@@ -49,3 +49,59 @@
 	is.True(ok)
 	is.True(!e1.Leaving)
 }
+
+// events keeps the events that it is given.
+type events struct{ list []timeline.Event }
+
+func (e *events) Record(v timeline.Event) { e.list = append(e.list, v) }
+
+func TestDirectory_EachSignOfLeavingIsRecordedOnce(t *testing.T) {
+	cases := []struct {
+		name string
+		sign func(d *Directory, list *fixedList)
+	}{
+		{"the list shows it", func(_ *Directory, list *fixedList) { list.vms = []platform.ListedVM{runnerVM("e1", true)} }},
+		{"the runner says it", func(d *Directory, _ *fixedList) { d.Reported("e1", []string{"m"}, true) }},
+		{"another source says it", func(d *Directory, _ *fixedList) { d.Leaving("e1") }},
+		{"all say it", func(d *Directory, list *fixedList) {
+			list.vms = []platform.ListedVM{runnerVM("e1", true)}
+			d.Reported("e1", []string{"m"}, true)
+			d.Leaving("e1")
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			list := &fixedList{vms: []platform.ListedVM{runnerVM("e1", false)}}
+			recorded := &events{}
+			d := New(nil, list, recorded)
+			is.NoErr(d.Tick(t.Context()))
+			is.Equal(len(recorded.list), 0)
+			c.sign(d, list)
+			for range 3 {
+				is.NoErr(d.Tick(t.Context()))
+			}
+			e1, _ := d.Find("e1")
+			is.True(e1.Leaving)
+			is.Equal(recorded.list, []timeline.Event{{Kind: timeline.EndpointLeaving, Endpoint: "e1"}})
+		})
+	}
+}
+
+func TestDirectory_ReportOfAnEngineWinsOverTheList(t *testing.T) {
+	is := is.New(t)
+	list := &fixedList{vms: []platform.ListedVM{runnerVM("e1", false)}}
+	list.vms[0].Models = []string{"old"}
+	d := New(nil, list, timeline.Discard{})
+	is.NoErr(d.Tick(t.Context()))
+	d.Reported("e1", []string{"new"}, true)
+	d.Reported("unknown", []string{"new"}, true)
+	is.NoErr(d.Tick(t.Context()))
+	e1, _ := d.Find("e1")
+	is.Equal(e1.Models, []string{"new"})
+	is.True(e1.Leaving)
+	d.Reported("e1", []string{"new"}, false) // it stays after all
+	e1, _ = d.Find("e1")
+	is.True(!e1.Leaving)
+	is.Equal(len(d.Endpoints()), 1)
+}
