--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -128,6 +128,11 @@
 		{"engine", "silence_limit", "5s", "time without bytes after which a stream is resumed over a new connection", false, duration(&e.SilenceLimit)},
 		{"engine", "hold", "30s", "longest time for which a program's KV cache is kept over a tool pause", false, duration(&e.Hold)},
 		{"engine", "sweep_interval", "30s", "time between searches for KV cache of programs that are gone", false, duration(&e.SweepInterval)},
+		{"engine", "model_room", "0", "models that one engine can hold at once; with 0 no engine is ordered to load models", false, intBetween(&e.ModelRoom, 0, 100)},
+		{"engine", "slots", "16", "calls that one engine runs at a time, by which the demand for engines is measured", false, intBetween(&e.Slots, 1, 10_000)},
+		{"engine", "loads_per_minute", "6", "models that the engines of this data centre may load from the weight store in a minute", false, intBetween(&e.LoadsPerMinute, 1, 10_000)},
+		{"engine", "order_interval", "30s", "time between looks at the demand for models", false, duration(&e.OrderInterval)},
+		{"engine", "order_hold", "30s", "time for which the demand must ask for a model before an engine is ordered to load it", false, duration(&e.OrderHold)},
 		{"timeline", "events", "10000", "events kept in the ring of this VM", false, intBetween(&s.Timeline.Events, 100, 1_000_000)},
 		{"log", "level", "info", "least severe level that is logged", false, oneOf(&s.Log.Level, "debug", "info", "warn", "error")},
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -149,6 +149,13 @@
 	SilenceLimit  time.Duration
 	Hold          time.Duration
 	SweepInterval time.Duration
+	// ModelRoom is the number of models that one engine can hold; without room
+	// no engine is ordered to load any.
+	ModelRoom      int
+	Slots          int // calls that one engine runs at a time
+	LoadsPerMinute int
+	OrderInterval  time.Duration
+	OrderHold      time.Duration
 }
 
 // Timeline holds the size of the ring of events.
--- /dev/null
+++ b/internal/system/journal/programs.go
@@ -0,0 +1,47 @@
+package journal
+
+import (
+	"context"
+
+	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/platform"
+)
+
+// maxProgramKeys bounds the program rows of one read.
+const maxProgramKeys = 1000
+
+// Programs reads program rows by id, in one read for each thousand. Programs
+// without a row are left out. It reads the platform only.
+func Programs(ctx context.Context, table platform.Table, ids []entity.ProgramID) (map[entity.ProgramID]*entity.Program, error) {
+	out := make(map[entity.ProgramID]*entity.Program, len(ids))
+	for len(ids) > 0 {
+		n := min(maxProgramKeys, len(ids))
+		if err := readPrograms(ctx, table, ids[:n], out); err != nil {
+			return out, err
+		}
+		ids = ids[n:]
+	}
+	return out, nil
+}
+
+func readPrograms(ctx context.Context, table platform.Table, ids []entity.ProgramID, out map[entity.ProgramID]*entity.Program) error {
+	keys := make([]platform.Key, len(ids))
+	for i, id := range ids {
+		keys[i] = ProgramKey(id)
+	}
+	rows, err := table.Get(ctx, keys)
+	if err != nil {
+		return readError("programs", err)
+	}
+	for _, r := range rows {
+		if r.Version == 0 {
+			continue
+		}
+		p, err := decodeProgram(r)
+		if err != nil {
+			return err
+		}
+		out[p.ID] = p
+	}
+	return nil
+}
--- a/internal/vm/build.go
+++ b/internal/vm/build.go
@@ -6,10 +6,8 @@
 	"encoding/hex"
 	"errors"
 	"net"
-	"net/http"
 	"time"
 
-	"ibisstall.example/ibisstall/internal/endpoint"
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/front"
 	"ibisstall.example/ibisstall/internal/membership"
@@ -35,7 +33,6 @@
 
 // build makes the systems, from the bottom up.
 func (v *VM) build() error {
-	v.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns}}
 	v.meshOut = mesh.NewClient(mesh.ClientOptions{
 		Recorder: v.recorder,
 		TLS:      v.meshClientTLS(),
@@ -53,6 +50,7 @@
 		return err
 	}
 	v.directory = directory.New(v.s.Endpoints, v.platform, v.recorder)
+	v.buildRunners()
 	v.schedule = v.buildQueues()
 	v.owner = owner.New(v.ownerOptions())
 	v.router = route.New(route.Options{
@@ -127,12 +125,12 @@
 	return owner.Options{
 		Self:      v.id,
 		Journal:   v.journal,
-		Scheduler: v.schedule,
+		Scheduler: newMeteredQueue(v.schedule, v.sweeper, v.meter),
 		Engines: func(ep entity.Endpoint) owner.Engine {
 			return v.engine(ep)
 		},
 		Callers: func(ep entity.Endpoint) owner.Caller {
-			return endpoint.NewCaller(ep, v.client, v.clientOptions())
+			return v.pool.Caller(ep)
 		},
 		Endpoint:       v.directory.Find,
 		Endpoints:      v.directory.Endpoints,
@@ -189,6 +187,7 @@
 		v.meshIn.Register(batchrpc.ServiceName, batchrpc.NewService(v.writer, v.s.Platform.Timeout)),
 		v.meshIn.Register(fleetService, &fleetRPC{v}),
 		v.meshIn.Register(queue.ServiceName, v.schedule.Server()),
+		v.meshIn.Register(runnersService, &runnersRPC{v}),
 		v.meshIn.Register(mirror.ServiceName, mirror.NewService(v.copies)),
 	)
 }
--- a/internal/vm/loops.go
+++ b/internal/vm/loops.go
@@ -19,6 +19,7 @@
 func (v *VM) startLoops(ctx context.Context) {
 	v.watchTLS(ctx)
 	v.watchLoop(ctx)
+	v.runnerLoops(ctx)
 	v.loop(ctx, ownerTick, v.tickOwner)
 	v.loop(ctx, v.s.Platform.VMListInterval, v.readList)
 	v.loop(ctx, keysEvery, v.readOperators)
--- /dev/null
+++ b/internal/vm/meteredqueue.go
@@ -0,0 +1,88 @@
+package vm
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"ibisstall.example/ibisstall/internal/endpoint"
+	"ibisstall.example/ibisstall/internal/entity"
+	policy "ibisstall.example/ibisstall/internal/policy/orders"
+	"ibisstall.example/ibisstall/internal/system/orders"
+	"ibisstall.example/ibisstall/internal/system/queue"
+	"ibisstall.example/ibisstall/internal/system/sweep"
+)
+
+// idle is the pause of a program that has had its turn and calls no tool.
+const idle = ""
+
+// meteredQueue is a Scheduler that tells the sweep when programs pause and
+// return, and the orders what models are asked for.
+type meteredQueue struct {
+	queue.Scheduler
+	sweeper *sweep.Sweeper
+	meter   *orders.Meter
+
+	mu   sync.Mutex
+	held map[string]heldCall // by permit id
+}
+
+// heldCall is a call that holds a permit.
+type heldCall struct {
+	program entity.ProgramID
+	kind    entity.CallKind
+	target  string
+	since   time.Time // by this VM's clock
+}
+
+func newMeteredQueue(s queue.Scheduler, sweeper *sweep.Sweeper, meter *orders.Meter) *meteredQueue {
+	return &meteredQueue{Scheduler: s, sweeper: sweeper, meter: meter, held: make(map[string]heldCall)}
+}
+
+// Acquire implements queue.Scheduler.
+func (m *meteredQueue) Acquire(ctx context.Context, req queue.Request) (queue.Permit, error) {
+	if req.Kind == entity.CallModel {
+		m.sweeper.Returned(req.Program)
+	}
+	permit, err := m.Scheduler.Acquire(ctx, req)
+	if err != nil {
+		if req.Kind == entity.CallModel && errors.Is(err, queue.ErrNoEndpoint) {
+			m.meter.Refused(modelItem(req.Target))
+		}
+		return permit, err
+	}
+	if req.Kind != entity.CallModel {
+		m.sweeper.Paused(req.Program, req.Target)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.held[permit.ID] = heldCall{program: req.Program, kind: req.Kind, target: req.Target, since: time.Now()}
+	return permit, nil
+}
+
+// Release implements queue.Scheduler.
+func (m *meteredQueue) Release(p queue.Permit, res queue.Result) {
+	m.Scheduler.Release(p, res)
+	m.mu.Lock()
+	call, ok := m.held[p.ID]
+	delete(m.held, p.ID)
+	m.mu.Unlock()
+	if !ok || call.kind != entity.CallModel {
+		return
+	}
+	m.meter.Called(modelItem(call.target), time.Since(call.since))
+	if res.Err == nil {
+		m.sweeper.Paused(call.program, idle)
+	}
+}
+
+// ProgramEnded implements queue.Scheduler.
+func (m *meteredQueue) ProgramEnded(id entity.ProgramID) {
+	m.sweeper.Ended(id)
+	m.Scheduler.ProgramEnded(id)
+}
+
+func modelItem(name string) policy.Item {
+	return policy.Item{Kind: endpoint.OrderLoadModel, Name: name}
+}
--- /dev/null
+++ b/internal/vm/orders.go
@@ -0,0 +1,95 @@
+package vm
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"ibisstall.example/ibisstall/internal/endpoint"
+	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/logging/tag"
+	policy "ibisstall.example/ibisstall/internal/policy/orders"
+	"ibisstall.example/ibisstall/internal/system/orders"
+)
+
+// buildOrders makes the system that orders engines to load models.
+func (v *VM) buildOrders() *orders.System {
+	params := policy.DefaultParams()
+	params.Hold = v.s.Engine.OrderHold
+	return orders.New(orders.Options{
+		VM:      v.id,
+		Table:   v.batch,
+		Engines: v.orderedEngines,
+		Usable:  v.usable,
+		Demand:  func() policy.Demand { return v.demand },
+		Known:   v.listedModel,
+		Leads:   func() bool { return v.leads(roleOrders) },
+		Weights: rate.NewLimiter(rate.Every(time.Minute/time.Duration(v.s.Engine.LoadsPerMinute)), 1),
+		Params:  params,
+		Room:    map[endpoint.OrderKind]int{endpoint.OrderLoadModel: v.s.Engine.ModelRoom},
+	})
+}
+
+// giveOrders gives orders if it is this VM's turn. Only the loop of the orders
+// uses v.demand.
+func (v *VM) giveOrders(ctx context.Context) {
+	if v.leads(roleOrders) {
+		v.demand = v.sumDemand(ctx)
+	}
+	if err := v.orders.Tick(ctx); err != nil && ctx.Err() == nil {
+		v.log.Warn("engines could not be ordered; tried again at the next interval", tag.Error(err))
+	}
+}
+
+func (v *VM) orderedEngines() map[string]orders.Engine {
+	out := make(map[string]orders.Engine)
+	for _, e := range v.engines() {
+		out[e.Endpoint().Name] = e
+	}
+	return out
+}
+
+// usable reports whether an engine may be ordered: it is neither sick nor
+// leaving nor drained.
+func (v *VM) usable(name string) bool {
+	ep, ok := v.directory.Find(name)
+	if !ok || ep.Leaving || v.schedule.Placement().Sick(name) {
+		return false
+	}
+	row := v.config().Row(entity.RowEndpoint, name)
+	return row == nil || !row.Drain
+}
+
+// listedModel reports whether operators have listed a model in the table.
+// Callers choose the names that they ask for; no other is ever loaded.
+func (v *VM) listedModel(item policy.Item) bool {
+	return item.Kind == endpoint.OrderLoadModel && v.config().Row(entity.RowModel, item.Name) != nil
+}
+
+// sumDemand adds up what the VMs of this data centre have measured. One that
+// can't be reached counts nothing.
+func (v *VM) sumDemand(ctx context.Context) policy.Demand {
+	ctx, cancel := context.WithTimeout(ctx, runnersTimeout)
+	defer cancel()
+	sum := v.meter.Demand()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, vm := range v.view() {
+		if vm.DC != v.s.VM.DC || vm.ID == v.id || vm.State == entity.VMDead {
+			continue
+		}
+		wg.Go(func() {
+			var reply DemandReply
+			if v.meshOut.Call(ctx, vm.MeshAddr, runnersService+".Demand", Nothing{}, &reply) != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			sum = sum.Plus(reply.Demand)
+		})
+	}
+	wg.Wait()
+	return sum
+}
--- a/internal/vm/queues.go
+++ b/internal/vm/queues.go
@@ -14,14 +14,17 @@
 // buildQueues makes the scheduler, whose queues are spread over the VMs of
 // their endpoints' data centres.
 func (v *VM) buildQueues() *queue.Remote {
+	policy := queuePolicy(v.s)
+	policy.Retention.MaxIdle = v.s.Engine.Hold
 	return queue.NewRemote(queue.RemoteOptions{
 		VM:     v.id,
-		Policy: queuePolicy(v.s),
+		Policy: policy,
 		Hooks: queue.Hooks{
 			ReleaseSession: func(ctx context.Context, ep entity.Endpoint, id entity.ProgramID) error {
 				return v.engine(ep).Release(ctx, id)
 			},
 			ImportSession: v.importSession,
+			News:          newNews(v),
 			Events:        v.recorder,
 		},
 		Network: queue.Network{Locate: v.locateQueue, Call: v.meshOut.Call},
@@ -55,11 +58,7 @@
 }
 
 func (v *VM) engine(ep entity.Endpoint) *endpoint.Engine {
-	return endpoint.NewEngine(ep, v.client, v.clientOptions())
-}
-
-func (v *VM) clientOptions() endpoint.Options {
-	return endpoint.Options{Silence: v.s.Engine.SilenceLimit}
+	return v.pool.Engine(ep)
 }
 
 // reachable returns the endpoints that this VM's programs use: those of its
--- /dev/null
+++ b/internal/vm/runners.go
@@ -0,0 +1,141 @@
+package vm
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"ibisstall.example/ibisstall/internal/endpoint"
+	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/logging/tag"
+	"ibisstall.example/ibisstall/internal/policy/ownership"
+	"ibisstall.example/ibisstall/internal/policy/retain"
+	"ibisstall.example/ibisstall/internal/system/orders"
+	"ibisstall.example/ibisstall/internal/system/placement"
+	"ibisstall.example/ibisstall/internal/system/queue"
+	"ibisstall.example/ibisstall/internal/system/sweep"
+)
+
+// Soft roles that concern the runners of a data centre.
+const (
+	roleSweeper ownership.Role = "sweeper"
+	roleOrders  ownership.Role = "orders"
+)
+
+// demandWindow is the time over which the demand for models is measured.
+const demandWindow = time.Minute
+
+// buildRunners makes the clients of the runners and the systems that look
+// after the engines.
+func (v *VM) buildRunners() {
+	base := &http.Transport{MaxIdleConnsPerHost: idleConns}
+	v.pool = endpoint.NewPool(base, endpoint.Options{Silence: v.s.Engine.SilenceLimit})
+	v.sweeper = sweep.New(sweep.Options{
+		Engines: v.sweptEngines,
+		LookUp:  v.lookUpPrograms,
+		Retain:  retain.DefaultParams(v.s.Engine.Hold),
+	})
+	v.meter = orders.NewMeter(demandWindow, v.s.Engine.Slots)
+	v.orders = v.buildOrders()
+}
+
+// runnerLoops runs the sweep, and the orders if engines may be ordered.
+func (v *VM) runnerLoops(ctx context.Context) {
+	v.loop(ctx, v.s.Engine.SweepInterval, v.sweep)
+	if v.s.Engine.ModelRoom > 0 {
+		v.loop(ctx, v.s.Engine.OrderInterval, v.giveOrders)
+	}
+}
+
+// leads reports whether this VM holds a soft role of its data centre.
+func (v *VM) leads(role ownership.Role) bool {
+	vm, ok := ownership.PlatformRole(role, v.s.VM.DC, v.view())
+	return ok && vm.ID == v.id
+}
+
+// engines returns the engines of this data centre, leaving ones included.
+func (v *VM) engines() []*endpoint.Engine {
+	var out []*endpoint.Engine
+	for _, ep := range v.directory.Endpoints() {
+		if ep.Kind == entity.KindEngine && ep.DC == v.s.VM.DC {
+			out = append(out, v.engine(ep))
+		}
+	}
+	return out
+}
+
+func (v *VM) sweptEngines() map[string]sweep.Engine {
+	out := make(map[string]sweep.Engine)
+	for _, e := range v.engines() {
+		out[e.Endpoint().Name] = e
+	}
+	return out
+}
+
+// sweep frees memory of the engines if it is this VM's turn.
+func (v *VM) sweep(ctx context.Context) {
+	v.sweeper.Forget(func(id entity.ProgramID) bool {
+		return len(v.owner.States([]entity.ProgramID{id})) > 0
+	})
+	if !v.leads(roleSweeper) {
+		return
+	}
+	report, err := v.sweeper.Tick(ctx)
+	if err != nil && ctx.Err() == nil {
+		v.log.Warn("engines could not be swept whole; the next sweep tries again", tag.Error(err))
+	}
+	if freed := report.Gone + report.LetGo; freed > 0 {
+		v.log.Info("freed engine memory of programs", tag.Count(freed))
+	}
+}
+
+// news reads the engines' news and tells the directory what an engine says of
+// itself. Load reports are read by the VM that has the engine's queue; others
+// need little of them and read them rarely.
+type news struct {
+	placement.News
+	v *VM
+
+	mu   sync.Mutex
+	last map[string]reading // by engine
+}
+
+// reading is a load report and when it was read.
+type reading struct {
+	report endpoint.LoadReport
+	at     time.Time
+}
+
+// reportKept is the time for which a VM without the engine's queue goes on
+// with a load report.
+const reportKept = 15 * time.Second
+
+func newNews(v *VM) *news {
+	return &news{News: queue.EngineNews(v.engine), v: v, last: make(map[string]reading)}
+}
+
+// Load implements placement.News.
+func (n *news) Load(ctx context.Context, e entity.Endpoint) (endpoint.LoadReport, error) {
+	if _, local := n.v.locateQueue(e.Name); !local {
+		if r, fresh := n.kept(e.Name); fresh {
+			return r, nil
+		}
+	}
+	r, err := n.News.Load(ctx, e)
+	if err != nil {
+		return r, err
+	}
+	n.v.directory.Reported(e.Name, r.Models, r.Leaving)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.last[e.Name] = reading{report: r, at: time.Now()}
+	return r, nil
+}
+
+func (n *news) kept(name string) (endpoint.LoadReport, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r, ok := n.last[name]
+	return r.report, ok && time.Since(r.at) < reportKept
+}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"ibisstall.example/ibisstall/internal/connlimit"
+	"ibisstall.example/ibisstall/internal/endpoint"
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/front"
 	"ibisstall.example/ibisstall/internal/keys"
@@ -25,16 +26,19 @@
 	"ibisstall.example/ibisstall/internal/metric"
 	"ibisstall.example/ibisstall/internal/platform/batch"
 	"ibisstall.example/ibisstall/internal/platform/httpclient"
+	policyorders "ibisstall.example/ibisstall/internal/policy/orders"
 	"ibisstall.example/ibisstall/internal/settings"
 	"ibisstall.example/ibisstall/internal/system/config"
 	"ibisstall.example/ibisstall/internal/system/directory"
 	"ibisstall.example/ibisstall/internal/system/journal"
 	"ibisstall.example/ibisstall/internal/system/lease"
+	"ibisstall.example/ibisstall/internal/system/orders"
 	"ibisstall.example/ibisstall/internal/system/owner"
 	"ibisstall.example/ibisstall/internal/system/ownership"
 	"ibisstall.example/ibisstall/internal/system/queue"
 	"ibisstall.example/ibisstall/internal/system/relay"
 	"ibisstall.example/ibisstall/internal/system/route"
+	"ibisstall.example/ibisstall/internal/system/sweep"
 	"ibisstall.example/ibisstall/internal/timeline"
 	"ibisstall.example/ibisstall/internal/tlsconf"
 )
@@ -54,7 +58,11 @@
 	meshOut   *mesh.Client
 	directory *directory.Directory
 	schedule  *queue.Remote
-	client    *http.Client // to the endpoints
+	pool      *endpoint.Pool // clients of the endpoints
+	sweeper   *sweep.Sweeper
+	meter     *orders.Meter // of this VM's demand for models
+	demand    policyorders.Demand
+	orders    *orders.System
 	table     *config.Manager
 	relay     *relay.Relay
 	batch     *batch.Committer
@@ -230,6 +238,7 @@
 	v.batch.Close()
 	v.writer.Close()
 	v.platform.Close()
+	v.pool.Close()
 	return err
 }
 
