--- a/internal/vm/build.go
+++ b/internal/vm/build.go
@@ -6,19 +6,15 @@
 	"encoding/hex"
 	"errors"
 	"net"
-	"net/http"
 	"time"
 
-	"ibisstall.example/ibisstall/internal/endpoint"
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/front"
 	"ibisstall.example/ibisstall/internal/membership"
 	"ibisstall.example/ibisstall/internal/mesh"
-	"ibisstall.example/ibisstall/internal/platform/batch"
-	"ibisstall.example/ibisstall/internal/platform/httpclient"
+	"ibisstall.example/ibisstall/internal/platform/batchrpc"
 	"ibisstall.example/ibisstall/internal/settings"
 	"ibisstall.example/ibisstall/internal/system/directory"
-	"ibisstall.example/ibisstall/internal/system/journal"
 	"ibisstall.example/ibisstall/internal/system/mirror"
 	"ibisstall.example/ibisstall/internal/system/owner"
 	"ibisstall.example/ibisstall/internal/system/queue"
@@ -37,22 +33,16 @@
 
 // build makes the systems, from the bottom up.
 func (v *VM) build() error {
-	v.platform = httpclient.New(httpclient.Options{
-		BaseURL:    v.s.Platform.TableURL,
-		ObjectsURL: v.s.Platform.ObjectsURL,
-		VMListURL:  v.s.Platform.VMListURL,
-		DC:         v.s.VM.DC,
-		Timeout:    v.s.Platform.Timeout,
-		MaxTries:   uint(v.s.Platform.Attempts),
-		RetryShare: v.s.Platform.RetryRatio,
-	})
-	v.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns}}
 	v.meshOut = mesh.NewClient(mesh.ClientOptions{
 		Recorder: v.recorder,
 		TLS:      v.meshClientTLS(),
+		Keys:     v.fleetKeys(),
 		LocalIP:  ownIP(v.s.VM.MeshListen),
 	})
-	if err := v.buildMembership(); err != nil {
+	if err := errors.Join(v.buildPlatform(), v.buildMembership()); err != nil {
+		return err
+	}
+	if err := v.buildOwnership(); err != nil {
 		return err
 	}
 	v.buildJournal()
@@ -60,6 +50,7 @@
 		return err
 	}
 	v.directory = directory.New(v.s.Endpoints, v.platform, v.recorder)
+	v.buildRunners()
 	v.schedule = v.buildQueues()
 	v.owner = owner.New(v.ownerOptions())
 	v.router = route.New(route.Options{
@@ -134,12 +125,12 @@
 	return owner.Options{
 		Self:      v.id,
 		Journal:   v.journal,
-		Scheduler: v.schedule,
+		Scheduler: newMeteredQueue(v.schedule, v.sweeper, v.meter),
 		Engines: func(ep entity.Endpoint) owner.Engine {
 			return v.engine(ep)
 		},
 		Callers: func(ep entity.Endpoint) owner.Caller {
-			return endpoint.NewCaller(ep, v.client, v.clientOptions())
+			return v.pool.Caller(ep)
 		},
 		Endpoint:       v.directory.Find,
 		Endpoints:      v.directory.Endpoints,
@@ -147,7 +138,8 @@
 		Place:          v.place,
 		VM:             v.vmByID,
 		HandOver:       v.handOver,
-		Lease:          func() error { return nil },
+		Lease:          v.lease.CheckHeld,
+		MayBuffer:      v.mayBuffer,
 		RetryShare:     v.s.Policy.RetryRatio,
 		Recorder:       v.recorder,
 		Now:            time.Now,
@@ -177,6 +169,7 @@
 		NewID:     newID,
 		Now:       time.Now,
 		Limits: front.Limits{
+			Header:         int64(v.s.Limits.Header),
 			Body:           int64(v.s.Limits.Body),
 			JSONDepth:      v.s.Limits.JSONDepth,
 			SlowSender:     v.s.Limits.SlowSender,
@@ -185,29 +178,16 @@
 	}
 }
 
-// buildJournal makes the journal over group commit, with second copies on
-// other VMs.
-func (v *VM) buildJournal() {
-	v.batch = batch.New(v.platform, batch.Options{MinSpacing: v.s.Journal.BatchInterval, Timeout: v.s.Platform.Timeout})
-	v.copies = journal.NewMirrorStore(v.s.Journal.BufferRecords)
-	v.journal = journal.New(journal.Options{
-		Table:            v.batch,
-		Objects:          v.platform.Objects(),
-		Mirror:           mirror.New(v.id, v.s.VM.DC, v.meshOut, v.members.View, v.copies),
-		MaxBufferBytes:   int(v.s.Journal.BufferBytes),
-		MaxBufferRecords: v.s.Journal.BufferRecords,
-		Timeout:          v.s.Platform.Timeout,
-		Events:           v.recorder,
-	})
-}
-
 // register publishes the services that other VMs call.
 func (v *VM) register() error {
 	return errors.Join(
 		v.meshIn.Register(owner.ServiceName, owner.NewService(v.owner, findLimit)),
 		v.meshIn.Register(configService, &configRPC{v}),
+		v.meshIn.Register(relayService, &relayRPC{v}),
+		v.meshIn.Register(batchrpc.ServiceName, batchrpc.NewService(v.writer, v.s.Platform.Timeout)),
 		v.meshIn.Register(fleetService, &fleetRPC{v}),
 		v.meshIn.Register(queue.ServiceName, v.schedule.Server()),
+		v.meshIn.Register(runnersService, &runnersRPC{v}),
 		v.meshIn.Register(mirror.ServiceName, mirror.NewService(v.copies)),
 	)
 }
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"ibisstall.example/ibisstall/internal/connlimit"
+	"ibisstall.example/ibisstall/internal/endpoint"
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/front"
 	"ibisstall.example/ibisstall/internal/keys"
@@ -25,13 +26,19 @@
 	"ibisstall.example/ibisstall/internal/metric"
 	"ibisstall.example/ibisstall/internal/platform/batch"
 	"ibisstall.example/ibisstall/internal/platform/httpclient"
+	policyorders "ibisstall.example/ibisstall/internal/policy/orders"
 	"ibisstall.example/ibisstall/internal/settings"
 	"ibisstall.example/ibisstall/internal/system/config"
 	"ibisstall.example/ibisstall/internal/system/directory"
 	"ibisstall.example/ibisstall/internal/system/journal"
+	"ibisstall.example/ibisstall/internal/system/lease"
+	"ibisstall.example/ibisstall/internal/system/orders"
 	"ibisstall.example/ibisstall/internal/system/owner"
+	"ibisstall.example/ibisstall/internal/system/ownership"
 	"ibisstall.example/ibisstall/internal/system/queue"
+	"ibisstall.example/ibisstall/internal/system/relay"
 	"ibisstall.example/ibisstall/internal/system/route"
+	"ibisstall.example/ibisstall/internal/system/sweep"
 	"ibisstall.example/ibisstall/internal/timeline"
 	"ibisstall.example/ibisstall/internal/tlsconf"
 )
@@ -51,9 +58,18 @@
 	meshOut   *mesh.Client
 	directory *directory.Directory
 	schedule  *queue.Remote
-	client    *http.Client // to the endpoints
+	pool      *endpoint.Pool // clients of the endpoints
+	sweeper   *sweep.Sweeper
+	meter     *orders.Meter // of this VM's demand for models
+	demand    policyorders.Demand
+	orders    *orders.System
 	table     *config.Manager
+	relay     *relay.Relay
 	batch     *batch.Committer
+	writer    *batch.Committer // writes for other VMs of the data centre
+	lease     *lease.VM
+	dcLease   *lease.DC
+	ownership *ownership.System
 	copies    *journal.MirrorStore // second copies kept for other VMs
 	journal   *journal.Journal
 	owner     *owner.Owner
@@ -67,6 +83,7 @@
 	metrics   *metric.Registry
 	recorder  timeline.Recorder // the ring, with its events counted
 
+	lapses   uint64 // isolations that the owner's loop has seen
 	draining atomic.Bool
 	killed   chan struct{} // closed by Kill
 	killOnce sync.Once
@@ -112,7 +129,13 @@
 	if v.admin, err = net.Listen("tcp", v.s.VM.AdminListen); err != nil {
 		return fmt.Errorf("listen for metrics: %w", err)
 	}
-	if v.meshIn, err = mesh.Listen(mesh.ServerOptions{Addr: v.s.VM.MeshListen, TLS: v.meshServerTLS()}); err != nil {
+	v.meshIn, err = mesh.Listen(mesh.ServerOptions{
+		Addr:      v.s.VM.MeshListen,
+		TLS:       v.meshServerTLS(),
+		Keys:      v.fleetKeys(),
+		OnRefused: v.reportStranger,
+	})
+	if err != nil {
 		return err
 	}
 	if v.gossip, err = membership.ListenUDP(v.s.VM.GossipListen); err != nil {
@@ -121,6 +144,11 @@
 	return nil
 }
 
+// reportStranger logs a connection that did not come from the fleet.
+func (v *VM) reportStranger(addr string, err error) {
+	v.log.Warn("connection to the mesh address refused", tag.Address(addr), tag.Error(err))
+}
+
 // close releases what bind opened.
 func (v *VM) close() {
 	if v.listener != nil {
@@ -208,7 +236,9 @@
 	v.running.Wait()
 	v.journal.Close()
 	v.batch.Close()
+	v.writer.Close()
 	v.platform.Close()
+	v.pool.Close()
 	return err
 }
 
@@ -224,7 +254,9 @@
 		Handler:           v.front.Handler(),
 		ReadHeaderTimeout: v.s.Limits.SlowSender,
 		IdleTimeout:       v.s.Limits.Idle,
-		MaxHeaderBytes:    int(v.s.Limits.Header),
+		// The limit itself is checked where it can be answered by a typed
+		// error; this is where the server stops to read.
+		MaxHeaderBytes: 2 * int(v.s.Limits.Header),
 	}
 }
 
@@ -256,6 +288,22 @@
 	for v.owner.Drain() > 0 && ctx.Err() == nil {
 		time.Sleep(drainPoll)
 	}
+	v.releaseLeases(ctx)
+}
+
+// releaseLeases gives the leases back; the data centre's only by its last VM.
+func (v *VM) releaseLeases(ctx context.Context) {
+	if err := v.lease.Release(ctx); err != nil {
+		v.log.Warn("the lease was not given back", tag.Error(err))
+	}
+	for _, vm := range v.members.View() {
+		if vm.DC == v.s.VM.DC && vm.ID != v.id && vm.State != entity.VMDead {
+			return
+		}
+	}
+	if err := v.dcLease.Release(ctx); err != nil {
+		v.log.Warn("the data centre's lease was not given back", tag.Error(err))
+	}
 }
 
 // Stop asks Run to drain and return.
