--- a/internal/policy/estimate/estimate_test.go
+++ b/internal/policy/estimate/estimate_test.go
@@ -159,7 +159,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(Penalty(DefaultHealthConfig(), c.own, peers), c.want)
+			is.Equal(Penalty(DefaultHealthConfig(), c.own, MedianTokenTime(peers)), c.want)
 		})
 	}
 }
--- a/internal/policy/estimate/health.go
+++ b/internal/policy/estimate/health.go
@@ -1,7 +1,7 @@
 package estimate
 
 import (
-	"sort"
+	"slices"
 	"time"
 )
 
@@ -75,22 +75,28 @@
 	return h
 }
 
-// Penalty returns the factor by which the times of an endpoint are raised for
-// being slower than its peers; 1 if it is not. Endpoints without samples are
-// left out.
-func Penalty(cfg HealthConfig, own Rates, peers []Rates) float64 {
-	var times []time.Duration
-	for _, r := range peers {
+// MedianTokenTime returns the median token time of endpoints, 0 if fewer than
+// three of them have been measured.
+func MedianTokenTime(endpoints []Rates) time.Duration {
+	const least = 3
+	times := make([]time.Duration, 0, len(endpoints))
+	for _, r := range endpoints {
 		if r.Samples > 0 {
 			times = append(times, r.TokenTime)
 		}
 	}
-	if own.Samples == 0 || len(times) < 3 {
-		return 1
+	if len(times) < least {
+		return 0
 	}
-	sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
-	median := times[len(times)/2]
-	if median <= 0 {
+	slices.Sort(times)
+	return times[len(times)/2]
+}
+
+// Penalty returns the factor by which the times of an endpoint are raised for
+// being slower than the median of its peers; 1 if it is not, or if nothing is
+// known.
+func Penalty(cfg HealthConfig, own Rates, median time.Duration) float64 {
+	if own.Samples == 0 || median <= 0 {
 		return 1
 	}
 	factor := float64(own.TokenTime) / float64(median)
--- a/internal/system/placement/place.go
+++ b/internal/system/placement/place.go
@@ -120,6 +120,7 @@
 	for i, st := range serving {
 		rates[i] = st.rates
 	}
+	median := estimate.MedianTokenTime(rates)
 	importable := s.importable(c)
 	list := make([]placement.Candidate, len(serving))
 	for i, st := range serving {
@@ -135,7 +136,7 @@
 			TokenTime:   st.rates.TokenTime,
 			ImportRate:  s.opts.ImportRate,
 			Importable:  importable,
-			Penalty:     estimate.Penalty(s.opts.Health, st.rates, rates),
+			Penalty:     estimate.Penalty(s.opts.Health, st.rates, median),
 			Leaving:     st.leaving(),
 			Sick:        st.health.Sick(),
 			Probe:       st.health.ProbeDue(s.opts.Health, now),
