--- a/cmd/ibisstall/load.go
+++ b/cmd/ibisstall/load.go
@@ -51,6 +51,7 @@
 	Without  []string      `long:"without" choice:"order" choice:"placement" choice:"admission" choice:"spill" choice:"retention" choice:"sessions" description:"switch a part of the policy to the baseline's; may be repeated"`
 	Compare  bool          `long:"compare" description:"run the plain baseline on the same arrivals too"`
 	Lose     float64       `long:"lose" value-name:"SHARE" description:"take this share of the engines away at half time; the endpoint list shows it 10 s later"`
+	Transfer float64       `long:"transfer" value-name:"RATE" description:"let KV cache move between engines at this many tokens a second"`
 	Suite    bool          `long:"suite" description:"run both shapes with 10 and 8 engines at 70, 90 and 110 % against the baseline, and print a Markdown table"`
 	JSON     string        `long:"json" value-name:"FILE" description:"write the results as JSON"`
 	Plot     string        `long:"plot" value-name:"FILE.svg" description:"write the results as a chart"`
@@ -69,9 +70,11 @@
 	if c.URL != "" {
 		return c.remote(ctx)
 	}
+	profile := load.DefaultEngine()
+	profile.Transfer = c.Transfer
 	report, err := load.RunScenario(ctx, load.Scenario{
 		Shape: load.Shape(c.Shape), Seed: c.Seed, Engines: c.Engines, LoadShare: c.Load,
-		Profile: load.DefaultEngine(), Scale: c.Scale, Duration: c.Duration, Without: c.parts(),
+		Profile: profile, Scale: c.Scale, Duration: c.Duration, Without: c.parts(),
 		Loss: load.Loss{Share: c.Lose, At: c.Duration / 2, ListLag: listLag},
 	}, c.Compare)
 	if err != nil {
@@ -130,6 +133,8 @@
 		return &usageError{"--load must be above 0"}
 	case !(c.Scale > 0):
 		return &usageError{"--scale must be above 0"}
+	case !(c.Transfer >= 0):
+		return &usageError{"--transfer must not be negative"}
 	case !(c.Lose >= 0 && c.Lose < 1):
 		return &usageError{"--lose must be at least 0 and below 1"}
 	case c.Duration <= 0:
--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -127,6 +127,7 @@
 	loss.Wait()
 	summary := out.Summary()
 	summary.RetryRatio = target.RetryRatio()
+	summary.Imports = target.imports.Load()
 	heldCtx, cancel := context.WithTimeout(ctx, clock.real(releaseWithin))
 	defer cancel()
 	summary.HeldAfter = target.HeldTokens(heldCtx)
@@ -193,6 +194,7 @@
 	{"failed", func(s *Summary) string { return fmt.Sprint(s.Failed) }},
 	{"refusals by reason", func(s *Summary) string { return fmt.Sprint(s.Refusals) }},
 	{"retries for each call", func(s *Summary) string { return fmt.Sprintf("%.3f", s.RetryRatio) }},
+	{"KV caches moved", func(s *Summary) string { return fmt.Sprint(s.Imports) }},
 	{"tokens held after the run", func(s *Summary) string { return fmt.Sprint(s.HeldAfter) }},
 	{"fairness (Jain)", func(s *Summary) string { return fmt.Sprintf("%.3f", s.Fairness) }},
 	{"timers late p95, ms", func(s *Summary) string { return seconds(s.Lateness.P95 * 1000) }},
--- a/internal/load/engine.go
+++ b/internal/load/engine.go
@@ -14,6 +14,9 @@
 	EventLag    time.Duration // of cache events
 	EventGap    int           // every so-manieth cache event is lost
 	LoadLag     time.Duration // of load reports
+	// Transfer is the speed of KV export and import in tokens a second, 0 if
+	// the engine is not to do it.
+	Transfer float64
 }
 
 // DefaultEngine returns an engine of some 375 generated tokens a second.
--- a/internal/load/local.go
+++ b/internal/load/local.go
@@ -29,6 +29,8 @@
 	endpoints []entity.Endpoint
 	attained  sync.Map // of *atomic.Int64 by root program, tokens
 
+	imports atomic.Int64
+
 	retryMu sync.Mutex
 	retries limits.RetryBudget
 	calls   int
@@ -76,7 +78,12 @@
 			return l.client(e).Release(ctx, id)
 		}
 	}
-	l.scheduler = queue.NewLocal("load", scaledPolicy(c.Policy, c.Clock.Scale), hooks)
+	policy := c.Policy
+	if c.Sessions && c.Profile.Transfer > 0 {
+		policy.Placement.ImportRate = c.Profile.Transfer
+		hooks.ImportSession = l.importSession
+	}
+	l.scheduler = queue.NewLocal("load", scaledPolicy(policy, c.Clock.Scale), hooks)
 	l.endpoints = endpoints
 	l.scheduler.Set(endpoints, nil)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -103,6 +110,7 @@
 		EventLag:           c.Clock.real(p.EventLag),
 		EventGapEvery:      p.EventGap,
 		LoadLag:            c.Clock.real(p.LoadLag),
+		TransferPerToken:   c.Clock.real(transferTime(p.Transfer)),
 	})
 	server := &http.Server{Handler: engine}
 	go func() { _ = server.Serve(listener) }()
@@ -124,6 +132,27 @@
 	}
 }
 
+// transferTime returns the time to export or import one token.
+func transferTime(perSecond float64) time.Duration {
+	if perSecond <= 0 {
+		return 0
+	}
+	const sides = 2 // export and import share the time of a move
+	return time.Duration(float64(time.Second) / perSecond / sides)
+}
+
+func (l *Local) importSession(ctx context.Context, from, to entity.Endpoint, id entity.ProgramID) error {
+	kv, err := l.client(from).Export(ctx, id)
+	if err != nil {
+		return fmt.Errorf("export: %w", err)
+	}
+	if err := l.client(to).Import(ctx, kv); err != nil {
+		return fmt.Errorf("import: %w", err)
+	}
+	l.imports.Add(1)
+	return nil
+}
+
 func (l *Local) client(e entity.Endpoint) *endpoint.Engine { return l.engines[e.Name].client }
 
 // Begin implements Target.
--- a/internal/load/outcome.go
+++ b/internal/load/outcome.go
@@ -153,6 +153,8 @@
 	TokensPerSecond float64 `json:"generated_tokens_per_second"`
 	// RetryRatio is the number of retries for each call.
 	RetryRatio float64 `json:"retry_ratio"`
+	// Imports counts the programs whose KV cache was moved.
+	Imports int64 `json:"kv_imports"`
 	// HeldAfter counts the tokens that engines still hold for programs ten
 	// seconds after the run.
 	HeldAfter int64 `json:"held_tokens_after"`
--- a/internal/load/scale.go
+++ b/internal/load/scale.go
@@ -21,6 +21,7 @@
 	shrink(&p.Admission.MinRetry)
 	shrink(&p.Admission.MaxRetry)
 	p.Placement.Score.TieSeconds /= factor
+	p.Placement.ImportRate *= factor
 	shrink(&p.Placement.Prefixes.Lag)
 	shrink(&p.Placement.Health.ProbeEvery)
 	p.Placement.Rates.PrefillRate *= factor
