--- a/internal/system/queue/endpointqueue.go
+++ b/internal/system/queue/endpointqueue.go
@@ -33,6 +33,9 @@
 	Order   order.Kind
 	Fair    order.FairConfig
 	Permits permits.Config
+	// ServicePermits is the number of permits of a tool or plain service that
+	// the operators' table gives none.
+	ServicePermits int
 	// Lease is the time after which a permit or a waiting call that nobody
 	// has renewed is dropped; 0 means never.
 	Lease time.Duration
--- a/internal/system/queue/policy.go
+++ b/internal/system/queue/policy.go
@@ -38,12 +38,13 @@
 	const renewEvery = 2 * time.Second
 	return Policy{
 		Queue: QueueConfig{
-			Order:       order.KindFair,
-			Fair:        order.DefaultFairConfig(),
-			Permits:     permits.DefaultConfig(),
-			Lease:       3 * renewEvery,
-			Cold:        renewEvery + renewEvery/2,
-			ColdPermits: 2,
+			Order:          order.KindFair,
+			Fair:           order.DefaultFairConfig(),
+			Permits:        permits.DefaultConfig(),
+			ServicePermits: 64,
+			Lease:          3 * renewEvery,
+			Cold:           renewEvery + renewEvery/2,
+			ColdPermits:    2,
 		},
 		Placement:  placement.DefaultOptions(),
 		Admission:  admission.DefaultConfig(),
--- a/internal/system/queue/queue_test.go
+++ b/internal/system/queue/queue_test.go
@@ -107,6 +107,32 @@
 	}
 }
 
+func TestServer_PermitsOfEachKindOfEndpoint(t *testing.T) {
+	cfg := DefaultPolicy().Queue
+	cases := []struct {
+		name     string
+		endpoint entity.Endpoint
+		rows     []entity.ConfigRow
+		want     int
+	}{
+		{"an engine starts with few", entity.Endpoint{Name: "e", Kind: entity.KindEngine}, nil, cfg.Permits.Start},
+		{"a tool service has many", entity.Endpoint{Name: "e", Kind: entity.KindTool}, nil, cfg.ServicePermits},
+		{"the table decides where it says so", entity.Endpoint{Name: "e", Kind: entity.KindTool},
+			[]entity.ConfigRow{{Kind: entity.RowEndpoint, Name: "e", MaxConcurrent: 3}}, 3},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := NewServer(cfg)
+			s.Set([]entity.Endpoint{c.endpoint}, &entity.Config{Rows: c.rows})
+			s.queue("e")
+			load, here := s.Load("e")
+			is.True(here)
+			is.Equal(load.Permits, c.want)
+		})
+	}
+}
+
 func TestLocal_BoundsTheCallsOfEachEndpoint(t *testing.T) {
 	is := is.New(t)
 	endpoints := engines(3)
--- a/internal/system/queue/server.go
+++ b/internal/system/queue/server.go
@@ -203,7 +203,7 @@
 func (s *Server) Set(endpoints []entity.Endpoint, cfg *entity.Config) {
 	settings := make(map[string]EndpointSettings, len(endpoints))
 	for _, e := range endpoints {
-		settings[e.Name] = settingsOf(e, cfg)
+		settings[e.Name] = s.settingsOf(e, cfg)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -213,14 +213,21 @@
 	}
 }
 
-func settingsOf(e entity.Endpoint, cfg *entity.Config) EndpointSettings {
+func (s *Server) settingsOf(e entity.Endpoint, cfg *entity.Config) EndpointSettings {
 	set := EndpointSettings{Closed: e.Leaving}
+	if e.Kind != entity.KindEngine {
+		set.Permits = s.cfg.ServicePermits
+	}
 	if cfg == nil {
 		return set
 	}
-	if row := cfg.Row(entity.RowEndpoint, e.Name); row != nil {
+	row := cfg.Row(entity.RowEndpoint, e.Name)
+	if row == nil {
+		return set
+	}
+	set.Closed = set.Closed || row.Drain
+	if row.MaxConcurrent > 0 {
 		set.Permits = row.MaxConcurrent
-		set.Closed = set.Closed || row.Drain
 	}
 	return set
 }
