Find the lost handshakes, zombies and livelocks that faults bring about

Property tests with lost, repeated and reordered datagrams, pauses, kills, joins and one-way partitions showed: a VM whose challenge was lost dropped the other's probes for good; a member held for dead on one side and alive on the other never became equal; VMs short of bytes kept asking for prints that nobody could answer. Messages now tell whether the sender trusts the receiver, records of members held for dead are answered, and a few records pass whatever the budget.

--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -286,6 +286,9 @@
 func (m *Machine) send(addr string, msg Message) {
 	m.seq++
 	msg.Seq = m.seq
+	if mem := m.members[msg.To]; mem != nil {
+		msg.Trusts = mem.verified
+	}
 	info := msg.Self.Info
 	msg.Self = m.self
 	msg.Self.Info = info
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -18,6 +18,9 @@
 	// its sequence numbers are known to be of now and window is valid.
 	verified bool
 	window   window
+	// trusts tells that the member has verified us in turn, so that it takes
+	// our datagrams in.
+	trusts bool
 
 	// Suspicion: deadline is when the member counts as dead, witnessed tells
 	// that a probe of our own failed, nextPing is when to ping it again.
@@ -28,6 +31,9 @@
 	diedAt time.Duration
 }
 
+// contactable members get gossip: they are not dead and take our datagrams.
+func (m *member) contactable() bool { return !m.dead() && m.verified && m.trusts }
+
 func (m *member) dead() bool    { return m.rec.State == entity.VMDead }
 func (m *member) suspect() bool { return m.rec.State == entity.VMSuspect }
 func (m *member) alive() bool   { return m.rec.State == entity.VMAlive }
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -48,7 +48,10 @@
 	// Hello in a Ping asks for the full record of the receiver, of which the
 	// sender has none; in a SyncPrints it asks for prints in return.
 	Hello bool
-	Self  Record // of the sender
+	// Trusts tells that the receiver has answered a nonce of the sender, so
+	// that the sender takes its datagrams in.
+	Trusts bool
+	Self   Record // of the sender
 
 	Target     string // of a PingReq, and of the Ack that answers it
 	TargetAddr string // of a PingReq
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -50,7 +50,9 @@
 	if mem == nil {
 		msg.To, msg.Hello = addr, true
 	}
-	if mem == nil || !mem.verified {
+	// A member that may not know this VM, or has forgotten it, needs the
+	// address to answer to.
+	if mem == nil || !mem.trusts || !mem.alive() {
 		msg.Self.Info = &m.info
 	}
 	m.fill(&msg, mem)
@@ -119,7 +121,7 @@
 
 func (m *Machine) askHelpers(p *probe) {
 	helpers := m.pick(m.timing.IndirectProbes, func(h *member) bool {
-		return h.alive() && h.verified && h.rec.ID != p.id
+		return h.alive() && h.contactable() && h.rec.ID != p.id
 	})
 	for _, h := range helpers {
 		msg := Message{Kind: KindPingReq, To: h.rec.ID, Nonce: p.nonce, Target: p.id, TargetAddr: p.addr}
--- a/internal/membership/queue.go
+++ b/internal/membership/queue.go
@@ -76,6 +76,21 @@
 	}
 }
 
+// maxFull bounds the new members that wait. When many join at once, comparing
+// tables is cheaper, as it sends a record only to who lacks it.
+const maxFull = 8
+
+// busy reports whether no further new member should be queued.
+func (q *updateQueue) busy() bool {
+	full := 0
+	for _, it := range q.items {
+		if it.full {
+			full++
+		}
+	}
+	return full >= maxFull
+}
+
 // dropSent forgets updates that were sent often enough in a fleet of n members,
 // and new members that have waited for bytes for so long that comparing tables
 // has found them.
@@ -106,7 +121,7 @@
 
 func (b *byteBudget) allows(n int) bool { return b.tokens >= float64(n) }
 
-// allowsBulk is allows for comparisons of tables, which may wait.
+// allowsBulk is allows for starting a comparison of tables, which may wait.
 func (b *byteBudget) allowsBulk(n int) bool {
 	return b.tokens-bulkReserve*b.burst >= float64(n)
 }
@@ -117,11 +132,18 @@
 	return b.tokens-joinReserve*b.burst >= float64(n)
 }
 
-// Parts of the burst that are kept back.
+// allowsRecords is allowsBulk for the records that a comparison was about, so
+// that it comes to its end once begun.
+func (b *byteBudget) allowsRecords(n int) bool {
+	return b.tokens-recordReserve*b.burst >= float64(n)
+}
+
+// Parts of the burst that are kept back for what goes before.
 const (
-	bulkReserve = 0.25
-	joinReserve = 0.5
-	maxOverdraw = 0.25
+	recordReserve = 0.05
+	bulkReserve   = 0.15
+	joinReserve   = 0.85
+	maxOverdraw   = 0.25
 )
 
 // sentAtLeast reports whether no update of a member waits that was sent less
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -93,6 +93,7 @@
 
 // accept applies a new message of a verified member and answers it.
 func (m *Machine) accept(now time.Duration, mem *member, msg *Message) {
+	mem.trusts = msg.Trusts
 	m.apply(now, msg.Self, true)
 	known := len(m.order)
 	for _, r := range msg.Updates {
@@ -110,6 +111,7 @@
 	case KindSyncPrints:
 		m.answerPrints(mem, msg)
 	case KindSyncRecords:
+		m.correct(mem, msg.Updates)
 		if len(m.order) > known {
 			m.syncSoon(now)
 		}
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"ibisstall.example/ibisstall/internal/entity"
@@ -35,16 +36,17 @@
 
 // simNode is a machine on the simulated network.
 type simNode struct {
-	m                   *Machine
-	id, addr, dc        string
-	killed              bool
-	pausedTill          time.Duration
-	waiting             []delivery // datagrams that arrived while paused
-	sent, received      int        // bytes with IP and UDP headers
-	dropped             map[DropReason]int
-	diedAt, suspectedAt map[string]time.Duration // by id of the member, last time seen
-	deaths              map[string]int
-	joins               int
+	m                 *Machine
+	id, addr, dc      string
+	killed            bool
+	pausedTill        time.Duration
+	waiting           []delivery // datagrams that arrived while paused
+	sent, received    int        // bytes with IP and UDP headers
+	dropped           map[DropReason]int
+	diedAt            map[string]time.Duration // by id of the member, last time seen
+	deaths            map[string]int
+	joins, suspicions int
+	configAt          time.Duration // when the latest configuration version was in force
 }
 
 // simNet is a deterministic network of machines under a simulated clock. It
@@ -82,7 +84,7 @@
 	n := &simNode{
 		m: NewMachine(self, s.timing, s.seed+uint64(i), s.now), id: id, addr: addr, dc: dc,
 		dropped: make(map[DropReason]int), deaths: make(map[string]int),
-		diedAt: make(map[string]time.Duration), suspectedAt: make(map[string]time.Duration),
+		diedAt: make(map[string]time.Duration),
 	}
 	s.nodes = append(s.nodes, n)
 	s.byAddr[addr] = n
@@ -111,7 +113,7 @@
 		for _, b := range s.nodes {
 			if a != b {
 				info := b.m.info
-				mem := &member{rec: b.m.self, info: info, ring: b.m.ring, verified: true}
+				mem := &member{rec: b.m.self, info: info, ring: b.m.ring, verified: true, trusts: true}
 				mem.window.open(0)
 				a.m.members[b.id], a.m.byAddr[b.addr] = mem, mem
 			}
@@ -184,7 +186,9 @@
 		case EventDropped:
 			n.dropped[e.Reason]++
 		case EventSuspected:
-			n.suspectedAt[e.VM.ID] = s.now
+			n.suspicions++
+		case EventUpdated:
+			s.follow(n, e.VM)
 		case EventJoined:
 			n.joins++
 		case EventDied:
@@ -197,6 +201,17 @@
 	}
 }
 
+// follow lets a node fetch a higher configuration version that it hears of,
+// which takes two round trips.
+func (s *simNet) follow(n *simNode, heard entity.VM) {
+	switch {
+	case heard.ID == n.id:
+		n.configAt = s.now
+	case heard.ConfigVersion > n.m.self.Config:
+		s.push(delivery{at: s.now + 4*s.latency, to: n.addr, in: SetConfigVersion{Version: heard.ConfigVersion}})
+	}
+}
+
 func (s *simNet) transmit(from *simNode, send *Send) {
 	body, err := marshal(&send.Message)
 	if err != nil {
@@ -228,6 +243,17 @@
 	}
 }
 
+// listAll gives all nodes the addresses of all, as a VM list without lag.
+func (s *simNet) listAll() {
+	var addrs []string
+	for _, n := range s.nodes {
+		addrs = append(addrs, n.addr)
+	}
+	for _, n := range s.alive() {
+		s.give(n, SetSeeds{Addrs: addrs})
+	}
+}
+
 // alive are the nodes that were not killed.
 func (s *simNet) alive() []*simNode {
 	var out []*simNode
@@ -257,6 +283,24 @@
 	return true
 }
 
+// describe lists what living nodes wrongly hold for not alive or for living.
+func (s *simNet) describe() string {
+	var b strings.Builder
+	for _, n := range s.alive() {
+		for _, other := range s.nodes {
+			mem := n.m.members[other.id]
+			switch {
+			case other == n || mem == nil && other.killed:
+			case mem == nil:
+				fmt.Fprintf(&b, "%s does not know %s\n", n.id, other.id)
+			case mem.alive() == other.killed || mem.suspect():
+				fmt.Fprintf(&b, "%s holds %s (killed: %v, incarnation %d) for %+v\n", n.id, other.id, other.killed, other.m.self.Incarnation, mem)
+			}
+		}
+	}
+	return b.String()
+}
+
 // knownDead reports whether all living nodes see a node as dead.
 func (s *simNet) knownDead(id string) bool {
 	for _, n := range s.alive() {
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"ibisstall.example/ibisstall/internal/entity"
 )
 
 // Anti-entropy compares tables with one member at a time. A SyncRoot carries a
@@ -19,6 +21,11 @@
 	maxPrints     = 500 // in a SyncPrints; a larger table is compared in parts
 	syncDatagrams = 4   // SyncRecords from one side
 	sampleMembers = 6   // named by a VM that has no bytes to spare
+	manyLacking   = 16  // records that are asked for whatever the budget
+	fewRecords    = 8   // records that are sent whatever the budget
+	// comparison is what one side must have to spare, in bytes, so that the
+	// prints are not sent in vain.
+	comparison = (syncDatagrams + 1) * MaxDatagram
 )
 
 // digest hashes what anti-entropy makes equal everywhere. Suspicion is left
@@ -77,9 +84,11 @@
 	if mem == nil {
 		return
 	}
+	if !mem.trusts {
+		m.probeMember(now, mem)
+	}
 	if !mem.verified {
 		m.syncWith = mem.rec.ID
-		m.probeMember(now, mem)
 		return
 	}
 	m.syncWith = ""
@@ -107,15 +116,19 @@
 	m.nextSync = min(m.nextSync, now+delay+m.jitter(2*delay))
 }
 
-// answerRoot answers the digest of a whole table with prints, if it differs.
+// answerRoot answers the digest of a whole table with prints, if it differs and
+// there are bytes to spare or the other side knows more members.
 func (m *Machine) answerRoot(mem *member, msg *Message) {
 	if m.root(msg.Salt) == msg.Root {
 		return
 	}
-	if !m.budget.allowsBulk(2 * MaxDatagram) {
-		if int(msg.Known) < len(m.order)/2 {
-			m.sendSample(mem)
-		}
+	lacking := int(msg.Known) > len(m.order)
+	switch {
+	case m.budget.allowsBulk(comparison), lacking && m.budget.allowsRecords(MaxDatagram):
+	case int(msg.Known) < len(m.order)/2:
+		m.sendSample(mem)
+		return
+	default:
 		return
 	}
 	parts := (len(m.circle) + maxPrints) / maxPrints
@@ -157,7 +170,7 @@
 	for p := range slices.Chunk(m.prints(msg.Salt, parts), printSize) {
 		delete(theirs, binary.LittleEndian.Uint16(p))
 	}
-	if len(theirs) > 0 {
+	if len(theirs) >= manyLacking || len(theirs) > 0 && m.budget.allowsRecords(MaxDatagram) {
 		m.sendPrints(mem, msg.Salt, parts, false)
 	}
 }
@@ -184,9 +197,24 @@
 	return out
 }
 
+// correct answers records of members that the sender holds for alive and this
+// VM for dead: prints alone don't show them to the side that holds them for dead.
+func (m *Machine) correct(to *member, records []Record) {
+	var dead []Record
+	for i := range records {
+		mem := m.members[records[i].ID]
+		if mem != nil && mem.dead() && records[i].State != entity.VMDead {
+			dead = append(dead, mem.full())
+		}
+	}
+	m.sendRecords(to, dead)
+}
+
 // sendRecords sends records fragmented by members. What exceeds syncDatagrams or
-// the budget is left for a later comparison.
+// the budget is left for a later comparison; a few records always pass, so that
+// tables grow equal also where the budget is spent.
 func (m *Machine) sendRecords(to *member, records []Record) {
+	few := len(records) <= fewRecords
 	for sent := 0; len(records) > 0 && sent < syncDatagrams; sent++ {
 		msg := Message{Kind: KindSyncRecords, To: to.rec.ID}
 		size := msg.size()
@@ -195,7 +223,7 @@
 			size += records[n].size()
 			n++
 		}
-		if !m.budget.allowsBulk(size) {
+		if !few && !m.budget.allowsRecords(size) {
 			return
 		}
 		msg.Updates = records[:n]
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -8,9 +8,6 @@
 	"ibisstall.example/ibisstall/internal/entity"
 )
 
-// contactable members get gossip: they are not dead and take our datagrams.
-func (m *member) contactable() bool { return !m.dead() && m.verified }
-
 // pick returns at most n random members for which ok holds.
 func (m *Machine) pick(n int, ok func(*member) bool) []*member {
 	var all []*member
@@ -121,7 +118,7 @@
 	if !mem.dead() {
 		m.byAddr[mem.info.GossipAddr] = mem
 	}
-	if passOn {
+	if passOn && !m.queue.busy() {
 		m.queue.add(now, r.ID, true)
 	}
 	switch r.State {
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -45,7 +45,7 @@
 		IndirectProbes:   3,
 		EagerFanOut:      4,
 		BytesPerSecond:   1900,
-		BurstBytes:       64 << 10,
+		BurstBytes:       96 << 10,
 		MaxReconnecting:  16,
 	}
 }
