--- a/cmd/ibisstall/load.go
+++ b/cmd/ibisstall/load.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
 	"ibisstall.example/ibisstall/internal/load"
+	"ibisstall.example/ibisstall/internal/settings"
 )
 
 func init() {
@@ -20,23 +22,36 @@
 			"faster than real time by --scale. Program latency counts tool pauses, but not the time that callers think.",
 		examples: []string{
 			"ibisstall load --local --shape rounds --compare",
+			"ibisstall load --local --suite",
 			"ibisstall load --local --shape tasting --load 1.1 --json tasting.json --plot tasting.svg",
 		},
 		data: &LoadCommand{},
 	})
 }
 
+// realTime is the scale of a run against a running system.
+const realTime = 1
+
+// listLag is the lag of the endpoint list after a loss of engines.
+const listLag = 10 * time.Second
+
 // LoadCommand is the subcommand load.
 type LoadCommand struct {
 	Shape    string        `long:"shape" choice:"tasting" choice:"rounds" default:"tasting" description:"kind of programs"`
 	Seed     uint64        `long:"seed" default:"1" description:"seed of the arrivals and programs"`
 	Local    bool          `long:"local" description:"run against stand-in engines in this process"`
+	URL      string        `long:"url" description:"run against the system at this URL, in real time, as one workspace"`
+	KeyFile  string        `long:"key-file" value-name:"FILE" description:"file with the workspace's key, closed to others; for --url"`
+	Model    string        `long:"model" default:"agent" description:"model to call; for --url"`
+	Rate     float64       `long:"rate" default:"0.2" description:"programs a second; for --url"`
 	Engines  int           `long:"engines" default:"10" description:"number of stand-in engines"`
 	Load     float64       `long:"load" default:"0.9" description:"arrival rate as a share of the engines' capacity"`
 	Duration time.Duration `long:"duration" default:"4m" description:"time of arrivals, in the time of the workload"`
 	Scale    float64       `long:"scale" default:"20" description:"how many times faster than real time to run"`
-	Without  []string      `long:"without" choice:"order" choice:"placement" choice:"admission" choice:"spill" description:"switch a part of the policy to the baseline's; may be repeated"`
+	Without  []string      `long:"without" choice:"order" choice:"placement" choice:"admission" choice:"spill" choice:"retention" choice:"sessions" description:"switch a part of the policy to the baseline's; may be repeated"`
 	Compare  bool          `long:"compare" description:"run the plain baseline on the same arrivals too"`
+	Lose     float64       `long:"lose" value-name:"SHARE" description:"take this share of the engines away at half time; the endpoint list shows it 10 s later"`
+	Suite    bool          `long:"suite" description:"run both shapes with 10 and 8 engines at 70, 90 and 110 % against the baseline, and print a Markdown table"`
 	JSON     string        `long:"json" value-name:"FILE" description:"write the results as JSON"`
 	Plot     string        `long:"plot" value-name:"FILE.svg" description:"write the results as a chart"`
 }
@@ -48,9 +63,16 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if c.Suite {
+		return c.suite(ctx)
+	}
+	if c.URL != "" {
+		return c.remote(ctx)
+	}
 	report, err := load.RunScenario(ctx, load.Scenario{
 		Shape: load.Shape(c.Shape), Seed: c.Seed, Engines: c.Engines, LoadShare: c.Load,
 		Profile: load.DefaultEngine(), Scale: c.Scale, Duration: c.Duration, Without: c.parts(),
+		Loss: load.Loss{Share: c.Lose, At: c.Duration / 2, ListLag: listLag},
 	}, c.Compare)
 	if err != nil {
 		return fmt.Errorf("run load: %w", err)
@@ -58,6 +80,32 @@
 	return c.write(report)
 }
 
+func (c *LoadCommand) suite(ctx context.Context) error {
+	err := load.RunSuite(ctx, os.Stdout, load.SuiteConfig{
+		Seed: c.Seed, Profile: load.DefaultEngine(), Scale: c.Scale, Duration: c.Duration,
+	})
+	if err != nil {
+		return fmt.Errorf("run load: %w", err)
+	}
+	return nil
+}
+
+// remote runs against a running system.
+func (c *LoadCommand) remote(ctx context.Context) error {
+	key, err := settings.ReadSecret(c.KeyFile)
+	if err != nil {
+		return fmt.Errorf("workspace's key: %w", err)
+	}
+	target := load.NewRemote(c.URL, string(key.Reveal()), c.Model, &http.Client{})
+	report, err := load.RunRemote(ctx, load.PlanConfig{
+		Shape: load.Shape(c.Shape), Seed: c.Seed, Rate: c.Rate, Duration: c.Duration,
+	}, realTime, target)
+	if err != nil {
+		return fmt.Errorf("run load: %w", err)
+	}
+	return c.write(report)
+}
+
 func (c *LoadCommand) parts() []load.Part {
 	parts := make([]load.Part, len(c.Without))
 	for i, name := range c.Without {
@@ -68,14 +116,22 @@
 
 func (c *LoadCommand) check() error {
 	switch {
-	case !c.Local:
-		return &usageError{"load needs --local"}
+	case c.Local == (c.URL != ""):
+		return &usageError{"load needs either --local or --url"}
+	case c.URL != "" && c.KeyFile == "":
+		return &usageError{"--url needs --key-file"}
+	case c.URL != "" && (c.Compare || c.Suite || c.Lose > 0 || len(c.Without) > 0):
+		return &usageError{"--compare, --suite, --lose and --without need --local"}
+	case !(c.Rate > 0):
+		return &usageError{"--rate must be above 0"}
 	case c.Engines <= 0:
 		return &usageError{"--engines must be above 0"}
 	case !(c.Load > 0):
 		return &usageError{"--load must be above 0"}
 	case !(c.Scale > 0):
 		return &usageError{"--scale must be above 0"}
+	case !(c.Lose >= 0 && c.Lose < 1):
+		return &usageError{"--lose must be at least 0 and below 1"}
 	case c.Duration <= 0:
 		return &usageError{"--duration must be above 0"}
 	}
--- a/internal/endpoint/transport.go
+++ b/internal/endpoint/transport.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -18,6 +20,7 @@
 	DefaultResumes       = 30
 	DefaultMaxAnswer     = 64 << 20 // bytes
 	DefaultAdminDeadline = 2 * time.Second
+	silencesOutOfReach   = 3
 	cancelDeadline       = 2 * time.Second
 	drainBytes           = 16 << 10
 )
@@ -30,6 +33,10 @@
 	// Resumes is the number of times that a stream is resumed without a new
 	// chunk in between.
 	Resumes int
+	// OutOfReach is the time without an answer to an attempt to resume after
+	// which a stream is given up; one that has had no chunk yet is given up
+	// after Silence.
+	OutOfReach time.Duration
 	// MaxAnswer is the largest answer in bytes.
 	MaxAnswer int64
 	// AdminDeadline bounds each request that is not a call.
@@ -42,6 +49,9 @@
 	if o.Silence <= 0 {
 		o.Silence = DefaultSilence
 	}
+	if o.OutOfReach <= 0 {
+		o.OutOfReach = silencesOutOfReach * o.Silence
+	}
 	if o.Resumes <= 0 {
 		o.Resumes = DefaultResumes
 	}
@@ -62,21 +72,28 @@
 // which would send a request twice.
 type connections struct {
 	reused *http.Client
-	fresh  *http.Client
+	fresh  func() *http.Client
 }
 
 func newConnections(hc *http.Client) connections {
 	reused := *hc
 	reused.CheckRedirect = keepRedirect
-	fresh := reused
-	if t, ok := transportOf(hc); ok {
-		t = t.Clone()
-		t.DisableKeepAlives = true
-		fresh.Transport = t
-	}
-	return connections{reused: &reused, fresh: &fresh}
+	fresh := sync.OnceValue(func() *http.Client {
+		c := reused
+		if t, ok := transportOf(hc); ok {
+			t = t.Clone()
+			t.DisableKeepAlives = true
+			c.Transport = t
+		}
+		return &c
+	})
+	return connections{reused: &reused, fresh: fresh}
 }
 
+// distrust drops the idle connections: one of them may be silent, or hold an
+// answer that belongs to another request.
+func (c connections) distrust() { c.reused.CloseIdleConnections() }
+
 func transportOf(hc *http.Client) (*http.Transport, bool) {
 	if hc.Transport == nil {
 		t, ok := http.DefaultTransport.(*http.Transport)
@@ -97,11 +114,21 @@
 // trace returns a context under which the request reports how far it got.
 func (s *sending) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:      func(httptrace.GotConnInfo) { s.connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			s.connected.Store(true)
+			if speaksHTTP2(info.Conn) {
+				s.wrote.Store(true) // it reports the header only after it has left
+			}
+		},
 		WroteHeaders: func() { s.wrote.Store(true) },
 	})
 }
 
+func speaksHTTP2(c net.Conn) bool {
+	secure, ok := c.(*tls.Conn)
+	return ok && secure.ConnectionState().NegotiatedProtocol == "h2"
+}
+
 // classify turns a transport error into ErrNotSent or ErrUnanswered. The last
 // bytes of a request's header leave only after WroteHeaders, and a failed
 // connection is closed before the transport returns, so a request whose
@@ -146,29 +173,30 @@
 // errSilent means that no byte came for the limit.
 var errSilent = errors.New("no bytes from the runner")
 
-// watch cancels a request when no byte has come for a time.
+// watch cancels a request when the runner lets a time pass without a byte. It
+// runs while the client waits for the runner, not while the caller takes its
+// time with what has come.
 type watch struct {
 	timer *time.Timer
 	limit time.Duration
 }
 
+// newWatch returns a watch that runs.
 func newWatch(limit time.Duration, cancel context.CancelCauseFunc) *watch {
 	return &watch{timer: time.AfterFunc(limit, func() { cancel(errSilent) }), limit: limit}
 }
 
 func (w *watch) stop() { w.timer.Stop() }
 
-// watchedBody resets the watch with each byte.
+// watchedBody runs the watch during each read.
 type watchedBody struct {
-	io.Reader
+	io.ReadCloser
 	watch *watch
 }
 
 // Read implements io.Reader.
 func (b watchedBody) Read(p []byte) (int, error) {
-	n, err := b.Reader.Read(p)
-	if n > 0 {
-		b.watch.timer.Reset(b.watch.limit)
-	}
-	return n, err
+	b.watch.timer.Reset(b.watch.limit)
+	defer b.watch.stop()
+	return b.ReadCloser.Read(p)
 }
--- a/internal/system/journal/journal.go
+++ b/internal/system/journal/journal.go
@@ -12,9 +12,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/platform"
 	"ibisstall.example/ibisstall/internal/timeline"
@@ -34,6 +37,8 @@
 	// ErrUnavailable means that the platform is unavailable. Nothing was
 	// written.
 	ErrUnavailable = errors.New("journal can't reach the platform")
+	// ErrClosed means that the journal was closed. Nothing was written.
+	ErrClosed = fmt.Errorf("%w: journal is closed", ErrUnavailable)
 	// ErrUnresolved means that the outcome of a write is not known yet. The
 	// journal goes on settling it; the caller must not take the write as
 	// done, nor as undone.
@@ -63,10 +68,20 @@
 	MaxBufferRecords int
 	// Timeout bounds one request to the platform or the mirror.
 	Timeout time.Duration
+	// ScansPerSecond paces the reads of sub-agents in an adoption, so that
+	// the platform's read rate holds.
+	ScansPerSecond float64
 	// FlushEvery is the interval at which Run flushes.
 	FlushEvery time.Duration
+	// CompactAt is the number of turns in rows from which on Run compacts a
+	// program, and CompactEvery the interval at which it looks for such.
+	CompactAt    uint64
+	CompactEvery time.Duration
 	// Events records what becomes of turns; nil means nothing.
 	Events timeline.Recorder
+	// Guards returns the conditions that an adoption must carry beside those
+	// of the family's own rows; nil means none.
+	Guards func(root entity.ProgramID) []platform.Write
 	// OnLost is called once for each family whose ownership was lost.
 	OnLost func(root entity.ProgramID)
 }
@@ -76,7 +91,10 @@
 	DefaultMaxBufferBytes   = 64 << 20
 	DefaultMaxBufferRecords = 20_000
 	DefaultTimeout          = 10 * time.Second
+	DefaultScansPerSecond   = 1000
 	DefaultFlushEvery       = 200 * time.Millisecond
+	DefaultCompactAt        = 160
+	DefaultCompactEvery     = time.Second
 )
 
 // Limits of one family, so that its buffered records fit one transaction.
@@ -102,12 +120,14 @@
 	objects platform.Objects
 	options Options
 	room    *room
+	scans   *rate.Limiter // of adoptions
 
 	closing context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 
 	mu       sync.Mutex
+	closed   bool // no goroutine is started any more
 	families map[entity.ProgramID]*family
 	adopting map[entity.ProgramID]bool
 }
@@ -123,12 +143,24 @@
 	if o.Timeout == 0 {
 		o.Timeout = DefaultTimeout
 	}
+	if o.ScansPerSecond == 0 {
+		o.ScansPerSecond = DefaultScansPerSecond
+	}
 	if o.FlushEvery == 0 {
 		o.FlushEvery = DefaultFlushEvery
 	}
+	if o.CompactAt == 0 {
+		o.CompactAt = DefaultCompactAt
+	}
+	if o.CompactEvery == 0 {
+		o.CompactEvery = DefaultCompactEvery
+	}
 	if o.Events == nil {
 		o.Events = timeline.Discard{}
 	}
+	if o.Guards == nil {
+		o.Guards = func(entity.ProgramID) []platform.Write { return nil }
+	}
 	if o.OnLost == nil {
 		o.OnLost = func(entity.ProgramID) {}
 	}
@@ -142,6 +174,7 @@
 		room:     &room{maxBytes: o.MaxBufferBytes, maxRecords: o.MaxBufferRecords},
 		families: make(map[entity.ProgramID]*family),
 		adopting: make(map[entity.ProgramID]bool),
+		scans:    rate.NewLimiter(rate.Limit(o.ScansPerSecond), concurrentScans),
 	}
 	j.closing, j.cancel = context.WithCancel(context.Background())
 	return j
@@ -150,18 +183,29 @@
 // Close cuts off requests under way and waits for the background goroutines.
 // Buffered records remain on the mirror.
 func (j *Journal) Close() {
+	j.mu.Lock()
+	j.closed = true
+	j.mu.Unlock()
 	j.cancel()
 	j.running.Wait()
 }
 
-// Run flushes buffered records until ctx ends.
+// Run flushes buffered records and compacts long programs until ctx ends.
 func (j *Journal) Run(ctx context.Context) {
-	ticker := time.NewTicker(j.options.FlushEvery)
+	var wait sync.WaitGroup
+	wait.Go(func() { every(ctx, j.options.FlushEvery, func() { j.Flush(ctx) }) })
+	wait.Go(func() { every(ctx, j.options.CompactEvery, func() { j.compactDue(ctx) }) })
+	wait.Wait()
+}
+
+// every calls do at an interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, do func()) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			j.Flush(ctx)
+			do()
 		case <-ctx.Done():
 			return
 		}
@@ -236,13 +280,16 @@
 	j.families[f.root] = f
 }
 
-// untrack removes a family unless a newer adoption has replaced it.
-func (j *Journal) untrack(f *family) {
+// untrack removes a family unless a newer adoption has replaced it, and reports
+// whether it did.
+func (j *Journal) untrack(f *family) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.families[f.root] == f {
-		delete(j.families, f.root)
+	if j.families[f.root] != f {
+		return false
 	}
+	delete(j.families, f.root)
+	return true
 }
 
 // request returns a context for one request that outlives its caller.
--- a/internal/system/journal/property_test.go
+++ b/internal/system/journal/property_test.go
@@ -47,13 +47,14 @@
 	return op{
 		kind:  opKind(rapid.IntRange(0, int(opKinds)-1).Draw(t, "kind")),
 		vm:    rapid.IntRange(0, vmCount-1).Draw(t, "vm"),
-		pause: time.Duration(rapid.IntRange(0, 40).Draw(t, "pause")) * time.Millisecond,
+		pause: time.Duration(rapid.SampledFrom([]int{0, 1, 5, 40, 1000}).Draw(t, "pause")) * time.Millisecond,
 		fault: platformsvc.Fault{
 			Service:     rapid.SampledFrom([]platformsvc.Service{platformsvc.Table, platformsvc.Objects}).Draw(t, "service"),
 			Down:        rapid.Bool().Draw(t, "down"),
 			Hang:        rapid.IntRange(0, 5).Draw(t, "hang") == 0,
 			LoseAnswers: rapid.IntRange(0, 4).Draw(t, "lose"),
-			DelayMS:     int64(rapid.IntRange(0, 20).Draw(t, "delay")),
+			DelayMS:     int64(rapid.SampledFrom([]int{0, 1, 5, 20, 900, 1500, 4000}).Draw(t, "delay")),
+			Late:        rapid.Bool().Draw(t, "late"),
 		},
 		number: rapid.IntRange(0, 2).Draw(t, "number"),
 	}
@@ -225,12 +226,19 @@
 }
 
 func (r *run) writeIntent(vm *simulatedVM, number, attempt int) {
-	err := vm.journal.WriteIntent(context.Background(), &entity.Intent{
+	ctx := context.Background()
+	intent := &entity.Intent{
 		Program:   testRoot,
 		RequestID: fmt.Sprint(number),
 		AttemptID: fmt.Sprintf("%s/%d", vm.name, attempt),
-	})
-	if err == nil {
+	}
+	_, _ = vm.journal.LookupIntent(ctx, testRoot, intent.RequestID) // may find one to take over
+	err := vm.journal.WriteIntent(ctx, intent)
+	switch {
+	case err == nil && attempt%2 == 0:
+		intent.State = entity.IntentNotSent
+		_, _ = vm.journal.RecordOutcome(ctx, intent)
+	case err == nil:
 		r.mu.Lock()
 		r.sent[number]++
 		r.mu.Unlock()
--- a/internal/vm/build.go
+++ b/internal/vm/build.go
@@ -5,18 +5,16 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
-	"net/http"
+	"net"
 	"time"
 
-	"ibisstall.example/ibisstall/internal/endpoint"
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/front"
 	"ibisstall.example/ibisstall/internal/membership"
 	"ibisstall.example/ibisstall/internal/mesh"
-	"ibisstall.example/ibisstall/internal/platform/batch"
-	"ibisstall.example/ibisstall/internal/platform/httpclient"
+	"ibisstall.example/ibisstall/internal/platform/batchrpc"
+	"ibisstall.example/ibisstall/internal/settings"
 	"ibisstall.example/ibisstall/internal/system/directory"
-	"ibisstall.example/ibisstall/internal/system/journal"
 	"ibisstall.example/ibisstall/internal/system/mirror"
 	"ibisstall.example/ibisstall/internal/system/owner"
 	"ibisstall.example/ibisstall/internal/system/queue"
@@ -35,16 +33,16 @@
 
 // build makes the systems, from the bottom up.
 func (v *VM) build() error {
-	v.platform = httpclient.New(httpclient.Options{
-		BaseURL:    v.s.Platform.TableURL,
-		DC:         v.s.VM.DC,
-		Timeout:    v.s.Platform.Timeout,
-		MaxTries:   uint(v.s.Platform.Attempts),
-		RetryShare: v.s.Platform.RetryRatio,
+	v.meshOut = mesh.NewClient(mesh.ClientOptions{
+		Recorder: v.recorder,
+		TLS:      v.meshClientTLS(),
+		Keys:     v.fleetKeys(),
+		LocalIP:  ownIP(v.s.VM.MeshListen),
 	})
-	v.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns}}
-	v.meshOut = mesh.NewClient(mesh.ClientOptions{Recorder: v.recorder, TLS: v.meshClientTLS()})
-	if err := v.buildMembership(); err != nil {
+	if err := errors.Join(v.buildPlatform(), v.buildMembership()); err != nil {
+		return err
+	}
+	if err := v.buildOwnership(); err != nil {
 		return err
 	}
 	v.buildJournal()
@@ -52,6 +50,7 @@
 		return err
 	}
 	v.directory = directory.New(v.s.Endpoints, v.platform, v.recorder)
+	v.buildRunners()
 	v.schedule = v.buildQueues()
 	v.owner = owner.New(v.ownerOptions())
 	v.router = route.New(route.Options{
@@ -66,6 +65,20 @@
 	return v.register()
 }
 
+// ownIP returns the IP number that a VM with several of them listens on, so
+// that its connections come from there, too; nil if it listens on all.
+func ownIP(listen string) net.IP {
+	host, _, err := net.SplitHostPort(listen)
+	if err != nil {
+		return nil
+	}
+	ip := net.ParseIP(host)
+	if ip.IsUnspecified() {
+		return nil
+	}
+	return ip
+}
+
 func (v *VM) buildMembership() error {
 	var err error
 	v.members, err = membership.New(membership.Options{
@@ -76,10 +89,21 @@
 		VMList:    v.platform,
 		Recorder:  v.recorder,
 		Logger:    v.log,
+		Metrics:   v.metrics.Set(),
+		Timing:    timing(v.s.Membership),
 	})
 	return err
 }
 
+// timing returns the pace of probing that the settings ask for.
+func timing(s settings.Membership) membership.Timing {
+	t := membership.DefaultTiming()
+	t.ProbeEvery = s.ProbeInterval
+	t.AckTimeout = s.ProbeTimeout
+	t.SuspicionTimeout = s.Suspicion
+	return t
+}
+
 // developmentKey signs the traffic of a fleet without a key file, which
 // settings allow on loopback only.
 const developmentKey = "ibisstall-fleet-without-a-key-file"
@@ -101,12 +125,12 @@
 	return owner.Options{
 		Self:      v.id,
 		Journal:   v.journal,
-		Scheduler: v.schedule,
+		Scheduler: newMeteredQueue(v.schedule, v.sweeper, v.meter),
 		Engines: func(ep entity.Endpoint) owner.Engine {
 			return v.engine(ep)
 		},
 		Callers: func(ep entity.Endpoint) owner.Caller {
-			return endpoint.NewCaller(ep, v.client, v.clientOptions())
+			return v.pool.Caller(ep)
 		},
 		Endpoint:       v.directory.Find,
 		Endpoints:      v.directory.Endpoints,
@@ -114,7 +138,8 @@
 		Place:          v.place,
 		VM:             v.vmByID,
 		HandOver:       v.handOver,
-		Lease:          func() error { return nil },
+		Lease:          v.lease.CheckHeld,
+		MayBuffer:      v.mayBuffer,
 		RetryShare:     v.s.Policy.RetryRatio,
 		Recorder:       v.recorder,
 		Now:            time.Now,
@@ -137,13 +162,14 @@
 	return front.Options{
 		DC:        v.s.VM.DC,
 		Router:    v.router,
-		Lister:    lister{v},
+		Lister:    lister{v.batch},
 		Config:    v.table,
 		Fleet:     &fleet{v},
 		Operators: v.operators.Load,
 		NewID:     newID,
 		Now:       time.Now,
 		Limits: front.Limits{
+			Header:         int64(v.s.Limits.Header),
 			Body:           int64(v.s.Limits.Body),
 			JSONDepth:      v.s.Limits.JSONDepth,
 			SlowSender:     v.s.Limits.SlowSender,
@@ -152,47 +178,16 @@
 	}
 }
 
-// buildJournal makes the journal over group commit, with second copies on
-// other VMs.
-func (v *VM) buildJournal() {
-	v.batch = batch.New(v.platform, batch.Options{MinSpacing: v.s.Journal.BatchInterval, Timeout: v.s.Platform.Timeout})
-	v.copies = journal.NewMirrorStore(v.s.Journal.BufferRecords)
-	v.journal = journal.New(journal.Options{
-		Table:            v.batch,
-		Objects:          v.platform.Objects(),
-		Mirror:           mirror.New(v.id, v.s.VM.DC, v.meshOut, v.members.View, v.copies),
-		MaxBufferBytes:   int(v.s.Journal.BufferBytes),
-		MaxBufferRecords: v.s.Journal.BufferRecords,
-		Timeout:          v.s.Platform.Timeout,
-		Events:           v.recorder,
-	})
-}
-
-// lister lists programs from the platform.
-type lister struct{ v *VM }
-
-// List implements front.Lister.
-func (l lister) List(ctx context.Context, dc, workspace string, after entity.ProgramID, limit int) ([]*entity.Program, error) {
-	rows, err := journal.List(ctx, l.v.batch, dc, after, limit)
-	if err != nil {
-		return nil, err
-	}
-	out := rows[:0]
-	for _, p := range rows {
-		if workspace == "" || p.Workspace == workspace {
-			out = append(out, p)
-		}
-	}
-	return out, nil
-}
-
 // register publishes the services that other VMs call.
 func (v *VM) register() error {
 	return errors.Join(
 		v.meshIn.Register(owner.ServiceName, owner.NewService(v.owner, findLimit)),
 		v.meshIn.Register(configService, &configRPC{v}),
+		v.meshIn.Register(relayService, &relayRPC{v}),
+		v.meshIn.Register(batchrpc.ServiceName, batchrpc.NewService(v.writer, v.s.Platform.Timeout)),
 		v.meshIn.Register(fleetService, &fleetRPC{v}),
 		v.meshIn.Register(queue.ServiceName, v.schedule.Server()),
+		v.meshIn.Register(runnersService, &runnersRPC{v}),
 		v.meshIn.Register(mirror.ServiceName, mirror.NewService(v.copies)),
 	)
 }
--- a/internal/vm/queues.go
+++ b/internal/vm/queues.go
@@ -14,13 +14,8 @@
 // buildQueues makes the scheduler, whose queues are spread over the VMs of
 // their endpoints' data centres.
 func (v *VM) buildQueues() *queue.Remote {
-	policy := queue.DefaultPolicy()
-	if v.s.Policy.Order == settings.OrderFirstCome {
-		policy.Queue.Order = order.KindFCFS
-	}
-	if v.s.Policy.Placement == settings.PlacementPlain {
-		policy.Placement.Placer = placement.KindRoundRobin
-	}
+	policy := queuePolicy(v.s)
+	policy.Retention.MaxIdle = v.s.Engine.Hold
 	return queue.NewRemote(queue.RemoteOptions{
 		VM:     v.id,
 		Policy: policy,
@@ -29,12 +24,30 @@
 				return v.engine(ep).Release(ctx, id)
 			},
 			ImportSession: v.importSession,
+			News:          newNews(v),
 			Events:        v.recorder,
 		},
 		Network: queue.Network{Locate: v.locateQueue, Call: v.meshOut.Call},
 	})
 }
 
+// queuePolicy returns the decisions on calls that the settings select.
+func queuePolicy(s *settings.Settings) queue.Policy {
+	policy := queue.DefaultPolicy()
+	fair := &policy.Queue.Fair
+	fair.AgeingRate = float64(fair.AttainedCap) / s.Policy.Ageing.Seconds()
+	limit := &policy.Queue.Permits
+	limit.Max = s.Engine.MaxConcurrent
+	limit.Start = min(limit.Start, limit.Max)
+	if s.Policy.Order == settings.OrderFirstCome {
+		policy.Queue.Order = order.KindFCFS
+	}
+	if s.Policy.Placement == settings.PlacementPlain {
+		policy.Placement.Placer = placement.KindRoundRobin
+	}
+	return policy
+}
+
 // importSession copies a program's KV cache from one engine to another.
 func (v *VM) importSession(ctx context.Context, from, to entity.Endpoint, id entity.ProgramID) error {
 	kv, err := v.engine(from).Export(ctx, id)
@@ -45,11 +58,7 @@
 }
 
 func (v *VM) engine(ep entity.Endpoint) *endpoint.Engine {
-	return endpoint.NewEngine(ep, v.client, v.clientOptions())
-}
-
-func (v *VM) clientOptions() endpoint.Options {
-	return endpoint.Options{Silence: v.s.Engine.SilenceLimit}
+	return v.pool.Engine(ep)
 }
 
 // reachable returns the endpoints that this VM's programs use: those of its
