--- /dev/null
+++ b/test/scale/calls.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"ibisstall.example/ibisstall/internal/entity"
+)
+
+type callOptions struct {
+	measurement
+	Calls  int `long:"calls" default:"300" description:"calls of each kind"`
+	Tokens int `long:"tokens" default:"16" description:"tokens of each answer"`
+	Think  int `long:"think" default:"60" description:"longest pause before each call, in ms"`
+}
+
+func addCalls(parser *flags.Parser) error {
+	o := &callOptions{}
+	o.run = o.measure
+	_, err := parser.AddCommand("calls", "time added to a call",
+		"Makes calls one after the other, directly to an engine, through the owner VM and through another VM, in turn.", o)
+	return err
+}
+
+// path is one way of a call to the engine.
+type path struct {
+	name         string
+	url          func(i int) string
+	first, total []time.Duration
+}
+
+func (o *callOptions) measure(ctx context.Context, f *fleet) error {
+	front, ownerVM := f.vms[0], f.vms[f.o.DCs]
+	programs, err := f.createMany(16, func(i int) *process { return front }, func(id entity.ProgramID) bool { return f.owner(id) == ownerVM })
+	if err != nil {
+		return err
+	}
+	program := func(i int) entity.ProgramID { return programs[i%len(programs)] }
+	fmt.Println("| platform ms | stream | path | first token p50 ms | p99 | whole answer p50 ms | p99 | added p50 ms | added p99 |")
+	for _, stream := range []bool{true, false} {
+		paths := []*path{
+			{name: "direct", url: func(int) string { return f.engines[0].URL + "/v1" }},
+			{name: "owner", url: func(i int) string { return programURL(ownerVM, program(i)) }},
+			{name: "other VM", url: func(i int) string { return programURL(front, program(i)) }},
+		}
+		body := chatBody(o.Tokens, 100, stream)
+		for i := range o.Calls {
+			for _, p := range paths {
+				if err := pause(ctx, rand.N(time.Duration(1+o.Think)*time.Millisecond)); err != nil {
+					return err
+				}
+				t, err := f.chat(p.url(i), body)
+				if err != nil {
+					return fmt.Errorf("%s: %w", p.name, err)
+				}
+				p.first = append(p.first, t.first)
+				p.total = append(p.total, t.total)
+			}
+		}
+		for _, p := range paths {
+			fmt.Printf("| %d | %t | %s | %.2f | %.2f | %.2f | %.2f | %.2f | %.2f |\n", f.o.DelayMS, stream, p.name,
+				ms(quantile(p.first, 0.5)), ms(quantile(p.first, 0.99)), ms(quantile(p.total, 0.5)), ms(quantile(p.total, 0.99)),
+				ms(quantile(p.total, 0.5)-quantile(paths[0].total, 0.5)), ms(quantile(p.total, 0.99)-quantile(paths[0].total, 0.99)))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/test/scale/load.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"ibisstall.example/ibisstall/internal/entity"
+)
+
+type loadOptions struct {
+	measurement
+	Rate     int  `long:"rate" default:"100" description:"calls a second"`
+	Seconds  int  `long:"seconds" default:"10" description:"time to measure over"`
+	Tokens   int  `long:"tokens" default:"16" description:"tokens of each answer"`
+	Size     int  `long:"size" default:"400" description:"bytes of each message"`
+	Programs int  `long:"programs" default:"500" description:"programs that the calls are spread over"`
+	Whole    bool `long:"whole" description:"ask for the answers in one piece, not as a stream"`
+}
+
+func addLoad(parser *flags.Parser) error {
+	o := &loadOptions{}
+	o.run = o.measure
+	_, err := parser.AddCommand("load", "cost of calls at a fixed rate",
+		"Sends calls at a fixed rate to one VM, for programs of another VM, and measures what each role uses.", o)
+	return err
+}
+
+// failures counts errors of concurrent calls and keeps the first.
+type failures struct {
+	mu    sync.Mutex
+	n     int
+	first error
+}
+
+func (e *failures) add(err error) {
+	if err == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.n++
+	if e.first == nil {
+		e.first = err
+	}
+}
+
+// roles are the VMs that the load is laid on. All are of the first data centre.
+type roles struct{ front, owner, queue, batcher *process }
+
+// chooseRoles gives the front and the owner to VMs that hold no queue and don't
+// write for the others, as far as there are such.
+func (f *fleet) chooseRoles() roles {
+	r := roles{queue: f.queue("engine-0", f.dc(0)), batcher: f.batcher(f.dc(0))}
+	for i := 0; i < len(f.vms); i += f.o.DCs {
+		switch p := f.vms[i]; {
+		case p == r.queue || p == r.batcher:
+		case r.front == nil:
+			r.front = p
+		case r.owner == nil:
+			r.owner = p
+		}
+	}
+	return r
+}
+
+func (r *roles) name(p *process) string {
+	out := ""
+	for name, holder := range map[string]*process{"front": r.front, "owner": r.owner} {
+		if p == holder {
+			out = name
+		}
+	}
+	if p == r.queue {
+		out += " queue"
+	}
+	if p == r.batcher {
+		out += " batcher"
+	}
+	return out
+}
+
+func (o *loadOptions) measure(ctx context.Context, f *fleet) error {
+	r := f.chooseRoles()
+	if r.front == nil || r.owner == nil {
+		return fmt.Errorf("too few VMs in the first data centre to tell the roles apart")
+	}
+	programs, err := f.createMany(o.Programs, func(int) *process { return r.front }, func(id entity.ProgramID) bool { return f.owner(id) == r.owner })
+	if err != nil {
+		return err
+	}
+	idleBefore, idleAfter, err := f.between(func() error { return pause(ctx, time.Duration(o.Seconds)*time.Second) })
+	if err != nil {
+		return err
+	}
+	errs := &failures{}
+	before, after, err := f.between(func() error { return o.send(ctx, f, r.front, programs, errs) })
+	if err != nil {
+		return err
+	}
+	calls := float64(o.Rate * o.Seconds)
+	span := after.at.Sub(before.at).Seconds()
+	idle := idleAfter.at.Sub(idleBefore.at).Seconds()
+	fmt.Printf("calls %d, failed %d (%v), %.1f s, %d tokens each, stream %t\n", int(calls), errs.n, errs.first, span, o.Tokens, !o.Whole)
+	fmt.Println("| VM | role | CPU µs/call above rest | CPU % in all | TCP written B/call | write(2)/call | RSS MiB |")
+	for _, p := range f.vms {
+		if p.dc != f.dc(0) {
+			continue
+		}
+		b, a := before.usage[p], after.usage[p]
+		ib, ia := idleBefore.usage[p], idleAfter.usage[p]
+		perCall := func(b, a, ib, ia float64) float64 { return (a - b - (ia-ib)/idle*span) / calls }
+		fmt.Printf("| %s | %s | %.0f | %.1f | %.0f | %.1f | %.1f |\n", p.id, r.name(p),
+			perCall(float64(b.cpu), float64(a.cpu), float64(ib.cpu), float64(ia.cpu))/float64(time.Microsecond),
+			(a.cpu-b.cpu).Seconds()/span*100,
+			perCall(float64(b.written), float64(a.written), float64(ib.written), float64(ia.written)),
+			perCall(float64(b.writes), float64(a.writes), float64(ib.writes), float64(ia.writes)),
+			float64(a.rss)/(1<<20))
+	}
+	reads := float64(after.reads-before.reads) - float64(idleAfter.reads-idleBefore.reads)/idle*span
+	writes := float64(after.writes-before.writes) - float64(idleAfter.writes-idleBefore.writes)/idle*span
+	fmt.Printf("platform above rest: %.3f reads/call, %.3f writes/call\n", reads/calls, writes/calls)
+	return nil
+}
+
+// send sends the calls at their times, whether or not earlier ones have ended.
+func (o *loadOptions) send(ctx context.Context, f *fleet, front *process, programs []entity.ProgramID, errs *failures) error {
+	body := chatBody(o.Tokens, o.Size, !o.Whole)
+	gap := time.Second / time.Duration(o.Rate)
+	began := time.Now()
+	var all sync.WaitGroup
+	for i := range o.Rate * o.Seconds {
+		if err := pause(ctx, time.Until(began.Add(time.Duration(i)*gap))); err != nil {
+			return err
+		}
+		all.Go(func() {
+			_, err := f.chat(programURL(front, programs[i%len(programs)]), body)
+			errs.add(err)
+		})
+	}
+	all.Wait()
+	return nil
+}
--- /dev/null
+++ b/test/scale/memory.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"ibisstall.example/ibisstall/internal/entity"
+)
+
+type memoryOptions struct {
+	measurement
+	Programs int `long:"programs" default:"5000" description:"programs to create on one VM"`
+	Open     int `long:"open" default:"500" description:"calls to hold open"`
+	Tokens   int `long:"tokens" default:"300" description:"tokens of the open calls; set --decode so that they last"`
+}
+
+func addMemory(parser *flags.Parser) error {
+	o := &memoryOptions{}
+	o.run = o.measure
+	_, err := parser.AddCommand("memory", "memory of programs and open calls",
+		"Measures the memory that owned programs and open calls add to their VMs.", o)
+	return err
+}
+
+// memorySettle is waited before memory is read, for the collector.
+const memorySettle = 5 * time.Second
+
+func (o *memoryOptions) measure(ctx context.Context, f *fleet) error {
+	r := f.chooseRoles()
+	if r.front == nil || r.owner == nil {
+		return fmt.Errorf("too few VMs in the first data centre to tell the roles apart")
+	}
+	empty, err := o.settled(ctx, f)
+	if err != nil {
+		return err
+	}
+	owned := f.metrics(r.owner)["ibisstall_programs_owned_count"]
+	programs, err := f.createMany(o.Programs, func(int) *process { return r.front }, func(id entity.ProgramID) bool { return f.owner(id) == r.owner })
+	if err != nil {
+		return err
+	}
+	full, err := o.settled(ctx, f)
+	if err != nil {
+		return err
+	}
+	owned = f.metrics(r.owner)["ibisstall_programs_owned_count"] - owned
+	growth := float64(full.usage[r.owner].rss - empty.usage[r.owner].rss)
+	fmt.Printf("programs: RSS of the owner %.1f -> %.1f MiB for %.0f programs: %.0f B each; CPU at rest %.2f -> %.2f %%\n",
+		mib(empty.usage[r.owner].rss), mib(full.usage[r.owner].rss), owned, growth/owned, o.rest(ctx, f, f.vms[0]), o.rest(ctx, f, r.owner))
+	return o.open(ctx, f, r, programs, full)
+}
+
+func (o *memoryOptions) settled(ctx context.Context, f *fleet) (sample, error) {
+	if err := pause(ctx, memorySettle); err != nil {
+		return sample{}, err
+	}
+	return f.sample()
+}
+
+// rest returns the share of a core that a VM uses, in percent.
+func (o *memoryOptions) rest(ctx context.Context, f *fleet, p *process) float64 {
+	before, after, err := f.between(func() error { return pause(ctx, memorySettle) })
+	if err != nil {
+		return -1
+	}
+	return (after.usage[p].cpu - before.usage[p].cpu).Seconds() / after.at.Sub(before.at).Seconds() * 100
+}
+
+// open holds calls open, one to a program, and reads the memory meanwhile.
+func (o *memoryOptions) open(ctx context.Context, f *fleet, r roles, programs []entity.ProgramID, before sample) error {
+	errs := &failures{}
+	var all sync.WaitGroup
+	body := chatBody(o.Tokens, 400, true)
+	for i := range o.Open {
+		all.Go(func() {
+			_, err := f.chat(programURL(r.front, programs[i%len(programs)]), body)
+			errs.add(err)
+		})
+	}
+	during, err := o.settled(ctx, f)
+	if err != nil {
+		return err
+	}
+	all.Wait()
+	for _, p := range []*process{r.front, r.owner} {
+		fmt.Printf("open calls: %s RSS %.1f -> %.1f MiB for %d calls, %d failed: %.1f KiB each; sockets %d\n", r.name(p),
+			mib(before.usage[p].rss), mib(during.usage[p].rss), o.Open, errs.n,
+			float64(during.usage[p].rss-before.usage[p].rss)/float64(o.Open)/1024, sockets(p))
+	}
+	if errs.first != nil {
+		fmt.Println("first error:", errs.first)
+	}
+	return nil
+}
+
+func mib(bytes int64) float64 { return float64(bytes) / (1 << 20) }
--- /dev/null
+++ b/test/scale/program.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"ibisstall.example/ibisstall/internal/entity"
+	policy "ibisstall.example/ibisstall/internal/policy/ownership"
+)
+
+// create makes a program through a VM.
+func (f *fleet) create(p *process) (entity.ProgramID, error) {
+	body := []byte(`{"budget":{"tokens":100000000,"turns":1000000,"seconds":36000}}`)
+	req, err := f.request(http.MethodPost, p, "/v1/programs", body, f.key)
+	if err != nil {
+		return "", err
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	var made struct {
+		ID entity.ProgramID `json:"id"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&made); err != nil || resp.StatusCode != http.StatusCreated {
+		return "", fmt.Errorf("create: status %d, %v", resp.StatusCode, err)
+	}
+	return made.ID, nil
+}
+
+// createParallel is the number of programs that are made at once.
+const createParallel = 64
+
+// createMany makes programs until a number of them satisfies keep.
+func (f *fleet) createMany(n int, vm func(i int) *process, keep func(entity.ProgramID) bool) ([]entity.ProgramID, error) {
+	var (
+		mu   sync.Mutex
+		made []entity.ProgramID
+		fail error
+		all  sync.WaitGroup
+	)
+	for worker := range createParallel {
+		all.Go(func() {
+			for i := worker; ; i += createParallel {
+				mu.Lock()
+				done := len(made) >= n || fail != nil
+				mu.Unlock()
+				if done {
+					return
+				}
+				id, err := f.create(vm(i))
+				mu.Lock()
+				if err != nil {
+					fail = err
+				} else if keep(id) && len(made) < n {
+					made = append(made, id)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	return made, fail
+}
+
+// owner returns the VM that owns a program while all VMs live.
+func (f *fleet) owner(id entity.ProgramID) *process {
+	return f.holder(func(view []entity.VM) (entity.VM, bool) { return policy.Owner(id.Root(), view) })
+}
+
+// queue returns the VM that holds the queue of an endpoint.
+func (f *fleet) queue(endpoint, dc string) *process {
+	return f.holder(func(view []entity.VM) (entity.VM, bool) {
+		return policy.SoftRole(policy.EndpointQueueRole(endpoint), dc, view)
+	})
+}
+
+// batcher returns the VM that writes to the platform for a data centre.
+func (f *fleet) batcher(dc string) *process {
+	return f.holder(func(view []entity.VM) (entity.VM, bool) {
+		return policy.PlatformRole(policy.RoleBatcher, dc, view)
+	})
+}
+
+func (f *fleet) holder(choose func([]entity.VM) (entity.VM, bool)) *process {
+	var view []entity.VM
+	for _, p := range f.vms {
+		view = append(view, entity.VM{ID: p.id, DC: p.dc, State: entity.VMAlive, PlatformReachable: true})
+	}
+	vm, _ := choose(view)
+	for _, p := range f.vms {
+		if p.id == vm.ID {
+			return p
+		}
+	}
+	return nil
+}
+
+// timing is how long one call took.
+type timing struct {
+	first  time.Duration // to the first token
+	total  time.Duration
+	events int // of the stream
+}
+
+// chatBody asks for a number of tokens after a message of some bytes.
+func chatBody(tokens, size int, stream bool) []byte {
+	text := strings.Repeat("word ", size/5) + fmt.Sprintf("##tokens:%d", tokens)
+	body, _ := json.Marshal(map[string]any{
+		"model": model, "stream": stream, "messages": []map[string]string{{"role": "user", "content": text}},
+	})
+	return body
+}
+
+// chat makes a model call at a base URL: an engine's or a program's.
+func (f *fleet) chat(base string, body []byte) (timing, error) {
+	var t timing
+	req, err := http.NewRequest(http.MethodPost, base+"/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return t, err
+	}
+	req.Header.Set("Authorization", "Bearer "+f.key)
+	req.Header.Set("Content-Type", "application/json")
+	began := time.Now()
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return t, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(resp.Body)
+		return t, fmt.Errorf("status %d: %s", resp.StatusCode, text)
+	}
+	lines := bufio.NewReader(resp.Body)
+	for {
+		line, err := lines.ReadString('\n')
+		if strings.HasPrefix(line, "data: {") {
+			t.events++
+			if t.events == 1 {
+				t.first = time.Since(began)
+			}
+		}
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return t, err
+		}
+	}
+	t.total = time.Since(began)
+	return t, nil
+}
+
+// programURL is the base URL of a program through a VM.
+func programURL(p *process, id entity.ProgramID) string {
+	return "http://" + p.http + "/v1/programs/" + string(id)
+}
--- /dev/null
+++ b/test/scale/usage.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// ticksPerSecond is the unit of the times in /proc/PID/stat.
+const ticksPerSecond = 100
+
+// usage is what a process has used since its start.
+type usage struct {
+	cpu      time.Duration
+	rss      int64 // bytes, at present
+	read     int64 // bytes, by read(2): files and TCP, not datagrams
+	written  int64 // bytes, by write(2)
+	writes   int64 // calls of write(2)
+	switches int64 // voluntary context switches of all threads
+}
+
+// usageOf reads /proc.
+func usageOf(p *process) (usage, error) {
+	var u usage
+	dir := filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid))
+	stat, err := os.ReadFile(filepath.Join(dir, "stat"))
+	if err != nil {
+		return u, err
+	}
+	// The fields after the command's name, which ends with the last bracket;
+	// see proc_pid_stat(5).
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	const utime, stime, rss = 11, 12, 21
+	ticks := number(fields[utime]) + number(fields[stime])
+	u.cpu = time.Duration(ticks) * time.Second / ticksPerSecond
+	u.rss = number(fields[rss]) * int64(os.Getpagesize())
+	values, err := keyed(filepath.Join(dir, "io"))
+	if err != nil {
+		return u, err
+	}
+	u.read, u.written, u.writes = values["rchar"], values["wchar"], values["syscw"]
+	tasks, err := filepath.Glob(filepath.Join(dir, "task", "*", "status"))
+	if err != nil {
+		return u, err
+	}
+	for _, task := range tasks {
+		if values, err := keyed(task); err == nil { // the thread may have ended
+			u.switches += values["voluntary_ctxt_switches"]
+		}
+	}
+	return u, nil
+}
+
+func number(s string) int64 {
+	n, _ := strconv.ParseInt(s, 10, 64) // 0 if it is no number
+	return n
+}
+
+// keyed reads a file of lines "key: number".
+func keyed(file string) (map[string]int64, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	out := make(map[string]int64)
+	for line := range strings.Lines(string(data)) {
+		if key, value, ok := strings.Cut(line, ":"); ok {
+			out[key] = number(strings.TrimSpace(value))
+		}
+	}
+	return out, nil
+}
+
+// sockets counts the open sockets of a process.
+func sockets(p *process) int {
+	dir := filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid), "fd")
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return 0
+	}
+	n := 0
+	for _, e := range entries {
+		if to, err := os.Readlink(filepath.Join(dir, e.Name())); err == nil && strings.HasPrefix(to, "socket:") {
+			n++
+		}
+	}
+	return n
+}
+
+// metrics reads the metrics of a VM; nil if it doesn't answer.
+func (f *fleet) metrics(p *process) map[string]float64 {
+	resp, err := f.client.Get("http://" + p.admin + "/metrics")
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		return nil
+	}
+	out := make(map[string]float64)
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		name, value, ok := strings.Cut(lines.Text(), " ")
+		if v, err := strconv.ParseFloat(value, 64); ok && err == nil {
+			out[name] = v
+		}
+	}
+	return out
+}
+
+// sample is the state of the fleet at one moment.
+type sample struct {
+	at            time.Time
+	usage         map[*process]usage
+	metrics       map[*process]map[string]float64
+	reads, writes int64 // of the platform
+}
+
+func (f *fleet) sample() (sample, error) {
+	s := sample{usage: make(map[*process]usage), metrics: make(map[*process]map[string]float64)}
+	for _, p := range f.vms {
+		s.metrics[p] = f.metrics(p)
+	}
+	s.at = time.Now()
+	for _, p := range f.vms {
+		u, err := usageOf(p)
+		if err != nil {
+			return s, fmt.Errorf("usage of %s: %w", p.id, err)
+		}
+		s.usage[p] = u
+	}
+	c := f.platform.Counters()
+	s.reads, s.writes = c.Reads, c.Writes
+	return s, nil
+}
+
+// between runs a function between two samples.
+func (f *fleet) between(run func() error) (before, after sample, err error) {
+	if before, err = f.sample(); err != nil {
+		return before, after, err
+	}
+	if err = run(); err != nil {
+		return before, after, err
+	}
+	after, err = f.sample()
+	return before, after, err
+}
+
+// pause waits.
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
