Adopt the programs of a dead VM at its death, not at the first suspicion

Cause: the search for orphaned programs ran when fewer VMs were alive, which is at the suspicion. A suspect VM keeps its programs, so that the search found none, and its death started no other: the programs waited for a call, or for five minutes. The view and the fleet that owners are chosen from could also differ at that moment.

--- a/internal/localfleet/localfleet_test.go
+++ b/internal/localfleet/localfleet_test.go
@@ -155,3 +155,39 @@
 	}
 	return text.String()
 }
+
+// owners counts the programs that each VM owns, by the platform's rows.
+func (f *Fleet) owners(t *testing.T, m *Member) map[string]int {
+	t.Helper()
+	r := f.request(t, m, "GET", "/v1/programs?limit=500", "", nil)
+	var page []struct{ Owner string }
+	if r.status != http.StatusOK || json.Unmarshal(r.body, &page) != nil {
+		t.Fatalf("list: %d %s", r.status, r.body)
+	}
+	count := make(map[string]int)
+	for _, p := range page {
+		count[p.Owner]++
+	}
+	return count
+}
+
+func TestFleet_TheProgramsOfADeadVMGetNewOwnersWithoutACall(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, testOptions())
+	const programs = 60
+	for range programs {
+		f.newProgram(t, f.VMs[0])
+	}
+	victim := f.VMs[2]
+	is.True(f.owners(t, f.VMs[0])[victim.VM.ID()] > 0)
+	victim.Kill()
+	deadline := time.Now().Add(15 * time.Second)
+	for f.owners(t, f.VMs[0])[victim.VM.ID()] > 0 {
+		if time.Now().After(deadline) {
+			t.Fatalf("still owned by the dead VM: %v", f.owners(t, f.VMs[0]))
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	owners := f.owners(t, f.VMs[0])
+	is.Equal(owners[f.VMs[0].VM.ID()]+owners[f.VMs[1].VM.ID()], programs)
+}
--- a/internal/system/ownership/answers.go
+++ b/internal/system/ownership/answers.go
@@ -19,6 +19,19 @@
 	return s.changed
 }
 
+// Holders returns the VMs of the own data centre that may hold programs: all
+// but the dead, by the fleet that owners are chosen from.
+func (s *System) Holders() map[string]bool {
+	fleet, _ := s.snapshot()
+	holders := make(map[string]bool)
+	for i := range fleet.VMs {
+		if vm := &fleet.VMs[i]; vm.DC == s.o.DC && vm.State != entity.VMDead {
+			holders[vm.ID] = true
+		}
+	}
+	return holders
+}
+
 // Owner returns the owner of a program by this VM's view. It is false while
 // nobody may own it.
 func (s *System) Owner(root entity.ProgramID) (entity.VM, bool) {
--- a/internal/vm/loops.go
+++ b/internal/vm/loops.go
@@ -69,44 +69,6 @@
 	}
 }
 
-// adoptEvery is the time after which orphaned programs are looked for although
-// no VM was seen to die.
-const adoptEvery = 5 * time.Minute
-
-// followMembers adopts the programs of VMs that are gone.
-func (v *VM) followMembers(ctx context.Context) {
-	alive := 0
-	again := time.NewTicker(adoptEvery)
-	defer again.Stop()
-	for {
-		changed := v.members.Changed()
-		if now := v.Peers(); now < alive {
-			v.adoptOrphans(ctx)
-			alive = now
-		} else {
-			alive = now
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-again.C:
-			v.adoptOrphans(ctx)
-		case <-changed:
-		}
-	}
-}
-
-func (v *VM) adoptOrphans(ctx context.Context) {
-	n, err := v.owner.AdoptOrphans(ctx, v.batch, v.s.VM.DC)
-	if err != nil {
-		v.log.Warn("orphaned programs could not be read", tag.Error(err))
-		return
-	}
-	if n > 0 {
-		v.log.Info("adopted programs of VMs that are gone", tag.Count(n))
-	}
-}
-
 // readOperators takes in operators' keys that were added or revoked.
 func (v *VM) readOperators(context.Context) {
 	hashes, err := v.s.ReadOperatorHashes()
