A VM that does not know the table yet refuses as not_run

A VM that had just started answered callers with 401 "the key is not accepted" until it had read the table: false, and final for a client. It answers 503 not_run with Retry-After now, like any refusal before anything was sent.

--- a/internal/front/auth.go
+++ b/internal/front/auth.go
@@ -46,7 +46,7 @@
 	}
 	name, ok := f.workspaces.of(f.o.Config.InForce()).Holder(key)
 	if !ok {
-		return "", failure(nameUnauthorized, "the key is not accepted", "Authorization")
+		return "", f.notAccepted()
 	}
 	return name, nil
 }
@@ -64,7 +64,19 @@
 	if _, ok := f.workspaces.of(f.o.Config.InForce()).Holder(key); ok {
 		return nil
 	}
-	return failure(nameUnauthorized, "the key is not accepted", "Authorization")
+	return f.notAccepted()
+}
+
+// notAccepted refuses a key. A VM that has just started and doesn't know the
+// table yet can't tell whose key it is.
+func (f *Front) notAccepted() *types.Failure {
+	if f.o.Config.Known() {
+		return failure(nameUnauthorized, "the key is not accepted", "Authorization")
+	}
+	out := failure(nameNotRun, "this VM does not know the workspaces' keys yet", "")
+	seconds := 1
+	out.RetryAfter = &seconds
+	return out
 }
 
 // operator checks an operator's key.
@@ -79,7 +91,7 @@
 	if _, ok := f.workspaces.of(f.o.Config.InForce()).Holder(key); ok {
 		return failure(nameForbidden, "an operator's key is needed", "Authorization")
 	}
-	return failure(nameUnauthorized, "the key is not accepted", "Authorization")
+	return f.notAccepted()
 }
 
 // reader returns the workspace of a key, or an empty string for an operator's.
--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -126,6 +126,8 @@
 type errorBody struct {
 	Error  errorFields `json:"error"`
 	status int
+	// retryAfter is for errors outside the methods of the design, in seconds.
+	retryAfter int
 }
 
 type errorFields struct {
@@ -146,6 +148,9 @@
 	if f.Detail.Row != nil {
 		b.Error.Row = *f.Detail.Row
 	}
+	if f.RetryAfter != nil {
+		b.retryAfter = *f.RetryAfter
+	}
 	return b
 }
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -24,6 +24,7 @@
 	tableserver "ibisstall.example/ibisstall/gen/http/table/server"
 	"ibisstall.example/ibisstall/gen/programs"
 	"ibisstall.example/ibisstall/gen/table"
+	"ibisstall.example/ibisstall/gen/types"
 )
 
 // Handler returns the HTTP interface.
@@ -109,7 +110,7 @@
 		return nil, nil
 	}
 	if err := f.known(r); err != nil {
-		return nil, bodyOf(err, http.StatusUnauthorized)
+		return nil, bodyOf(err, statusOfUnknown(err))
 	}
 	control := http.NewResponseController(w)
 	// A server without deadlines has a limit on the whole request instead.
@@ -129,6 +130,14 @@
 	return body, nil
 }
 
+// statusOfUnknown returns the status of a refusal by Front.known.
+func statusOfUnknown(f *types.Failure) int {
+	if f.Name == nameNotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusUnauthorized
+}
+
 // headerBytes returns the size of a request's line and header.
 func headerBytes(r *http.Request) int64 {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
@@ -144,6 +153,9 @@
 func writeError(w http.ResponseWriter, b *errorBody) {
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Ibisstall-Error", b.Error.Type)
+	if b.retryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(b.retryAfter))
+	}
 	w.WriteHeader(b.status)
 	// The caller has gone if this fails.
 	_ = json.NewEncoder(w).Encode(b)
--- a/internal/vm/vm_test.go
+++ b/internal/vm/vm_test.go
@@ -110,6 +110,19 @@
 		_, body := l.get(t, url+"/v1/timeline")
 		return strings.Contains(body, "platform unreachable")
 	})
+	// It can't tell whether a caller's key is good, and doesn't say it is not.
+	req, err := http.NewRequest(http.MethodPost, url+"/v1/programs", strings.NewReader(`{}`))
+	is.NoErr(err)
+	req.Header.Set("Authorization", "Bearer "+keys.Generate())
+	for range 2 { // with a body and without
+		resp, err := http.DefaultClient.Do(req)
+		is.NoErr(err)
+		resp.Body.Close()
+		is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+		is.Equal(resp.Header.Get("Ibisstall-Error"), "not_run")
+		is.Equal(resp.Header.Get("Retry-After"), "1")
+		req.Method, req.Body, req.ContentLength = http.MethodGet, nil, 0
+	}
 	status, body := l.get(t, url+"/readyz")
 	is.Equal(status, http.StatusServiceUnavailable)
 	is.True(strings.Contains(body, `"type":"not_run"`))
