--- a/internal/vm/loops.go
+++ b/internal/vm/loops.go
@@ -19,7 +19,8 @@
 func (v *VM) startLoops(ctx context.Context) {
 	v.watchTLS(ctx)
 	v.watchLoop(ctx)
-	v.loop(ctx, ownerTick, func(ctx context.Context) { v.owner.Tick(ctx) })
+	v.runnerLoops(ctx)
+	v.loop(ctx, ownerTick, v.tickOwner)
 	v.loop(ctx, v.s.Platform.VMListInterval, v.readList)
 	v.loop(ctx, keysEvery, v.readOperators)
 	v.spawn(func() { v.followEndpoints(ctx) })
@@ -27,9 +28,22 @@
 	v.spawn(func() { v.schedule.Run(ctx) })
 	v.spawn(func() { v.followMembers(ctx) })
 	v.spawn(func() { v.table.Run(ctx) })
+	v.spawn(func() { v.lease.Run(ctx) })
+	v.spawn(func() { v.dcLease.Run(ctx) })
+	v.spawn(func() { v.ownership.Run(ctx) })
 	v.spawn(func() { v.followConfig(ctx) })
 }
 
+// tickOwner runs the owner system. After an isolation the idle programs are let
+// go, since others may have adopted them: they are read anew at their next use.
+func (v *VM) tickOwner(ctx context.Context) {
+	if lapses := v.ownership.Lapses(); lapses != v.lapses {
+		v.lapses = lapses
+		v.owner.ReleaseIdle()
+	}
+	v.owner.Tick(ctx)
+}
+
 // loop runs a tick at once and then at an interval with jitter, so that the
 // VMs of a fleet don't act in step.
 func (v *VM) loop(ctx context.Context, every time.Duration, tick func(context.Context)) {
@@ -56,44 +70,6 @@
 	}
 }
 
-// adoptEvery is the time after which orphaned programs are looked for although
-// no VM was seen to die.
-const adoptEvery = 5 * time.Minute
-
-// followMembers adopts the programs of VMs that are gone.
-func (v *VM) followMembers(ctx context.Context) {
-	alive := 0
-	again := time.NewTicker(adoptEvery)
-	defer again.Stop()
-	for {
-		changed := v.members.Changed()
-		if now := v.Peers(); now < alive {
-			v.adoptOrphans(ctx)
-			alive = now
-		} else {
-			alive = now
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-again.C:
-			v.adoptOrphans(ctx)
-		case <-changed:
-		}
-	}
-}
-
-func (v *VM) adoptOrphans(ctx context.Context) {
-	n, err := v.owner.AdoptOrphans(ctx, v.batch, v.s.VM.DC)
-	if err != nil {
-		v.log.Warn("orphaned programs could not be read", tag.Error(err))
-		return
-	}
-	if n > 0 {
-		v.log.Info("adopted programs of VMs that are gone", tag.Count(n))
-	}
-}
-
 // readOperators takes in operators' keys that were added or revoked.
 func (v *VM) readOperators(context.Context) {
 	hashes, err := v.s.ReadOperatorHashes()
--- a/test/callers_test.go
+++ b/test/callers_test.go
@@ -51,18 +51,18 @@
 	s.problems = append(s.problems, fmt.Sprintf(format, args...))
 }
 
-// vm picks the next VM that has got ready, as a balancer does.
+// vm picks the next ready VM, as a balancer does; any if none is ready.
 func (s *callers) vm() *process {
-	for {
-		all := s.c.processes()
-		s.mu.Lock()
+	all := s.c.processes()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for range all {
 		s.next++
-		p := all[s.next%len(all)]
-		s.mu.Unlock()
-		if p.isReady() {
+		if p := all[s.next%len(all)]; p.ready.Load() {
 			return p
 		}
 	}
+	return all[s.next%len(all)]
 }
 
 // vmOf picks a VM of a data centre.
