--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -61,6 +63,8 @@
 	engines int
 	// settings are further lines of each VM's INI file.
 	settings string
+	// roots sign the VMs' certificates for callers; nil for plain HTTP.
+	roots *x509.CertPool
 	// decode is the time for one token.
 	decode time.Duration
 }
@@ -283,7 +287,7 @@
 // checkHealth asks a VM for its readiness until it ends, as a balancer does.
 func (c *cluster) checkHealth(p *process) {
 	for {
-		status, _, _, err := send(c.request(p, http.MethodGet, "/readyz", nil, c.operator))
+		status, _, _, err := c.send(c.request(p, http.MethodGet, "/readyz", nil, c.operator))
 		p.ready.Store(err == nil && status == http.StatusNoContent)
 		select {
 		case <-p.exited:
@@ -341,7 +345,7 @@
 	}
 	req := c.request(p, http.MethodPut, "/v1/table", body, c.operator)
 	req.Header.Set("If-Match", fmt.Sprintf("%q", fmt.Sprint(base)))
-	status, _, answer, err := send(req)
+	status, _, answer, err := c.send(req)
 	if err != nil {
 		return 0, nil
 	}
@@ -349,7 +353,11 @@
 }
 
 func (c *cluster) request(p *process, method, path string, body []byte, key string) *http.Request {
-	req, err := http.NewRequest(method, "http://"+p.http+path, bytes.NewReader(body))
+	scheme := "http://"
+	if c.o.roots != nil {
+		scheme = "https://"
+	}
+	req, err := http.NewRequest(method, scheme+p.http+path, bytes.NewReader(body))
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -362,8 +370,17 @@
 // do that spreads them.
 var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 60 * time.Second}
 
-func send(req *http.Request) (int, http.Header, []byte, error) {
-	resp, err := client.Do(req)
+// client returns one that knows who signs the VMs' certificates.
+func (c *cluster) client() *http.Client {
+	if c.o.roots == nil {
+		return client
+	}
+	transport := &http.Transport{DisableKeepAlives: true, TLSClientConfig: &tls.Config{RootCAs: c.o.roots}}
+	return &http.Client{Transport: transport, Timeout: client.Timeout}
+}
+
+func (c *cluster) send(req *http.Request) (int, http.Header, []byte, error) {
+	resp, err := c.client().Do(req)
 	if err != nil {
 		return 0, nil, nil, err
 	}
@@ -377,7 +394,7 @@
 	c.t.Helper()
 	for _, p := range c.processes() {
 		c.eventually(30*time.Second, p.id+" is ready", func() bool {
-			status, _, _, err := send(c.request(p, http.MethodGet, "/readyz", nil, c.operator))
+			status, _, _, err := c.send(c.request(p, http.MethodGet, "/readyz", nil, c.operator))
 			return err == nil && status == http.StatusNoContent && c.alive(p) == len(c.processes())
 		})
 	}
@@ -391,7 +408,7 @@
 
 // view returns the VMs as one of them sees them.
 func (c *cluster) view(p *process) []vmBody {
-	status, _, body, err := send(c.request(p, http.MethodGet, "/v1/vms", nil, c.operator))
+	status, _, body, err := c.send(c.request(p, http.MethodGet, "/v1/vms", nil, c.operator))
 	if err != nil || status != http.StatusOK {
 		return nil
 	}
