Data centres cut off from the platform, from both, one way and flapping

Tests with real processes for each. Found: a program made inside an isolated data centre was answered 404 by adopters elsewhere after the cut (now not_run, since it may stand in a buffer there); a turn that began before the isolation limit could be acknowledged as buffered after it (now outcome_unknown); a caller whose program nobody may own waited 10 s for its not_run (now half a second); and the margin between the two limits was not checked with the settings.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -28,7 +28,7 @@
 	below("ownership", "lease_renew", o.LeaseRenew, "lease_ttl", o.LeaseTTL)
 	below("ownership", "clock_margin", o.ClockMargin, "lease_ttl", o.LeaseTTL)
 	below("ownership", "lease_ttl", o.LeaseTTL, "adoption_limit", o.AdoptionLimit)
-	below("ownership", "isolation_limit", o.IsolationLimit+o.ClockMargin, "adoption_limit less clock_margin", o.AdoptionLimit)
+	below("ownership", "isolation_limit", o.IsolationLimit+o.Margin(), "adoption_limit less clock_margin and 4s", o.AdoptionLimit)
 	below("membership", "probe_timeout", m.ProbeTimeout, "probe_interval", m.ProbeInterval)
 	below("platform", "timeout", s.Platform.Timeout, "ownership lease_ttl", o.LeaseTTL)
 	below("limits", "slow_sender", s.Limits.SlowSender, "request_timeout", s.Limits.RequestTimeout)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -116,6 +116,13 @@
 	DrainTimeout   time.Duration
 }
 
+// detectionTime is how far apart two sides may notice that they are cut off
+// from each other.
+const detectionTime = 4 * time.Second
+
+// Margin is the least time between the isolation and the adoption limit.
+func (o Ownership) Margin() time.Duration { return o.ClockMargin + detectionTime }
+
 // Membership holds the pace of probing.
 type Membership struct {
 	ProbeInterval time.Duration
--- a/internal/system/mirror/mirror.go
+++ b/internal/system/mirror/mirror.go
@@ -83,7 +83,8 @@
 	r.forget(root)
 }
 
-// Fetch implements journal.Mirror. It asks every VM of the data centre.
+// Fetch implements journal.Mirror. It asks every VM of the families' home data
+// centres, where their copies are.
 func (r *Remote) Fetch(ctx context.Context, families []journal.MirroredFamily) (map[entity.ProgramID][]journal.Record, error) {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
@@ -97,8 +98,12 @@
 			}
 		}
 	}
+	homes := make(map[string]bool)
+	for _, family := range families {
+		homes[family.Root.DC()] = true
+	}
 	for _, vm := range r.view() {
-		if vm.DC != r.dc || vm.State == entity.VMDead {
+		if !homes[vm.DC] || vm.State == entity.VMDead {
 			continue
 		}
 		wg.Go(func() { merge(r.fetchFrom(ctx, vm, families)) })
--- a/internal/system/owner/fixture_test.go
+++ b/internal/system/owner/fixture_test.go
@@ -48,6 +48,7 @@
 	serial := 0
 	o := Options{
 		Self:      id,
+		DC:        "amman-a",
 		Journal:   j,
 		Scheduler: freeScheduler{},
 		Engines:   func(entity.Endpoint) Engine { return w.runners },
--- a/internal/system/owner/owner.go
+++ b/internal/system/owner/owner.go
@@ -35,6 +35,7 @@
 
 // Options are the dependencies and settings of an Owner.
 type Options struct {
+	DC        string // data centre of this VM
 	Self      string // id of this VM
 	Journal   *journal.Journal
 	Scheduler queue.Scheduler
@@ -169,7 +170,7 @@
 	// A program that is not found may stand in a mirror still.
 	adoption := o.o.Journal.Adopt(ctx, []entity.ProgramID{f.root}, o.o.Self)[0]
 	if errors.Is(adoption.Err, journal.ErrNotFound) {
-		return mesh.NewFault(mesh.CodeNotFound, "no such program")
+		return o.notFound(f.root)
 	}
 	if adoption.Err != nil {
 		return adoption.Err
@@ -179,6 +180,15 @@
 	return nil
 }
 
+// notFound tells that there is no such program. For another data centre's that
+// is not certain: the program may have been made there while it was cut off.
+func (o *Owner) notFound(root entity.ProgramID) error {
+	if root.DC() != o.o.DC {
+		return mesh.NewFault(mesh.CodeNotRun, "the program's data centre can't be asked now")
+	}
+	return mesh.NewFault(mesh.CodeNotFound, "no such program")
+}
+
 func formerOwner(before *journal.Family) string {
 	if before == nil {
 		return ""
--- a/internal/system/owner/turn.go
+++ b/internal/system/owner/turn.go
@@ -142,9 +142,25 @@
 	}
 	f.owner.record(timeline.Event{Kind: kind, Program: c.args.Program, Request: c.args.RequestID})
 	f.noteTurn(turn)
+	if err := f.checkKept(d); err != nil {
+		return Result{}, err
+	}
 	return resultOf(turn, d), nil
 }
 
+// checkKept refuses to acknowledge a turn that is buffered only, once others
+// may have adopted the program: a call that began before may end after the
+// isolation limit.
+func (f *family) checkKept(d journal.Durability) error {
+	if d != journal.Buffered {
+		return nil
+	}
+	if err := f.owner.o.MayBuffer(f.rootRow().Created); err != nil {
+		return unknownOutcome(err)
+	}
+	return nil
+}
+
 func (f *family) describe(turn *entity.Turn, c *call, number uint64) {
 	turn.Program = c.args.Program
 	turn.Number = number
--- a/internal/system/route/route.go
+++ b/internal/system/route/route.go
@@ -18,6 +18,10 @@
 	pollWait = time.Second
 	// retryPause separates attempts while views of the fleet differ.
 	retryPause = 50 * time.Millisecond
+	// noOwnerPatience is how long a search goes on while nobody may own the
+	// program by this VM's view: long enough for a view in the making, short
+	// enough that the caller learns at once to come back later.
+	noOwnerPatience = 500 * time.Millisecond
 	// maxHops bounds how often VMs may point to each other in a row.
 	maxHops = 6
 )
@@ -64,7 +68,7 @@
 				return err
 			}
 		}
-		if !search.pause(ctx) {
+		if search.hopeless() || !search.pause(ctx) {
 			return search.giveUp()
 		}
 	}
@@ -79,7 +83,9 @@
 	// maybeRan is true once a request may have reached an owner and its
 	// answer was lost: it can't be refused as not run any more.
 	maybeRan bool
-	last     error
+	// ownerless is since when nobody may own the program; zero if somebody may.
+	ownerless time.Time
+	last      error
 }
 
 // next returns the address to try.
@@ -90,12 +96,24 @@
 		return addr, true
 	}
 	vm, ok := s.router.o.Place(s.root)
+	switch {
+	case ok:
+		s.ownerless = time.Time{}
+	case s.ownerless.IsZero():
+		s.ownerless = time.Now()
+	}
 	if !ok {
 		s.last = mesh.NewFault(mesh.CodeNotRun, "no VM may own the program now")
 	}
 	return vm.MeshAddr, ok
 }
 
+// hopeless reports whether the search has gone on without an owner in view for
+// long enough.
+func (s *search) hopeless() bool {
+	return !s.ownerless.IsZero() && time.Since(s.ownerless) > noOwnerPatience
+}
+
 // goOn tells whether to try again after an attempt.
 func (s *search) goOn(addr, hint string, err error) bool {
 	switch {
--- a/internal/vm/build.go
+++ b/internal/vm/build.go
@@ -125,6 +125,7 @@
 
 func (v *VM) ownerOptions() owner.Options {
 	return owner.Options{
+		DC:        v.s.VM.DC,
 		Self:      v.id,
 		Journal:   v.journal,
 		Scheduler: v.schedule,
--- a/internal/vm/platform.go
+++ b/internal/vm/platform.go
@@ -119,6 +119,7 @@
 	limits := policy.DefaultLimits()
 	limits.Isolation = v.s.Ownership.IsolationLimit
 	limits.Adoption = v.s.Ownership.AdoptionLimit
+	limits.Margin = v.s.Ownership.Margin()
 	v.ownership, err = ownership.New(ownership.Options{
 		Self:    v.id,
 		DC:      v.s.VM.DC,
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -439,6 +439,20 @@
 	}
 }
 
+// oneWay drops what a data centre sends to the others; it still gets what they
+// send.
+func (c *cluster) oneWay(dc string) {
+	mute := 10 + c.dcIndex(dc)
+	for _, p := range c.processes() {
+		if p.dc == dc {
+			continue
+		}
+		picks := func(source net.Addr) bool { return subnet(source) == mute }
+		p.mesh.Cut(picks)
+		p.gossip.Cut(picks)
+	}
+}
+
 func (c *cluster) heal() {
 	for _, p := range c.processes() {
 		p.mesh.Cut(nil)
