--- a/internal/vm/build.go
+++ b/internal/vm/build.go
@@ -123,6 +123,7 @@
 
 func (v *VM) ownerOptions() owner.Options {
 	return owner.Options{
+		DC:        v.s.VM.DC,
 		Self:      v.id,
 		Journal:   v.journal,
 		Scheduler: newMeteredQueue(v.schedule, v.sweeper, v.meter),
