Bound the cached histories of an owner

They grew with every program that a VM ever served while it owned it. Each tick now drops the ones used longest ago beyond 64 MiB; a program's next call reads its history again. The mirror chooses its VM by the ownership policy's rendezvous hashing instead of a copy of it.

--- a/internal/system/mirror/mirror.go
+++ b/internal/system/mirror/mirror.go
@@ -10,9 +10,8 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/policy/ownership"
 	"ibisstall.example/ibisstall/internal/system/journal"
 )
 
@@ -143,25 +142,21 @@
 func (r *Remote) peer(root entity.ProgramID) (entity.VM, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var best entity.VM
-	var bestScore uint64
-	found := false
+	var others []entity.VM
 	for _, vm := range r.view() {
-		if vm.ID == r.self || vm.DC != r.dc || vm.State != entity.VMAlive {
+		if vm.ID == r.self || vm.State != entity.VMAlive {
 			continue
 		}
 		if vm.ID == r.peers[root] {
 			return vm, true
 		}
-		score := xxhash.Sum64String(vm.ID + "\x00" + string(root))
-		if !found || score > bestScore {
-			best, bestScore, found = vm, score, true
-		}
+		others = append(others, vm)
 	}
+	vm, found := ownership.SoftRole(ownership.Role("mirror/"+root), r.dc, others)
 	if found {
-		r.peers[root] = best.ID
+		r.peers[root] = vm.ID
 	}
-	return best, found
+	return vm, found
 }
 
 func (r *Remote) forget(root entity.ProgramID) {
--- a/internal/system/owner/answered.go
+++ b/internal/system/owner/answered.go
@@ -67,6 +67,7 @@
 	for _, t := range turns {
 		talk.messages = append(talk.messages, t.Messages...)
 	}
+	talk.bytes = talk.size()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.talks[p.ID] = talk
--- a/internal/system/owner/conversation.go
+++ b/internal/system/owner/conversation.go
@@ -17,6 +17,7 @@
 type conversation struct {
 	head     uint64 // latest turn that it covers
 	messages []entity.Message
+	bytes    int64 // estimated memory
 }
 
 // conversation returns the messages of a program's history, from the cache or
@@ -99,7 +100,11 @@
 	messages := make([]entity.Message, 0, len(t.messages)+len(turn.Messages))
 	messages = append(messages, t.messages...)
 	messages = append(messages, turn.Messages...)
-	return &conversation{head: turn.Number, messages: messages}
+	bytes := t.bytes
+	for i := range turn.Messages {
+		bytes += messageSize(&turn.Messages[i])
+	}
+	return &conversation{head: turn.Number, messages: messages, bytes: bytes}
 }
 
 // prompt returns the messages that the engine gets.
--- a/internal/system/owner/fixture_test.go
+++ b/internal/system/owner/fixture_test.go
@@ -72,6 +72,7 @@
 		SaveTimeout:    time.Second,
 		KeepAnswers:    time.Minute,
 		KeepFamilies:   time.Minute,
+		CacheBytes:     1 << 20,
 	}
 	for _, a := range adjust {
 		a(&o)
--- a/internal/system/owner/lifecycle.go
+++ b/internal/system/owner/lifecycle.go
@@ -247,7 +247,9 @@
 // and forgets what is no longer needed.
 func (o *Owner) Tick(ctx context.Context) {
 	now := o.o.Now()
-	for _, f := range o.snapshot() {
+	families := o.snapshot()
+	o.trimCaches(families)
+	for _, f := range families {
 		f.dropEnded(now, o.o.KeepAnswers)
 		f.settleOrphans(now)
 		if f.expire(ctx, now) != nil {
--- a/internal/system/owner/owner.go
+++ b/internal/system/owner/owner.go
@@ -71,6 +71,9 @@
 	SaveTimeout time.Duration
 	// KeepAnswers is how long an ended call can be read again.
 	KeepAnswers time.Duration
+	// CacheBytes bounds the cached histories of programs without calls under
+	// way.
+	CacheBytes int64
 	// KeepFamilies is how long an unused family stays in memory.
 	KeepFamilies time.Duration
 }
--- a/internal/system/owner/owner_test.go
+++ b/internal/system/owner/owner_test.go
@@ -376,3 +376,19 @@
 	is.Equal(w.call(b, toolCall("d1", "deposit", "{}")).Fault.Code, mesh.CodeNone)
 	is.Equal(w.runners.ran(), 1)
 }
+
+func TestOwner_CachedHistoriesStayWithinTheirBoundAndAreReadAgain(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	a := w.vm("a", func(o *Options) { o.CacheBytes = 100 })
+	w.create(a, wide)
+	w.call(a, chatCall("r1", "a question that takes more than the bound in the cache, with its answer"))
+	a.Tick(context.Background())
+	for _, f := range a.snapshot() {
+		is.Equal(f.cacheUse().bytes, int64(0))
+	}
+	w.call(a, chatCall("r2", "two"))
+	is.Equal(len(w.runners.prompts[1]), 3)
+	is.Equal(string(w.call(a, chatCall("r2", "two")).Answer), string(w.call(a, chatCall("r2", "two")).Answer))
+	is.Equal(len(w.runners.prompts), 2)
+}
--- a/internal/vm/build.go
+++ b/internal/vm/build.go
@@ -26,6 +26,7 @@
 	defaultTokens = 1024
 	keepAnswers   = time.Minute
 	keepFamilies  = 10 * time.Minute
+	cacheBytes    = 64 << 20 // of histories
 	findLimit     = 10 * time.Second
 	idleConns     = 64 // to each endpoint
 	idBytes       = 12
@@ -150,6 +151,7 @@
 		SaveTimeout:    v.s.Platform.Timeout * 2,
 		KeepAnswers:    keepAnswers,
 		KeepFamilies:   keepFamilies,
+		CacheBytes:     cacheBytes,
 	}
 }
 
