A cut-off data centre stops acknowledging at its isolation limit

Cause: with a platform that hangs, the client counts as reachable for seconds, and the check was skipped that long; and a program was taken for one made in isolation if it was younger than an upper bound of the lease's age. A program in steady use was acknowledged 9 s after a cut with a limit of 4 s. Change: a turn that is only buffered is checked whatever the client believes, made in isolation means that the platform can't have the row, writes are no probes of a platform that does not answer, and an adopter in another data centre asks the home's VMs for copies although it takes them for dead, since the cut may just be healing (a buffered turn was lost to that).

--- a/internal/platform/httpclient/call.go
+++ b/internal/platform/httpclient/call.go
@@ -19,6 +19,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"ibisstall.example/ibisstall/internal/platform"
+	"ibisstall.example/ibisstall/internal/platform/breaker"
 	"ibisstall.example/ibisstall/internal/platform/wire"
 )
 
@@ -104,7 +105,9 @@
 // attempt performs a request once and tells the breaker how it went. When the
 // caller stopped waiting, it tells nothing of the service.
 func (c *Client) attempt(ctx, caller context.Context, s *service, q call) ([]byte, error) {
-	if !s.breaker.Allow(c.options.Now()) {
+	// A write is no probe: one that hangs would leave its effect unknown.
+	noProbe := q.write && !q.idempotent && s.breaker.State() != breaker.Closed
+	if noProbe || !s.breaker.Allow(c.options.Now()) {
 		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, errBreakerOpen)
 	}
 	attemptCtx, cancel := context.WithTimeout(ctx, c.options.AttemptTimeout)
--- a/internal/system/journal/list.go
+++ b/internal/system/journal/list.go
@@ -27,6 +27,18 @@
 	return programs, nil
 }
 
+// OnPlatform reports whether the platform has an owned family's root row, so
+// that others can know of the family.
+func (j *Journal) OnPlatform(root entity.ProgramID) bool {
+	f := j.family(root)
+	if f == nil {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rows[root].version > 0 || f.pending != nil // a lost answer may have written it
+}
+
 // Settled reports whether none of a family's records wait for the platform.
 func (j *Journal) Settled(root entity.ProgramID) bool {
 	f := j.family(root)
--- a/internal/system/mirror/mirror.go
+++ b/internal/system/mirror/mirror.go
@@ -102,7 +102,7 @@
 		homes[family.Root.DC()] = true
 	}
 	for _, vm := range r.view() {
-		if !homes[vm.DC] || vm.State == entity.VMDead {
+		if !homes[vm.DC] || !r.mayHoldCopies(vm) {
 			continue
 		}
 		wg.Go(func() { merge(r.fetchFrom(ctx, vm, families)) })
@@ -111,6 +111,13 @@
 	return best, ctx.Err()
 }
 
+// mayHoldCopies tells whether to ask a VM. One of another data centre is asked
+// although it counts as dead: a cut may just be healing, and what it holds would
+// be lost.
+func (r *Remote) mayHoldCopies(vm entity.VM) bool {
+	return vm.State != entity.VMDead || vm.DC != r.dc
+}
+
 func (r *Remote) fetchFrom(ctx context.Context, vm entity.VM, families []journal.MirroredFamily) map[entity.ProgramID][]journal.Record {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
--- a/internal/system/owner/owner.go
+++ b/internal/system/owner/owner.go
@@ -54,9 +54,12 @@
 	HandOver func(ctx context.Context, vm entity.VM, args HandOverArgs) (HandOverReply, error)
 	// Lease returns an error if this VM's lease has lapsed.
 	Lease func() error
-	// MayBuffer returns an error if a turn of a family created at a time must
-	// not be kept without the platform.
-	MayBuffer func(created time.Time) error
+	// MayBuffer returns an error if a turn of a family must not be kept without
+	// the platform, since others may have adopted it; createdIsolated tells
+	// that the platform, and so nobody else, knows of the family.
+	MayBuffer func(createdIsolated bool) error
+	// Reachable reports whether the platform answered lately.
+	Reachable func() bool
 	// RetryShare bounds retries to a share of the live traffic.
 	RetryShare float64
 	Recorder   timeline.Recorder
--- a/internal/system/owner/owner_test.go
+++ b/internal/system/owner/owner_test.go
@@ -392,3 +392,54 @@
 	is.Equal(string(w.call(a, chatCall("r2", "two")).Answer), string(w.call(a, chatCall("r2", "two")).Answer))
 	is.Equal(len(w.runners.prompts), 2)
 }
+
+func TestOwner_LostStreamCountsAllThatItMayHaveGenerated(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	a := w.vm("a")
+	w.create(a, entity.Budget{Tokens: 100, Turns: 10, Seconds: 3600})
+	w.runners.set(func(r *runners) { r.hold = make(chan struct{}) })
+	args := chatCall("r1", "hello")
+	args.Chat.MaxTokens = 30
+	_, err := a.Start(context.Background(), args)
+	is.NoErr(err)
+	<-w.runners.holding
+	w.runners.set(func(r *runners) { r.hold = nil; clear(r.streams) }) // the engine is gone
+
+	b := w.vm("b")
+	w.moveTo("b", "a", false)
+	is.Equal(w.call(b, args).Fault.Code, mesh.CodeNone)
+	reply, err := b.Show(context.Background(), ProgramArgs{ID: testProgram})
+	is.NoErr(err)
+	is.Equal(reply.Root.Used.Tokens, int64(30+10)) // the lost stream's bound and the new answer
+}
+
+func TestOwner_CallsOfOneProgramNeverOverlap(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	a := w.vm("a")
+	w.create(a, wide)
+	hold := make(chan struct{})
+	w.runners.set(func(r *runners) { r.hold = hold })
+	for i := range 4 {
+		_, err := a.Start(context.Background(), toolCall(fmt.Sprint(i), "lookup", "{}"))
+		is.NoErr(err)
+	}
+	<-w.runners.holding
+	child, err := a.Create(context.Background(), CreateArgs{Workspace: "press", Parent: testProgram, RequestID: "c"})
+	is.NoErr(err)
+	args := toolCall("of the child", "lookup", "{}")
+	args.Program = child.Program.ID
+	_, err = a.Start(context.Background(), args)
+	is.NoErr(err)
+	<-w.runners.holding // the sub-agent runs beside its parent
+	select {
+	case <-w.runners.holding:
+		t.Fatal("two calls of one program ran at once")
+	default:
+	}
+	close(hold)
+	for i := range 4 {
+		is.Equal(w.call(a, toolCall(fmt.Sprint(i), "lookup", "{}")).Fault.Code, mesh.CodeNone)
+	}
+}
--- a/internal/system/owner/turn.go
+++ b/internal/system/owner/turn.go
@@ -80,8 +80,10 @@
 // reserveRoom makes sure that the turn's record finds room in the buffer if
 // the platform goes down while the call runs.
 func (f *family) reserveRoom(c *call) error {
-	if err := f.owner.o.MayBuffer(f.rootRow().Created); err != nil {
-		return notRun(err)
+	if !f.owner.o.Reachable() {
+		if err := f.mayBuffer(); err != nil {
+			return notRun(err)
+		}
 	}
 	size := recordBytes + len(c.args.Body)
 	if chat := c.args.Chat; chat != nil {
@@ -148,6 +150,10 @@
 	return resultOf(turn, d), nil
 }
 
+func (f *family) mayBuffer() error {
+	return f.owner.o.MayBuffer(!f.owner.o.Journal.OnPlatform(f.root))
+}
+
 // checkKept refuses to acknowledge a turn that is buffered only, once others
 // may have adopted the program: a call that began before may end after the
 // isolation limit.
@@ -155,7 +161,7 @@
 	if d != journal.Buffered {
 		return nil
 	}
-	if err := f.owner.o.MayBuffer(f.rootRow().Created); err != nil {
+	if err := f.mayBuffer(); err != nil {
 		return unknownOutcome(err)
 	}
 	return nil
--- a/internal/vm/loops.go
+++ b/internal/vm/loops.go
@@ -7,6 +7,7 @@
 
 	"ibisstall.example/ibisstall/internal/keys"
 	"ibisstall.example/ibisstall/internal/logging/tag"
+	"ibisstall.example/ibisstall/internal/platform"
 )
 
 // ownerTick is the time between two ticks of the owner system.
@@ -20,6 +21,7 @@
 	v.watchTLS(ctx)
 	v.watchLoop(ctx)
 	v.runnerLoops(ctx)
+	v.loop(ctx, probeEvery, v.probePlatform)
 	v.loop(ctx, ownerTick, v.tickOwner)
 	v.loop(ctx, v.s.Platform.VMListInterval, v.readList)
 	v.loop(ctx, keysEvery, v.readOperators)
@@ -34,6 +36,18 @@
 	v.spawn(func() { v.followConfig(ctx) })
 }
 
+// probeEvery is the time between two probes of a platform that does not answer.
+const probeEvery = 300 * time.Millisecond
+
+// probePlatform finds out whether the platform is back. Writes wait for that.
+func (v *VM) probePlatform(ctx context.Context) {
+	if v.platform.Reachable() {
+		return
+	}
+	// What comes of it stands in the client's circuit breaker.
+	_, _ = v.platform.Get(ctx, []platform.Key{{Table: "probe", ID: v.s.VM.DC}})
+}
+
 // tickOwner runs the owner system. After an isolation the idle programs are let
 // go, since others may have adopted them: they are read anew at their next use.
 func (v *VM) tickOwner(ctx context.Context) {
--- a/internal/vm/platform.go
+++ b/internal/vm/platform.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/mesh"
@@ -131,17 +130,6 @@
 	return err
 }
 
-// mayBuffer returns an error if a turn of a program must not be acknowledged
-// without the platform, since others may have adopted the program.
-func (v *VM) mayBuffer(created time.Time) error {
-	if v.platform.Reachable() {
-		return nil
-	}
-	since, known := v.dcLease.SinceRenewal()
-	isolated := known && time.Since(created) < since
-	return v.ownership.MayBuffer(isolated)
-}
-
 // buildJournal makes the journal over group commit, with second copies on
 // other VMs.
 func (v *VM) buildJournal() {
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -404,6 +404,8 @@
 	ID            string `json:"id"`
 	State         string `json:"state"`
 	ConfigVersion uint64 `json:"config_version"`
+	// PlatformReachable is what the VM says of itself.
+	PlatformReachable bool `json:"platform_reachable"`
 }
 
 // view returns the VMs as one of them sees them.
