Count the cache that an imported prefix displaces

An import was charged its transfer only, so that programs moved at every turn and their copies drove out each other's cache. The tokens imported now carry the same eviction cost as computed ones.

The test of the placement system relied on a tie: the endpoint that it means to be busy had a call time of zero. It is given one of four seconds.

--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -149,7 +149,8 @@
 	cost := prefill * (p.cfg.RecomputeCost + p.cfg.EvictionCost)
 	importing := false
 	if e.ImportRate > 0 && e.Importable > e.Held {
-		moved := secondsOf(e.Importable-e.Held, e.ImportRate) +
+		imported := e.Importable - e.Held
+		moved := secondsOf(imported, e.ImportRate) + secondsOf(imported, e.PrefillRate)*p.cfg.EvictionCost +
 			secondsOf(max(0, c.PromptTokens-e.Importable), e.PrefillRate)*(p.cfg.RecomputeCost+p.cfg.EvictionCost)
 		if moved < cost {
 			cost, importing = moved, true
--- a/internal/system/placement/placement_test.go
+++ b/internal/system/placement/placement_test.go
@@ -116,7 +116,7 @@
 	s.SetEndpoints([]entity.Endpoint{engine("a"), engine("b")})
 	c := call(1, 1)
 	s.Sent("b", c, start)
-	s.Finished("b", Ended{Call: c}, start)
+	s.Finished("b", Ended{Call: c, Run: estimate.Call{Total: 4 * time.Second}}, start)
 	s.Report("b", estimate.Load{Running: 4, Waiting: 40, Permits: 4}, start)
 	d, err := s.Place(c, start)
 	is.NoErr(err)
