Charge the true size of a datagram, and no gossip beyond the budget

Cause: the bound of a message's size was 35 % above its true size, so that a seed of 350 VMs that start at once stayed out of bytes for minutes, and a fresh update that the budget held back made a VM send to suspects at each tick. Change: the size counts each field; a push needs an update from the queue.

--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -2,8 +2,8 @@
 
 // fill adds updates to a message to a member, as far as the datagram and the
 // budget allow. A member that is not alive here is told so first, whatever the
-// budget, so that it can refute.
-func (m *Machine) fill(msg *Message, to *member) {
+// so that it can refute. It returns the number of updates from the queue.
+func (m *Machine) fill(msg *Message, to *member) (queued int) {
 	size := msg.size()
 	if to != nil && !to.alive() {
 		msg.Updates = append(msg.Updates, to.rec)
@@ -23,12 +23,14 @@
 			allowed = m.budget.allowsJoin(size + n)
 		}
 		if size+n > MaxDatagram || !allowed || len(msg.Updates) >= maxUpdates {
-			return
+			break
 		}
 		msg.Updates = append(msg.Updates, r)
 		size += n
 		it.sent++
+		queued++
 	}
+	return queued
 }
 
 // record returns what is known of a member, with or without its unchanging
@@ -60,8 +62,7 @@
 	}
 	for _, mem := range m.pick(m.timing.EagerFanOut, (*member).contactable) {
 		msg := Message{Kind: KindGossip, To: mem.rec.ID}
-		m.fill(&msg, mem)
-		if len(msg.Updates) > 0 {
+		if m.fill(&msg, mem) > 0 {
 			m.send(mem.info.GossipAddr, msg)
 		}
 	}
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -72,7 +72,6 @@
 const (
 	macSize      = 32
 	headerSize   = 28 // IPv4 and UDP headers
-	messageSize  = 64 // bound for the fixed fields of a message
 	maxStringLen = 128
 )
 
@@ -108,7 +107,9 @@
 // size bounds the encoded size of the whole datagram in bytes, without IP and
 // UDP headers.
 func (m *Message) size() int {
-	n := macSize + messageSize + stringSize(m.To) + stringSize(m.Target) + stringSize(m.TargetAddr)
+	const fixed = 12 // array headers, Kind, Hello, Trusts, length of Prints
+	n := macSize + fixed + uintSize(m.Seq) + uintSize(m.Nonce) + uintSize(m.Salt) + uintSize(m.Root)
+	n += uintSize(uint64(m.Known)) + uintSize(uint64(m.Parts)) + stringSize(m.To) + stringSize(m.Target) + stringSize(m.TargetAddr)
 	n += m.Self.size() + len(m.Prints)
 	for i := range m.Updates {
 		n += m.Updates[i].size()
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -21,7 +21,7 @@
 	maxPrints     = 500 // in a SyncPrints; a larger table is compared in parts
 	syncDatagrams = 4   // SyncRecords from one side
 	sampleMembers = 6   // named by a VM that has no bytes to spare
-	manyLacking   = 16  // records that are asked for whatever the budget
+	manyLacking   = 4   // records that are asked for whatever the budget
 	fewRecords    = 8   // records that are sent whatever the budget
 	// comparison is what one side must have to spare, in bytes, so that the
 	// prints are not sent in vain.
