Give up callers that take nothing of their answer

Nothing bounded a write to a caller: one that left its stream unread held its connection, the stream and, without a key, its call at the engine for ever. Each event has a write deadline of [limits] idle now, other answers one of request_timeout more; a stream whose caller has gone in this way is cancelled at the engine unless the request has a key, as when the connection breaks.

--- a/internal/front/calls.go
+++ b/internal/front/calls.go
@@ -155,6 +155,7 @@
 		created:      s.f.o.Now().Unix(),
 		includeUsage: chat.IncludeUsage,
 		keyed:        keyed,
+		unread:       s.f.o.Limits.Unread,
 	}
 	return &calls.Answer{ContentType: "text/event-stream", RequestID: args.RequestID}, body, nil
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -59,6 +59,8 @@
 	Body       int64 // bytes
 	JSONDepth  int
 	SlowSender time.Duration // for the whole body
+	// Unread bounds the time in which a caller takes nothing of an answer.
+	Unread time.Duration
 	// RequestTimeout bounds a request that names no deadline.
 	RequestTimeout time.Duration
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -41,6 +41,7 @@
 			s.Limits.Header = 8 * settings.KiB
 			s.Limits.JSONDepth = 16
 			s.Limits.SlowSender = 300 * time.Millisecond
+			s.Limits.Idle = 300 * time.Millisecond
 		},
 	})
 	if err != nil {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -95,6 +95,9 @@
 			writeError(w, refused)
 			return
 		}
+		// A stream moves this deadline with each event.
+		limit := f.o.Limits.RequestTimeout + f.o.Limits.Unread
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(limit))
 		r.Body = io.NopCloser(bytes.NewReader(body))
 		r.ContentLength = int64(len(body))
 		next.ServeHTTP(w, r)
--- a/internal/front/sse.go
+++ b/internal/front/sse.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"ibisstall.example/ibisstall/gen/types"
 	"ibisstall.example/ibisstall/internal/endpoint"
@@ -26,6 +27,8 @@
 	created      int64
 	includeUsage bool
 	keyed        bool
+	// unread bounds the time in which the caller takes no byte.
+	unread time.Duration
 
 	// text is the content written so far, tools tells whether tool calls were.
 	text  strings.Builder
@@ -43,23 +46,32 @@
 func (s *eventStream) WriteTo(w io.Writer) (int64, error) {
 	out := &eventWriter{w: w}
 	if rw, ok := w.(http.ResponseWriter); ok {
-		out.flusher = http.NewResponseController(rw)
+		out.control = http.NewResponseController(rw)
+		out.unread = s.unread
 	}
+	if gone := s.relay(out); gone && !s.keyed {
+		abandon(s.ctx, s.stream)
+	}
+	return out.n, nil
+}
+
+// relay writes news until the last and reports whether the caller has gone
+// before that.
+func (s *eventStream) relay(out *eventWriter) (gone bool) {
 	news, err := s.first, error(nil)
 	for {
 		if err != nil {
 			s.fail(out, err)
-			break
+			return s.ctx.Err() != nil
 		}
-		if s.write(out, &news) != nil || news.Done {
-			break
+		if s.write(out, &news) != nil {
+			return !news.Done
+		}
+		if news.Done {
+			return false
 		}
 		news, err = s.stream.Next(s.ctx)
 	}
-	if s.ctx.Err() != nil && !s.keyed {
-		abandon(s.ctx, s.stream)
-	}
-	return out.n, nil
 }
 
 // write writes news; the last one closes the stream.
@@ -215,7 +227,8 @@
 // eventWriter writes server-sent events and flushes each.
 type eventWriter struct {
 	w       io.Writer
-	flusher *http.ResponseController
+	control *http.ResponseController // nil if w is no answer to a request
+	unread  time.Duration            // bounds each write
 	n       int64
 }
 
@@ -228,10 +241,14 @@
 }
 
 func (w *eventWriter) raw(text string) error {
+	if w.control != nil {
+		// A connection without deadlines is bounded by the request's timeout.
+		_ = w.control.SetWriteDeadline(time.Now().Add(w.unread))
+	}
 	n, err := io.WriteString(w.w, text)
 	w.n += int64(n)
-	if err != nil || w.flusher == nil {
+	if err != nil || w.control == nil {
 		return err
 	}
-	return w.flusher.Flush()
+	return w.control.Flush()
 }
--- /dev/null
+++ b/internal/front/unread_test.go
@@ -0,0 +1,23 @@
+package front_test
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestStream_ACallerThatNeverReadsIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 50*time.Microsecond)
+	id := api{t, f.VMs[0].URL(), f.WorkspaceKeys[mine]}.newProgram()
+	conn, err := net.Dial("tcp", f.VMs[0].VM.Addr())
+	is.NoErr(err)
+	defer conn.Close()
+	is.NoErr(conn.(*net.TCPConn).SetReadBuffer(4 << 10))
+	body := `{"model":"small","stream":true,"max_tokens":90000,"messages":[{"role":"user","content":"##tokens:90000"}]}`
+	fmt.Fprintf(conn, "POST /v1/programs/%s/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", id, f.WorkspaceKeys[mine], len(body), body)
+	eventually(t, "the engine was told to cancel", func() bool { return f.Engines[0].Counters().Cancelled == 1 })
+}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -90,7 +90,7 @@
 		{"limits", "request_timeout", "10m", "time for one call, from its arrival to the end of its answer", false, duration(&l.RequestTimeout)},
 		{"limits", "connections", "4096", "callers' connections open at once", false, intBetween(&l.Connections, 1, 1_000_000)},
 		{"limits", "slow_sender", "20s", "time for a caller to send a whole request", false, duration(&l.SlowSender)},
-		{"limits", "idle", "2m", "time after which an idle connection is closed", false, duration(&l.Idle)},
+		{"limits", "idle", "2m", "time after which a connection is closed that is idle, or whose caller takes nothing of an answer", false, duration(&l.Idle)},
 	}
 }
 
--- a/internal/vm/build.go
+++ b/internal/vm/build.go
@@ -173,6 +173,7 @@
 			Body:           int64(v.s.Limits.Body),
 			JSONDepth:      v.s.Limits.JSONDepth,
 			SlowSender:     v.s.Limits.SlowSender,
+			Unread:         v.s.Limits.Idle,
 			RequestTimeout: v.s.Limits.RequestTimeout,
 		},
 	}
