--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -251,7 +251,7 @@
 
 func (v *VM) httpServer() *http.Server {
 	return &http.Server{
-		Handler:           v.front.Handler(),
+		Handler:           front.Metered(v.metrics, v.front.Handler()),
 		ReadHeaderTimeout: v.s.Limits.SlowSender,
 		IdleTimeout:       v.s.Limits.Idle,
 		// The limit itself is checked where it can be answered by a typed
--- a/internal/vm/vm_test.go
+++ b/internal/vm/vm_test.go
@@ -139,6 +139,9 @@
 func TestMetrics_NamesHaveUnitsAndLabelsAreBounded(t *testing.T) {
 	is := is.New(t)
 	l := startLone(t, func(l *lone, s *settings.Settings) { s.VM.AdminListen = freeAddress(t, l) })
+	resp, err := http.Get("http://" + l.vm.Addr() + "/v1/table") // without a key
+	is.NoErr(err)
+	resp.Body.Close()
 	var text string
 	eventually(t, "the membership counts", func() bool {
 		var status int
@@ -155,6 +158,7 @@
 			continue // of the process and the runtime
 		}
 		series[m[1]]++
+		m[1] = regexp.MustCompile(`_(bucket|sum)$`).ReplaceAllString(m[1], "") // of a histogram
 		if !unit.MatchString(m[1]) {
 			t.Errorf("%s names no unit", m[1])
 		}
@@ -164,7 +168,9 @@
 			t.Errorf("%s has %d series", name, n)
 		}
 	}
-	for _, name := range []string{"ibisstall_membership_bytes_sent_total", "ibisstall_config_version", "ibisstall_platform_reachable_count", "ibisstall_vms_alive_count"} {
+	is.True(strings.Contains(text, `ibisstall_answers_total{status="401"} 1`))
+	is.True(strings.Contains(text, "ibisstall_answer_seconds_count 1"))
+	for _, name := range []string{"ibisstall_requests_open_count", "ibisstall_membership_bytes_sent_total", "ibisstall_config_version", "ibisstall_platform_reachable_count", "ibisstall_vms_alive_count"} {
 		is.Equal(series[name], 1)
 	}
 }
