--- a/test/runnersfixture_test.go
+++ b/test/runnersfixture_test.go
@@ -77,7 +77,7 @@
 
 // happened reports whether the time line holds an event of an endpoint.
 func (c *cluster) happened(kind, endpointName string) bool {
-	status, _, body, err := send(c.request(c.processes()[0], http.MethodGet, "/v1/timeline?limit=100000", nil, c.operator))
+	status, _, body, err := c.send(c.request(c.processes()[0], http.MethodGet, "/v1/timeline?limit=100000", nil, c.operator))
 	var events []struct {
 		Kind     string `json:"kind"`
 		Endpoint string `json:"endpoint"`
@@ -115,7 +115,7 @@
 // cancel ends a program.
 func (s *callers) cancel(ctx context.Context, p *program) {
 	a := s.until(ctx, func() answer {
-		status, header, body, err := send(s.c.request(s.vm(), http.MethodDelete, "/v1/programs/"+p.id, nil, s.c.key))
+		status, header, body, err := s.c.send(s.c.request(s.vm(), http.MethodDelete, "/v1/programs/"+p.id, nil, s.c.key))
 		return answer{status: status, kind: header.Get("Ibisstall-Error"), body: body, err: err}
 	})
 	if a.err != nil || a.status >= http.StatusMultipleChoices {
@@ -160,7 +160,7 @@
 
 // state returns the state of a program, empty if it can't be told.
 func (s *callers) state(p *program) string {
-	_, _, body, err := send(s.c.request(s.vm(), http.MethodGet, "/v1/programs/"+p.id, nil, s.c.key))
+	_, _, body, err := s.c.send(s.c.request(s.vm(), http.MethodGet, "/v1/programs/"+p.id, nil, s.c.key))
 	var shown struct {
 		State string `json:"state"`
 	}
