--- a/internal/system/mirror/mirror.go
+++ b/internal/system/mirror/mirror.go
@@ -10,9 +10,8 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/policy/ownership"
 	"ibisstall.example/ibisstall/internal/system/journal"
 )
 
@@ -83,7 +82,8 @@
 	r.forget(root)
 }
 
-// Fetch implements journal.Mirror. It asks every VM of the data centre.
+// Fetch implements journal.Mirror. It asks every VM of the families' home data
+// centres, where their copies are.
 func (r *Remote) Fetch(ctx context.Context, families []journal.MirroredFamily) (map[entity.ProgramID][]journal.Record, error) {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
@@ -97,8 +97,12 @@
 			}
 		}
 	}
+	homes := make(map[string]bool)
+	for _, family := range families {
+		homes[family.Root.DC()] = true
+	}
 	for _, vm := range r.view() {
-		if vm.DC != r.dc || vm.State == entity.VMDead {
+		if !homes[vm.DC] || vm.State == entity.VMDead {
 			continue
 		}
 		wg.Go(func() { merge(r.fetchFrom(ctx, vm, families)) })
@@ -138,25 +142,21 @@
 func (r *Remote) peer(root entity.ProgramID) (entity.VM, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var best entity.VM
-	var bestScore uint64
-	found := false
+	var others []entity.VM
 	for _, vm := range r.view() {
-		if vm.ID == r.self || vm.DC != r.dc || vm.State != entity.VMAlive {
+		if vm.ID == r.self || vm.State != entity.VMAlive {
 			continue
 		}
 		if vm.ID == r.peers[root] {
 			return vm, true
 		}
-		score := xxhash.Sum64String(vm.ID + "\x00" + string(root))
-		if !found || score > bestScore {
-			best, bestScore, found = vm, score, true
-		}
+		others = append(others, vm)
 	}
+	vm, found := ownership.SoftRole(ownership.Role("mirror/"+root), r.dc, others)
 	if found {
-		r.peers[root] = best.ID
+		r.peers[root] = vm.ID
 	}
-	return best, found
+	return vm, found
 }
 
 func (r *Remote) forget(root entity.ProgramID) {
--- a/internal/system/owner/fixture_test.go
+++ b/internal/system/owner/fixture_test.go
@@ -48,6 +48,7 @@
 	serial := 0
 	o := Options{
 		Self:      id,
+		DC:        "amman-a",
 		Journal:   j,
 		Scheduler: freeScheduler{},
 		Engines:   func(entity.Endpoint) Engine { return w.runners },
@@ -71,6 +72,7 @@
 		SaveTimeout:    time.Second,
 		KeepAnswers:    time.Minute,
 		KeepFamilies:   time.Minute,
+		CacheBytes:     1 << 20,
 	}
 	for _, a := range adjust {
 		a(&o)
