--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -32,6 +32,8 @@
 type Config interface {
 	// InForce returns the version in force on this VM.
 	InForce() *entity.Config
+	// Known reports whether this VM knows what is in force.
+	Known() bool
 	// Edit puts rows in force on top of the version base.
 	Edit(ctx context.Context, base uint64, rows []entity.ConfigRow, editID, author string) (*entity.Config, error)
 	// History returns earlier versions, latest first.
@@ -57,6 +59,8 @@
 	Body       int64 // bytes
 	JSONDepth  int
 	SlowSender time.Duration // for the whole body
+	// Unread bounds the time in which a caller takes nothing of an answer.
+	Unread time.Duration
 	// RequestTimeout bounds a request that names no deadline.
 	RequestTimeout time.Duration
 }
--- a/internal/vm/build.go
+++ b/internal/vm/build.go
@@ -26,6 +26,7 @@
 	defaultTokens = 1024
 	keepAnswers   = time.Minute
 	keepFamilies  = 10 * time.Minute
+	cacheBytes    = 64 << 20 // of histories
 	findLimit     = 10 * time.Second
 	idleConns     = 64 // to each endpoint
 	idBytes       = 12
@@ -123,6 +124,7 @@
 
 func (v *VM) ownerOptions() owner.Options {
 	return owner.Options{
+		DC:        v.s.VM.DC,
 		Self:      v.id,
 		Journal:   v.journal,
 		Scheduler: newMeteredQueue(v.schedule, v.sweeper, v.meter),
@@ -149,6 +151,7 @@
 		SaveTimeout:    v.s.Platform.Timeout * 2,
 		KeepAnswers:    keepAnswers,
 		KeepFamilies:   keepFamilies,
+		CacheBytes:     cacheBytes,
 	}
 }
 
@@ -173,6 +176,7 @@
 			Body:           int64(v.s.Limits.Body),
 			JSONDepth:      v.s.Limits.JSONDepth,
 			SlowSender:     v.s.Limits.SlowSender,
+			Unread:         v.s.Limits.Idle,
 			RequestTimeout: v.s.Limits.RequestTimeout,
 		},
 	}
