--- a/internal/membership/property_test.go
+++ b/internal/membership/property_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -8,6 +9,14 @@
 	"pgregory.net/rapid"
 )
 
+// Properties are checked with a fixed seed unless the command line names
+// another; -rapid.seed=0 draws one.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 // Invariants, in fleets whose datagrams are lost, repeated and reordered within
 // bounds while VMs pause, are killed, join and partitions come and go:
 //   - no VM takes a VM for dead that was silent for less than a second;
--- a/internal/policy/ownership/ownership_test.go
+++ b/internal/policy/ownership/ownership_test.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -12,6 +13,14 @@
 	"ibisstall.example/ibisstall/internal/entity"
 )
 
+// Properties are checked with a fixed seed unless the command line names
+// another; -rapid.seed=0 draws one.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 var states = []entity.VMState{entity.VMAlive, entity.VMSuspect, entity.VMLeaving, entity.VMDead}
 
 func anyView(t *rapid.T) []entity.VM {
--- a/internal/system/config/config_test.go
+++ b/internal/system/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -16,6 +17,14 @@
 	"ibisstall.example/ibisstall/internal/standin/platformsvc"
 )
 
+// Properties are checked with a fixed seed unless the command line names
+// another; -rapid.seed=0 draws one.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 // instant is a clock whose pauses take no time.
 type instant struct{}
 
--- a/internal/system/lease/lease_test.go
+++ b/internal/system/lease/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"sync"
 	"testing"
 	"time"
@@ -16,6 +17,14 @@
 	"ibisstall.example/ibisstall/internal/standin/platformsvc"
 )
 
+// Properties are checked with a fixed seed unless the command line names
+// another; -rapid.seed=0 draws one.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 // handClock is moved by the test.
 type handClock struct {
 	mu  sync.Mutex
