Forget VMs that left after 15 s

A VM that left stayed in the view as dead for ten minutes. After a rolling restart half of each data centre's view was dead, so that no VM saw a majority and turns were refused while the platform was down. Those that left, or whose address a new process answers at, are now forgotten soon.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -246,7 +246,7 @@
 }
 
 // View returns each known VM, this one included, by id. Dead VMs stay in it for
-// Timing.ForgetAfter. The ConfigVersion of other VMs is a lower bound. The
+// Timing.ForgetAfter, or ForgetLeftAfter if they left. The ConfigVersion of other VMs is a lower bound. The
 // slice is shared and must not be modified.
 func (m *Membership) View() []entity.VM {
 	m.mu.Lock()
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -82,6 +82,7 @@
 func (m *Machine) supersede(now time.Duration, mem *member) {
 	for _, other := range slices.Clone(m.circle) {
 		if other != mem && other.info.GossipAddr == mem.info.GossipAddr {
+			other.rec.Leaving = true // it is gone for sure
 			m.suspectMember(now, other)
 			other.deadline = now
 		}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -208,7 +208,9 @@
 	m.advance(now, mem, r)
 }
 
-// forgetDead drops members that have been dead for long.
+// forgetDead drops members that have been dead for long. Those that left are
+// dropped sooner: they need not be found again, and nobody should take them for
+// cut off.
 func (m *Machine) forgetDead(now time.Duration) {
 	const every = time.Second
 	if now < m.nextForget {
@@ -217,7 +219,11 @@
 	m.nextForget = now + every
 	var gone []*member
 	for _, mem := range m.order {
-		if mem.dead() && now-mem.diedAt >= m.timing.ForgetAfter {
+		after := m.timing.ForgetAfter
+		if mem.rec.Leaving {
+			after = m.timing.ForgetLeftAfter
+		}
+		if mem.dead() && now-mem.diedAt >= after {
 			gone = append(gone, mem)
 		}
 	}
--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -17,6 +17,7 @@
 	SyncEvery        time.Duration // tables are compared with one VM this often
 	ReconnectEvery   time.Duration // one address that is not alive is pinged this often
 	ForgetAfter      time.Duration // dead VMs stay in the view for this long
+	ForgetLeftAfter  time.Duration // the same for those that left or were replaced
 	PauseAfter       time.Duration // ticks this far apart mean that this VM was paused
 
 	RingSuccessors  int // VMs that each VM probes
@@ -40,6 +41,7 @@
 		SyncEvery:        2 * time.Second,
 		ReconnectEvery:   time.Second,
 		ForgetAfter:      10 * time.Minute,
+		ForgetLeftAfter:  15 * time.Second,
 		PauseAfter:       250 * time.Millisecond,
 		RingSuccessors:   2,
 		IndirectProbes:   3,
--- a/internal/policy/ownership/isolation.go
+++ b/internal/policy/ownership/isolation.go
@@ -124,7 +124,7 @@
 // Minority reports whether a VM with this view reaches no majority of its own
 // data centre, itself included. Those that it holds for dead or suspect may live
 // on the other side of a cut and own its programs. Leaving ones count on neither
-// side.
+// side, and membership forgets those that have left.
 func Minority(dc string, view []entity.VM) bool {
 	reached, total := 0, 0
 	for i := range view {
