Read the VM list once for each data centre

Cause: every VM read the whole VM list every 2 s: 0.5 reads a second for each VM, 175 at 350 VMs, each with the entries of all runners, several hundred KB.

Change: one VM of the data centre, a soft role, reads the platform; the others ask it over the mesh with the digest of their copy and get the list only if it has changed. A VM without an answer from the reader reads by itself.

The reader itself spends more than before, since it reads each second.

--- a/internal/policy/ownership/ownership.go
+++ b/internal/policy/ownership/ownership.go
@@ -121,6 +121,7 @@
 	RoleConfigPoller Role = "config-poller"
 	RoleDCLease      Role = "dc-lease"
 	RoleBatcher      Role = "batcher"
+	RoleListReader   Role = "vm-list-reader"
 )
 
 // EndpointQueueRole is the role of the VM that queues the calls to an endpoint.
--- a/internal/vm/build.go
+++ b/internal/vm/build.go
@@ -49,7 +49,7 @@
 	if err := v.buildConfig(); err != nil {
 		return err
 	}
-	v.directory = directory.New(v.s.Endpoints, v.platform, v.recorder)
+	v.directory = directory.New(v.s.Endpoints, v.vmList, v.recorder)
 	v.buildRunners()
 	v.schedule = v.buildQueues()
 	v.owner = owner.New(v.ownerOptions())
@@ -80,13 +80,14 @@
 }
 
 func (v *VM) buildMembership() error {
+	v.buildVMList()
 	var err error
 	v.members, err = membership.New(membership.Options{
 		Self:      v.self(),
 		Seeds:     v.s.Fleet.Seeds,
 		Keys:      v.fleetKeys(),
 		Transport: v.gossip,
-		VMList:    v.platform,
+		VMList:    v.vmList,
 		Recorder:  v.recorder,
 		Logger:    v.log,
 		Metrics:   v.metrics.Set(),
@@ -185,6 +186,7 @@
 		v.meshIn.Register(configService, &configRPC{v}),
 		v.meshIn.Register(relayService, &relayRPC{v}),
 		v.meshIn.Register(batchrpc.ServiceName, batchrpc.NewService(v.writer, v.s.Platform.Timeout)),
+		v.meshIn.Register(vmListService, &vmListRPC{v}),
 		v.meshIn.Register(fleetService, &fleetRPC{v}),
 		v.meshIn.Register(queue.ServiceName, v.schedule.Server()),
 		v.meshIn.Register(runnersService, &runnersRPC{v}),
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -39,6 +39,7 @@
 	"ibisstall.example/ibisstall/internal/system/relay"
 	"ibisstall.example/ibisstall/internal/system/route"
 	"ibisstall.example/ibisstall/internal/system/sweep"
+	"ibisstall.example/ibisstall/internal/system/vmlist"
 	"ibisstall.example/ibisstall/internal/timeline"
 	"ibisstall.example/ibisstall/internal/tlsconf"
 )
@@ -56,6 +57,7 @@
 	members   *membership.Membership
 	meshIn    *mesh.Server
 	meshOut   *mesh.Client
+	vmList    *vmlist.List
 	directory *directory.Directory
 	schedule  *queue.Remote
 	pool      *endpoint.Pool // clients of the endpoints
--- /dev/null
+++ b/internal/vm/vmlist.go
@@ -0,0 +1,42 @@
+package vm
+
+import (
+	"context"
+
+	"ibisstall.example/ibisstall/internal/entity"
+	policy "ibisstall.example/ibisstall/internal/policy/ownership"
+	"ibisstall.example/ibisstall/internal/system/vmlist"
+)
+
+// vmListService is the name of the net/rpc service for the platform's VM list.
+const vmListService = "VMList"
+
+// buildVMList makes the path to the VM list, which one VM of the data centre
+// reads for all.
+func (v *VM) buildVMList() {
+	v.vmList = vmlist.New(vmlist.Options{
+		Platform: v.platform,
+		MaxAge:   v.s.Platform.VMListInterval / 2,
+		Reader: func() (entity.VM, bool) {
+			vm, ok := policy.PlatformRole(policy.RoleListReader, v.s.VM.DC, v.view())
+			return vm, ok && vm.ID != v.id
+		},
+		Ask: func(ctx context.Context, vm entity.VM, args vmlist.Args) (vmlist.Reply, error) {
+			var reply vmlist.Reply
+			err := v.meshOut.Call(ctx, vm.MeshAddr, vmListService+".List", args, &reply)
+			return reply, err
+		},
+	})
+}
+
+// vmListRPC serves the net/rpc methods.
+type vmListRPC struct{ v *VM }
+
+// List returns the VM list.
+func (r *vmListRPC) List(args vmlist.Args, reply *vmlist.Reply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), r.v.s.Platform.Timeout)
+	defer cancel()
+	var err error
+	*reply, err = r.v.vmList.Serve(ctx, args)
+	return err
+}
--- a/test/scale/calls.go
+++ b/test/scale/calls.go
@@ -9,6 +9,8 @@
 	"github.com/jessevdk/go-flags"
 
 	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/platform"
+	"ibisstall.example/ibisstall/internal/platform/httpclient"
 )
 
 type callOptions struct {
@@ -39,6 +41,11 @@
 	if err != nil {
 		return err
 	}
+	writes, err := o.writes(ctx, f)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("one durable write, directly: p50 %.2f ms, p99 %.2f ms\n", ms(quantile(writes, 0.5)), ms(quantile(writes, 0.99)))
 	program := func(i int) entity.ProgramID { return programs[i%len(programs)] }
 	fmt.Println("| platform ms | stream | path | first token p50 ms | p99 | whole answer p50 ms | p99 | added p50 ms | added p99 |")
 	for _, stream := range []bool{true, false} {
@@ -69,3 +76,22 @@
 	}
 	return nil
 }
+
+// writes times writes to the platform without a VM in between.
+func (o *callOptions) writes(ctx context.Context, f *fleet) ([]time.Duration, error) {
+	client := httpclient.New(httpclient.Options{BaseURL: f.url, ObjectsURL: f.url, VMListURL: f.url, DC: f.dc(0)})
+	defer client.Close()
+	var took []time.Duration
+	for i := range o.Calls {
+		if err := pause(ctx, rand.N(time.Duration(1+o.Think)*time.Millisecond)); err != nil {
+			return nil, err
+		}
+		write := platform.Write{Key: platform.Key{Table: "scale", ID: fmt.Sprint(i)}, Value: make([]byte, 1000)}
+		began := time.Now()
+		if err := client.Commit(ctx, []platform.Write{write}); err != nil {
+			return nil, err
+		}
+		took = append(took, time.Since(began))
+	}
+	return took, nil
+}
--- a/test/scale/fleet.go
+++ b/test/scale/fleet.go
@@ -143,6 +143,13 @@
 			Runner: name, Kind: "engine", Models: []string{model}, URL: s.URL,
 		})
 	}
+	for i := range f.o.Listed {
+		name := fmt.Sprintf("far-%d", i)
+		listed = append(listed, platform.ListedVM{
+			ID: "vm-" + name, Role: platform.RoleRunner, DC: "far", Region: region,
+			Runner: name, Kind: "engine", Models: []string{model}, URL: "http://127.0.0.1:9",
+		})
+	}
 	f.store.SetVMs(listed)
 }
 
--- a/test/scale/main.go
+++ b/test/scale/main.go
@@ -25,6 +25,7 @@
 	VMs       int    `long:"vms" default:"3" description:"number of VMs in all"`
 	DCs       int    `long:"dcs" default:"3" description:"number of data centres that they are spread over"`
 	Engines   int    `long:"engines" default:"3" description:"number of engines in each data centre"`
+	Listed    int    `long:"listed" default:"0" description:"further runners in the VM list, in a data centre without VMs"`
 	DelayMS   int64  `long:"platform-delay" default:"0" description:"time the platform waits before it acts, in ms"`
 	Settings  string `long:"settings" description:"further lines of each INI file, separated by ;"`
 	Binary    string `long:"binary" description:"the built command; built anew if empty"`
--- /dev/null
+++ b/test/scale/rest_test.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"ibisstall.example/ibisstall/internal/localfleet"
+	"ibisstall.example/ibisstall/internal/standin/runner"
+)
+
+// BenchmarkRest leaves a fleet in one process at rest for a second an
+// iteration, for a look at what it does then:
+//
+//	go test -run xxx -bench Rest -benchtime 20x -cpuprofile cpu.out ./test/scale
+func BenchmarkRest(b *testing.B) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	f, err := localfleet.Start(ctx, localfleet.Options{
+		Region: region, DCs: []string{"dc0", "dc1", "dc2"}, VMs: 8, Engines: 3, Model: model, Workspaces: []string{workspace},
+		Engine: runner.EngineOptions{Slots: 8, CacheTokens: 1 << 16},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer f.Close()
+	for b.Loop() {
+		time.Sleep(time.Second)
+	}
+}
