Publish the endpoints only when the VM list differs, and find them by index

Cause: each reading of the list published all endpoints again, so that every VM built its placement and queues anew every 2 s, and each look for an endpoint by name walked through all of them.

--- a/internal/system/directory/directory.go
+++ b/internal/system/directory/directory.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"reflect"
 	"slices"
 	"sync"
 
@@ -25,6 +26,7 @@
 	leaving  map[string]struct{} // names with a sign of leaving
 	reported map[string]report   // what runners say of themselves, by name
 	snapshot []entity.Endpoint   // never changed once published
+	byName   map[string]int      // first index into snapshot; never changed once published
 	changed  chan struct{}       // closed and replaced at each change
 }
 
@@ -65,12 +67,13 @@
 
 // Find returns an endpoint by name.
 func (d *Directory) Find(name string) (entity.Endpoint, bool) {
-	for _, ep := range d.Endpoints() {
-		if ep.Name == name {
-			return ep, true
-		}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	i, ok := d.byName[name]
+	if !ok {
+		return entity.Endpoint{}, false
 	}
-	return entity.Endpoint{}, false
+	return d.snapshot[i], true
 }
 
 // Leaving takes in a sign that an endpoint is leaving.
@@ -101,7 +104,8 @@
 	d.publish()
 }
 
-// Tick reads the VM list. An unreachable list changes nothing.
+// Tick reads the VM list. An unreachable list changes nothing, nor does one
+// that is the same as before.
 func (d *Directory) Tick(ctx context.Context) error {
 	if d.list == nil {
 		return nil
@@ -118,9 +122,12 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	same := reflect.DeepEqual(d.listed, listed)
 	d.listed = listed
 	d.forgetGone()
-	d.publish()
+	if !same {
+		d.publish()
+	}
 	return nil
 }
 
@@ -174,13 +181,13 @@
 	for i := range out {
 		d.amend(&out[i])
 	}
-	before := d.snapshot
-	d.snapshot = out
 	for i := range out {
-		if out[i].Leaving && !leavingIn(before, out[i].Name) {
+		if out[i].Leaving && !d.showsLeaving(out[i].Name) {
 			d.recorder.Record(timeline.Event{Kind: timeline.EndpointLeaving, Endpoint: out[i].Name})
 		}
 	}
+	d.snapshot = out
+	d.byName = indexOf(out)
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
@@ -201,11 +208,20 @@
 	}
 }
 
-func leavingIn(list []entity.Endpoint, name string) bool {
+// showsLeaving reports whether the snapshot shows an endpoint as leaving. The
+// caller holds mu.
+func (d *Directory) showsLeaving(name string) bool {
+	i, ok := d.byName[name]
+	return ok && d.snapshot[i].Leaving
+}
+
+// indexOf returns the first place of each name.
+func indexOf(list []entity.Endpoint) map[string]int {
+	index := make(map[string]int, len(list))
 	for i := range list {
-		if list[i].Name == name {
-			return list[i].Leaving
+		if _, known := index[list[i].Name]; !known {
+			index[list[i].Name] = i
 		}
 	}
-	return false
+	return index
 }
--- a/internal/system/directory/directory_test.go
+++ b/internal/system/directory/directory_test.go
@@ -105,3 +105,18 @@
 	is.True(!e1.Leaving)
 	is.Equal(len(d.Endpoints()), 1)
 }
+
+func TestDirectory_ChangedClosesOnlyIfTheListDiffers(t *testing.T) {
+	is := is.New(t)
+	list := &fixedList{vms: []platform.ListedVM{runnerVM("e1", false), runnerVM("e2", false)}}
+	d := New(nil, list, timeline.Discard{})
+	is.NoErr(d.Tick(context.Background()))
+	changed := d.Changed()
+	is.NoErr(d.Tick(context.Background()))
+	is.Equal(d.Changed(), changed)
+	list.vms = []platform.ListedVM{runnerVM("e1", false), runnerVM("e2", true)}
+	is.NoErr(d.Tick(context.Background()))
+	is.True(d.Changed() != changed)
+	e2, ok := d.Find("e2")
+	is.True(ok && e2.Leaving)
+}
