--- a/internal/localfleet/localfleet.go
+++ b/internal/localfleet/localfleet.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,6 +42,8 @@
 	Rows []entity.ConfigRow
 	// Engine are the options of the engines; their names are filled in.
 	Engine runner.EngineOptions
+	// Listed are further entries of the VM list.
+	Listed []platform.ListedVM
 	// Tool answers the calls of the tools and services.
 	Tool func(runner.Execution) (status int, body []byte)
 	// Adjust changes the settings of a VM before it starts.
@@ -90,6 +93,7 @@
 		WorkspaceKeys: make(map[string]string),
 		options:       o,
 		store:         store,
+		listed:        slices.Clone(o.Listed),
 	}
 	if err := f.start(ctx); err != nil {
 		f.Close()
--- a/internal/system/vmlist/vmlist.go
+++ b/internal/system/vmlist/vmlist.go
@@ -35,8 +35,7 @@
 // Options set up a List. All but Clock are required.
 type Options struct {
 	Platform platform.VMList
-	// MaxAge is the age from which on a copy is read anew before it is given to
-	// others.
+	// MaxAge is the age from which on a copy is read anew.
 	MaxAge time.Duration
 	// Reader returns the VM that reads for the data centre, and whether that is
 	// another VM than this one.
@@ -76,7 +75,7 @@
 			return vms, nil
 		}
 	}
-	reply, err := l.readPlatform(ctx)
+	reply, err := l.current(ctx)
 	return reply.VMs, err
 }
 
@@ -103,14 +102,9 @@
 // Serve answers another VM of the data centre. A copy that is too old is read
 // anew first; if the platform can't be reached, the other VM has to try.
 func (l *List) Serve(ctx context.Context, args Args) (Reply, error) {
-	l.reading.Lock()
-	defer l.reading.Unlock()
-	reply, fresh := l.fresh()
-	if !fresh {
-		var err error
-		if reply, err = l.readLocked(ctx); err != nil {
-			return Reply{}, err
-		}
+	reply, err := l.current(ctx)
+	if err != nil {
+		return Reply{}, err
 	}
 	if reply.Digest == args.Digest {
 		reply.VMs = nil
@@ -118,9 +112,13 @@
 	return reply, nil
 }
 
-func (l *List) readPlatform(ctx context.Context) (Reply, error) {
+// current returns a copy that is not too old.
+func (l *List) current(ctx context.Context) (Reply, error) {
 	l.reading.Lock()
 	defer l.reading.Unlock()
+	if reply, fresh := l.fresh(); fresh {
+		return reply, nil
+	}
 	return l.readLocked(ctx)
 }
 
--- a/test/scale/fleet.go
+++ b/test/scale/fleet.go
@@ -144,15 +144,20 @@
 		})
 	}
 	for i := range f.o.Listed {
-		name := fmt.Sprintf("far-%d", i)
-		listed = append(listed, platform.ListedVM{
-			ID: "vm-" + name, Role: platform.RoleRunner, DC: "far", Region: region,
-			Runner: name, Kind: "engine", Models: []string{model}, URL: "http://127.0.0.1:9",
-		})
+		listed = append(listed, farRunner(i))
 	}
 	f.store.SetVMs(listed)
 }
 
+// farRunner returns the entry of an engine in a data centre without VMs.
+func farRunner(i int) platform.ListedVM {
+	name := fmt.Sprintf("far-%d", i)
+	return platform.ListedVM{
+		ID: "vm-" + name, Role: platform.RoleRunner, DC: "far", Region: region,
+		Runner: name, Kind: "engine", Models: []string{model}, URL: "http://127.0.0.1:9",
+	}
+}
+
 // freeAddr returns an address that is free on an IP number.
 func freeAddr(ip string) (string, error) {
 	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
--- a/test/scale/rest_test.go
+++ b/test/scale/rest_test.go
@@ -6,18 +6,23 @@
 	"time"
 
 	"ibisstall.example/ibisstall/internal/localfleet"
+	"ibisstall.example/ibisstall/internal/platform"
 	"ibisstall.example/ibisstall/internal/standin/runner"
 )
 
 // BenchmarkRest leaves a fleet in one process at rest for a second an
-// iteration, for a look at what it does then:
+// iteration, before 2,000 listed runners, for a look at what it does then:
 //
 //	go test -run xxx -bench Rest -benchtime 20x -cpuprofile cpu.out ./test/scale
 func BenchmarkRest(b *testing.B) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
+	var listed []platform.ListedVM
+	for i := range 2000 {
+		listed = append(listed, farRunner(i))
+	}
 	f, err := localfleet.Start(ctx, localfleet.Options{
-		Region: region, DCs: []string{"dc0", "dc1", "dc2"}, VMs: 8, Engines: 3, Model: model, Workspaces: []string{workspace},
+		Region: region, DCs: []string{"dc0", "dc1", "dc2"}, VMs: 8, Engines: 3, Model: model, Workspaces: []string{workspace}, Listed: listed,
 		Engine: runner.EngineOptions{Slots: 8, CacheTokens: 1 << 16},
 	})
 	if err != nil {
