Bound the bodies held at once; pass service paths on as they were sent

4,096 connections with a body of 4 MiB each could take 16 GiB of a VM: bodies together are bounded by [limits] bodies_bytes now, beyond which a request is refused as overloaded before it is read. Bodies of tool and service calls, which need not be JSON, are no longer refused for their depth. The path of a service call reached the runner decoded once too often, so that an escaped slash, question mark or hash changed it; a query was dropped without a word and is refused now.

--- a/internal/front/calls.go
+++ b/internal/front/calls.go
@@ -184,7 +184,7 @@
 // CallService runs a plain-service call.
 func (s callService) CallService(ctx context.Context, p *calls.CallServicePayload, body io.ReadCloser) (*calls.Answer, io.ReadCloser, error) {
 	head := callHead{p.Authorization, p.ID, p.IdempotencyKey, p.After, p.NoRepeat}
-	return s.service(ctx, head, entity.CallService, p.Service, "/"+p.Path, p.ContentType, body)
+	return s.service(ctx, head, entity.CallService, p.Service, servicePath(ctx), p.ContentType, body)
 }
 
 func (s callService) service(ctx context.Context, head callHead, kind entity.CallKind, target, path string, contentType *string, body io.ReadCloser) (*calls.Answer, io.ReadCloser, error) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -57,6 +57,7 @@
 type Limits struct {
 	Header     int64 // bytes
 	Body       int64 // bytes
+	Bodies     int64 // of all requests under way, bytes
 	JSONDepth  int
 	SlowSender time.Duration // for the whole body
 	// Unread bounds the time in which a caller takes nothing of an answer.
@@ -82,7 +83,12 @@
 type Front struct {
 	o          Options
 	workspaces workspaceKeys
+	bodies     roomFor
 }
 
 // New makes a Front.
-func New(o Options) *Front { return &Front{o: o} }
+func New(o Options) *Front {
+	f := &Front{o: o}
+	f.bodies.most = o.Limits.Bodies
+	return f
+}
--- /dev/null
+++ b/internal/front/limits_test.go
@@ -0,0 +1,81 @@
+package front
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisstall.example/ibisstall/internal/keys"
+)
+
+// post sends a body with an operator's key to a handler.
+func post(h http.Handler, path, key, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer "+key)
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
+
+func limitedFront(key string, next http.HandlerFunc) http.Handler {
+	operators := keys.Operators([]string{keys.HashOf(key).String()})
+	f := New(Options{
+		Operators: func() *keys.Set { return operators },
+		Limits:    Limits{Header: 1 << 10, Body: 100, Bodies: 150, JSONDepth: 2, SlowSender: time.Minute, RequestTimeout: time.Minute, Unread: time.Minute},
+	})
+	return f.limited(next)
+}
+
+func TestLimited_BodiesBeyondTheRoomAreRefusedEarly(t *testing.T) {
+	is := is.New(t)
+	key := keys.Generate()
+	entered, leave := make(chan struct{}), make(chan struct{})
+	h := limitedFront(key, func(w http.ResponseWriter, r *http.Request) {
+		entered <- struct{}{}
+		<-leave
+	})
+	body := `"` + strings.Repeat("x", 98) + `"`
+	first := make(chan int, 1)
+	go func() { first <- post(h, "/v1/table", key, body).Code }()
+	<-entered
+	w := post(h, "/v1/table", key, body) // 200 of 150 bytes
+	is.Equal(w.Code, http.StatusTooManyRequests)
+	is.Equal(w.Header().Get("Retry-After"), "1")
+	is.True(strings.Contains(w.Body.String(), `"type":"overloaded"`))
+	leave <- struct{}{}
+	is.Equal(<-first, http.StatusOK)
+	go func() { first <- post(h, "/v1/table", key, body).Code }()
+	<-entered // there is room again
+	leave <- struct{}{}
+	is.Equal(<-first, http.StatusOK)
+}
+
+func TestLimited_WhatGoesToARunner(t *testing.T) {
+	key := keys.Generate()
+	h := limitedFront(key, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+	cases := []struct {
+		name, path, body string
+		status           int
+	}{
+		{"a deep body of a model call is refused", "/v1/programs/a.b/chat/completions", "[[[]]]", 400},
+		{"a body for a tool may be anything", "/v1/programs/a.b/tools/t", "[[[[[{{{", 200},
+		{"a body for a service may be anything", "/v1/programs/a.b/services/s/x/y", "[[[[[{{{", 200},
+		{"a query for a service would be lost", "/v1/programs/a.b/services/s/x?day=5", "", 400},
+		{"a query for a list is not", "/v1/programs?limit=5", "", 200},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := post(h, c.path, key, c.body)
+			is.Equal(w.Code, c.status)
+			if c.status == http.StatusOK {
+				is.Equal(w.Body.String(), c.body)
+			}
+		})
+	}
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -9,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	goahttp "goa.design/goa/v3/http"
 	goa "goa.design/goa/v3/pkg"
@@ -24,7 +22,6 @@
 	tableserver "ibisstall.example/ibisstall/gen/http/table/server"
 	"ibisstall.example/ibisstall/gen/programs"
 	"ibisstall.example/ibisstall/gen/table"
-	"ibisstall.example/ibisstall/gen/types"
 )
 
 // Handler returns the HTTP interface.
@@ -85,73 +82,6 @@
 	return decode
 }
 
-// limited reads each body whole, within the limits on size, time and depth,
-// before the request costs anything else.
-func (f *Front) limited(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, refused := f.readLimited(w, r)
-		if refused != nil {
-			w.Header().Set("Connection", "close")
-			writeError(w, refused)
-			return
-		}
-		// A stream moves this deadline with each event.
-		limit := f.o.Limits.RequestTimeout + f.o.Limits.Unread
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(limit))
-		r.Body = io.NopCloser(bytes.NewReader(body))
-		r.ContentLength = int64(len(body))
-		next.ServeHTTP(w, r)
-	})
-}
-
-func (f *Front) readLimited(w http.ResponseWriter, r *http.Request) ([]byte, *errorBody) {
-	if headerBytes(r) > f.o.Limits.Header {
-		message := "the header is larger than " + strconv.FormatInt(f.o.Limits.Header, 10) + " bytes"
-		return nil, bodyOf(failure(nameTooLarge, message, "header"), http.StatusRequestHeaderFieldsTooLarge)
-	}
-	if r.ContentLength == 0 || r.Body == nil {
-		return nil, nil
-	}
-	if err := f.known(r); err != nil {
-		return nil, bodyOf(err, statusOfUnknown(err))
-	}
-	control := http.NewResponseController(w)
-	// A server without deadlines has a limit on the whole request instead.
-	_ = control.SetReadDeadline(time.Now().Add(f.o.Limits.SlowSender))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, f.o.Limits.Body))
-	_ = control.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		message := "the body is larger than " + strconv.FormatInt(f.o.Limits.Body, 10) + " bytes"
-		return nil, bodyOf(failure(nameTooLarge, message, "body"), http.StatusRequestEntityTooLarge)
-	case err != nil:
-		return nil, bodyOf(failure(nameTimeout, "the body did not come whole in time", "body"), http.StatusRequestTimeout)
-	case !checkDepth(body, f.o.Limits.JSONDepth):
-		return nil, bodyOf(failure(nameBadRequest, "the body is nested too deeply", "body"), http.StatusBadRequest)
-	}
-	return body, nil
-}
-
-// statusOfUnknown returns the status of a refusal by Front.known.
-func statusOfUnknown(f *types.Failure) int {
-	if f.Name == nameNotRun {
-		return http.StatusServiceUnavailable
-	}
-	return http.StatusUnauthorized
-}
-
-// headerBytes returns the size of a request's line and header.
-func headerBytes(r *http.Request) int64 {
-	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v)
-		}
-	}
-	return int64(n)
-}
-
 // writeError writes an error outside the methods of the design.
 func writeError(w http.ResponseWriter, b *errorBody) {
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/front/unread_test.go
+++ b/internal/front/unread_test.go
@@ -9,6 +9,19 @@
 	"github.com/matryer/is"
 )
 
+func TestService_APathGoesToTheRunnerAsItIs(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, time.Millisecond)
+	a := api{t, f.VMs[0].URL(), f.WorkspaceKeys[mine]}
+	id := a.newProgram()
+	r := a.send("POST", "/v1/programs/"+id+"/services/bookings/slots/a%3Fb%20c%23d%2Fe", "[[[ no JSON")
+	is.Equal(r.status, 200)
+	done := f.Plain["bookings"][0].Executions()
+	is.Equal(len(done), 1)
+	is.Equal(done[0].Path, "/slots/a%3Fb%20c%23d%2Fe")
+	is.Equal(done[0].Body, "[[[ no JSON")
+}
+
 func TestStream_ACallerThatNeverReadsIsGivenUp(t *testing.T) {
 	is := is.New(t)
 	f := startFleet(t, 50*time.Microsecond)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -33,6 +33,10 @@
 	below("platform", "timeout", s.Platform.Timeout, "ownership lease_ttl", o.LeaseTTL)
 	below("limits", "slow_sender", s.Limits.SlowSender, "request_timeout", s.Limits.RequestTimeout)
 
+	if s.Limits.Bodies < s.Limits.Body {
+		add("limits", "bodies_bytes", "less than body_bytes", "at least body_bytes")
+	}
+
 	pair := func(first, second, firstValue, secondValue string) {
 		if (firstValue == "") != (secondValue == "") {
 			add("tls", first, fmt.Sprintf("set without %s, or the reverse", second), "both or none")
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -85,6 +85,7 @@
 		{"keys", "operator_key_hashes", "", "hashes of the operators' keys", false, hashes(&s.Keys.OperatorKeyHashes)},
 		{"keys", "operator_keys_file", "", "file with further such hashes, one a line", false, path(&s.Keys.OperatorKeysFile)},
 		{"limits", "body_bytes", "4MiB", "largest request body", false, sizeBetween(&l.Body, KiB, GiB)},
+		{"limits", "bodies_bytes", "256MiB", "request bodies held at once; further requests are refused as overloaded", false, sizeBetween(&l.Bodies, KiB, 64*GiB)},
 		{"limits", "header_bytes", "64KiB", "largest request header", false, sizeBetween(&l.Header, KiB, 16*MiB)},
 		{"limits", "json_depth", "64", "deepest nesting of a JSON body", false, intBetween(&l.JSONDepth, 4, 10_000)},
 		{"limits", "request_timeout", "10m", "time for one call, from its arrival to the end of its answer", false, duration(&l.RequestTimeout)},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -91,6 +91,7 @@
 // Limits bound what callers may send and hold.
 type Limits struct {
 	Body           Size
+	Bodies         Size // of all requests under way
 	Header         Size
 	JSONDepth      int
 	RequestTimeout time.Duration
--- a/internal/vm/build.go
+++ b/internal/vm/build.go
@@ -174,6 +174,7 @@
 		Limits: front.Limits{
 			Header:         int64(v.s.Limits.Header),
 			Body:           int64(v.s.Limits.Body),
+			Bodies:         int64(v.s.Limits.Bodies),
 			JSONDepth:      v.s.Limits.JSONDepth,
 			SlowSender:     v.s.Limits.SlowSender,
 			Unread:         v.s.Limits.Idle,
