A mesh call leaves its reply alone once it has returned

net/rpc decodes an answer that comes after the caller's context has ended into the caller's reply, while the caller may be reading it: a data race in queue.Remote.acquire, seen in one run of TestCluster_RollingRestartRefusesNothing with a race-enabled binary. Answers are decoded into a value of the call's own and copied on success.

--- a/internal/mesh/client.go
+++ b/internal/mesh/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"time"
 
@@ -83,19 +84,26 @@
 
 // Call calls a method of the VM at addr and waits for its reply. Its errors
 // are ErrNotSent, ErrLost and a *Fault with CodeInternal for an error that the
-// method returned.
+// method returned. It sets reply, a pointer, only if it returns nil, and doesn't
+// touch it afterwards.
 func (c *Client) Call(ctx context.Context, addr, method string, args, reply any) error {
 	conn, err := c.connect(ctx, addr)
 	if err != nil {
 		return fmt.Errorf("%s to %s: %w: %w", method, addr, ErrNotSent, err)
 	}
-	call := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// An answer that comes after ctx has ended is decoded all the same.
+	own := reflect.New(reflect.TypeOf(reply).Elem())
+	call := conn.Go(method, args, own.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
 		return callError(ctx, method, ctx.Err())
 	case <-call.Done:
+	}
+	if call.Error != nil {
 		return callError(ctx, method, call.Error)
 	}
+	reflect.ValueOf(reply).Elem().Set(own.Elem())
+	return nil
 }
 
 func (c *Client) peer(addr string) *peer {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -64,6 +64,13 @@
 	return nil
 }
 
+func (e *echoService) Late(text string, reply *Reply) error {
+	<-e.hold
+	<-e.hold
+	reply.Text = text
+	return nil
+}
+
 func (e *echoService) count() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -250,6 +257,23 @@
 	is.NoErr(err)
 }
 
+func TestClient_ALateAnswerTouchesNoReply(t *testing.T) {
+	is := is.New(t)
+	s, e := serve(t, ServerOptions{})
+	c := newClient(t, ClientOptions{})
+	ctx, cancel := context.WithCancel(t.Context())
+	reply := Reply{Text: "mine"}
+	done := make(chan error, 1)
+	go func() { done <- c.Call(ctx, s.Addr(), "Echo.Late", "theirs", &reply) }()
+	e.hold <- struct{}{} // the method runs
+	cancel()
+	is.True(errors.Is(<-done, ErrLost))
+	e.hold <- struct{}{} // it answers
+	_, err := echo(c, s.Addr(), "behind it on the connection")
+	is.NoErr(err)
+	is.Equal(reply.Text, "mine")
+}
+
 func TestServer_CloseEndsConnectionsAndCallsAreLost(t *testing.T) {
 	is := is.New(t)
 	s, _ := serve(t, ServerOptions{})
