--- a/internal/policy/estimate/estimate_test.go
+++ b/internal/policy/estimate/estimate_test.go
@@ -133,11 +133,11 @@
 		h = h.Observe(cfg, errCall != nil, start)
 	}
 	is.True(h.Sick())
-	is.True(!h.ProbeDue(cfg, start))
+	is.True(!h.ProbeDue(start))
 	due := start.Add(cfg.ProbeEvery)
-	is.True(h.ProbeDue(cfg, due))
+	is.True(h.ProbeDue(due))
 	h = h.Probed(due)
-	is.True(!h.ProbeDue(cfg, due))
+	is.True(!h.ProbeDue(due))
 	for range cfg.Recover {
 		h = h.Observe(cfg, false, due)
 	}
--- a/internal/policy/estimate/health.go
+++ b/internal/policy/estimate/health.go
@@ -14,15 +14,26 @@
 	// SlowFactor is the multiple of its peers' median token time above which
 	// an endpoint counts as slow; the excess multiplies its estimated times.
 	SlowFactor float64
-	// ProbeEvery is the time between two probes of a sick endpoint; Recover
-	// is the number of successes in a row that take it back.
-	ProbeEvery time.Duration
-	Recover    int
+	// ProbeEvery is the wait before the first probe of a sick endpoint, which
+	// doubles up to LongestProbe with each probe that fails; Recover is the
+	// number of successes in a row that take it back. One that falls sick
+	// within Relapse after that waits twice as long as the last time.
+	ProbeEvery, LongestProbe time.Duration
+	Recover                  int
+	Relapse                  time.Duration
 }
 
 // DefaultHealthConfig returns the settings in use.
 func DefaultHealthConfig() HealthConfig {
-	return HealthConfig{SickFailures: 0.5, MinCalls: 3, SlowFactor: 1.5, ProbeEvery: time.Second, Recover: 2}
+	return HealthConfig{
+		SickFailures: 0.5,
+		MinCalls:     3,
+		SlowFactor:   1.5,
+		ProbeEvery:   time.Second,
+		LongestProbe: 15 * time.Second,
+		Recover:      2,
+		Relapse:      30 * time.Second,
+	}
 }
 
 // Health is what is known of one endpoint's failures. It is a value: Observe
@@ -32,7 +43,10 @@
 	failures float64 // moving share of failed calls
 	good     int     // successes in a row
 	sick     bool
-	probed   time.Time
+	probing  bool          // a probe is under way
+	probed   time.Time     // the last probe, or when it fell sick
+	wait     time.Duration // from there to the next probe
+	back     time.Time     // when it was last taken back
 }
 
 // Observe takes in the end of a call.
@@ -47,10 +61,22 @@
 	}
 	switch {
 	case !h.sick && h.calls >= cfg.MinCalls && h.failures > cfg.SickFailures:
-		h.sick, h.probed = true, now
+		return h.sicken(cfg, now)
 	case h.sick && h.good >= cfg.Recover:
-		h = Health{calls: h.calls}
+		return Health{calls: h.calls, wait: h.wait, back: now}
+	case h.sick && h.probing && failed:
+		h.probing, h.probed = false, now
+		h.wait = min(2*h.wait, cfg.LongestProbe)
+	}
+	return h
+}
+
+func (h Health) sicken(cfg HealthConfig, now time.Time) Health {
+	wait := cfg.ProbeEvery
+	if h.wait > 0 && now.Sub(h.back) < cfg.Relapse {
+		wait = min(2*h.wait, cfg.LongestProbe)
 	}
+	h.sick, h.probing, h.probed, h.wait = true, false, now, wait
 	return h
 }
 
@@ -65,13 +91,13 @@
 func (h Health) Sick() bool { return h.sick }
 
 // ProbeDue reports whether a sick endpoint may be given one call.
-func (h Health) ProbeDue(cfg HealthConfig, now time.Time) bool {
-	return h.sick && now.Sub(h.probed) >= cfg.ProbeEvery
+func (h Health) ProbeDue(now time.Time) bool {
+	return h.sick && now.Sub(h.probed) >= h.wait
 }
 
 // Probed notes that a probe is under way.
 func (h Health) Probed(now time.Time) Health {
-	h.probed = now
+	h.probed, h.probing = now, true
 	return h
 }
 
--- a/internal/system/placement/place.go
+++ b/internal/system/placement/place.go
@@ -139,7 +139,7 @@
 			Penalty:     estimate.Penalty(s.opts.Health, st.rates, median),
 			Leaving:     st.leaving(),
 			Sick:        st.health.Sick(),
-			Probe:       st.health.ProbeDue(s.opts.Health, now),
+			Probe:       st.health.ProbeDue(now),
 		}
 	}
 	return list
--- a/internal/system/placement/placement_test.go
+++ b/internal/system/placement/placement_test.go
@@ -68,6 +68,14 @@
 				s.Finished("b", Ended{Call: call(1, 1), Failed: true}, start)
 			}
 		}, call(1, 1), "a", nil},
+		{"what troubles all endpoints keeps none from the calls", func(s *System) {
+			s.Sent("b", call(1, 1), start)
+			for _, name := range []string{"a", "b", "c"} {
+				for range 4 {
+					s.Finished(name, Ended{Call: call(1, 1), Failed: true}, start)
+				}
+			}
+		}, call(1, 1), "b", nil},
 		{"a target that nobody serves is an error", func(*System) {}, Call{Kind: entity.CallTool, Target: "deposit"}, "", ErrNoEndpoint},
 	}
 	for _, c := range cases {
