--- a/test/runners_test.go
+++ b/test/runners_test.go
@@ -183,6 +183,7 @@
 	s := newCallers(c)
 	ctx, cancel := withTimeout(60 * time.Second)
 	defer cancel()
+	s.warmUp(ctx)
 	programs := make([]*program, 9)
 	for i := range programs {
 		programs[i] = s.create(ctx, fmt.Sprint("p", i), home)
@@ -216,6 +217,7 @@
 	is.Equal(len(c.deposits[0].Executions()), 0)
 	c.deposits[0].SetFaults()
 	engines[0].SetFaults()
+	is.Equal(s.refused, map[string]int{})
 	s.check()
 }
 
