--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -39,6 +39,7 @@
 	"ibisstall.example/ibisstall/internal/system/relay"
 	"ibisstall.example/ibisstall/internal/system/route"
 	"ibisstall.example/ibisstall/internal/system/sweep"
+	"ibisstall.example/ibisstall/internal/system/vmlist"
 	"ibisstall.example/ibisstall/internal/timeline"
 	"ibisstall.example/ibisstall/internal/tlsconf"
 )
@@ -56,9 +57,11 @@
 	members   *membership.Membership
 	meshIn    *mesh.Server
 	meshOut   *mesh.Client
+	vmList    *vmlist.List
 	directory *directory.Directory
 	schedule  *queue.Remote
 	pool      *endpoint.Pool // clients of the endpoints
+	news      *news
 	sweeper   *sweep.Sweeper
 	meter     *orders.Meter // of this VM's demand for models
 	demand    policyorders.Demand
