--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -32,6 +32,8 @@
 type Config interface {
 	// InForce returns the version in force on this VM.
 	InForce() *entity.Config
+	// Known reports whether this VM knows what is in force.
+	Known() bool
 	// Edit puts rows in force on top of the version base.
 	Edit(ctx context.Context, base uint64, rows []entity.ConfigRow, editID, author string) (*entity.Config, error)
 	// History returns earlier versions, latest first.
@@ -55,8 +57,11 @@
 type Limits struct {
 	Header     int64 // bytes
 	Body       int64 // bytes
+	Bodies     int64 // of all requests under way, bytes
 	JSONDepth  int
 	SlowSender time.Duration // for the whole body
+	// Unread bounds the time in which a caller takes nothing of an answer.
+	Unread time.Duration
 	// RequestTimeout bounds a request that names no deadline.
 	RequestTimeout time.Duration
 }
@@ -78,7 +83,12 @@
 type Front struct {
 	o          Options
 	workspaces workspaceKeys
+	bodies     roomFor
 }
 
 // New makes a Front.
-func New(o Options) *Front { return &Front{o: o} }
+func New(o Options) *Front {
+	f := &Front{o: o}
+	f.bodies.most = o.Limits.Bodies
+	return f
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -91,6 +91,7 @@
 // Limits bound what callers may send and hold.
 type Limits struct {
 	Body           Size
+	Bodies         Size // of all requests under way
 	Header         Size
 	JSONDepth      int
 	RequestTimeout time.Duration
@@ -116,6 +117,13 @@
 	DrainTimeout   time.Duration
 }
 
+// detectionTime is how far apart two sides may notice that they are cut off
+// from each other.
+const detectionTime = 4 * time.Second
+
+// Margin is the least time between the isolation and the adoption limit.
+func (o Ownership) Margin() time.Duration { return o.ClockMargin + detectionTime }
+
 // Membership holds the pace of probing.
 type Membership struct {
 	ProbeInterval time.Duration
--- a/internal/vm/build.go
+++ b/internal/vm/build.go
@@ -26,6 +26,7 @@
 	defaultTokens = 1024
 	keepAnswers   = time.Minute
 	keepFamilies  = 10 * time.Minute
+	cacheBytes    = 64 << 20 // of histories
 	findLimit     = 10 * time.Second
 	idleConns     = 64 // to each endpoint
 	idBytes       = 12
@@ -49,7 +50,7 @@
 	if err := v.buildConfig(); err != nil {
 		return err
 	}
-	v.directory = directory.New(v.s.Endpoints, v.platform, v.recorder)
+	v.directory = directory.New(v.s.Endpoints, v.vmList, v.recorder)
 	v.buildRunners()
 	v.schedule = v.buildQueues()
 	v.owner = owner.New(v.ownerOptions())
@@ -80,13 +81,14 @@
 }
 
 func (v *VM) buildMembership() error {
+	v.buildVMList()
 	var err error
 	v.members, err = membership.New(membership.Options{
 		Self:      v.self(),
 		Seeds:     v.s.Fleet.Seeds,
 		Keys:      v.fleetKeys(),
 		Transport: v.gossip,
-		VMList:    v.platform,
+		VMList:    v.vmList,
 		Recorder:  v.recorder,
 		Logger:    v.log,
 		Metrics:   v.metrics.Set(),
@@ -123,9 +125,10 @@
 
 func (v *VM) ownerOptions() owner.Options {
 	return owner.Options{
+		DC:        v.s.VM.DC,
 		Self:      v.id,
 		Journal:   v.journal,
-		Scheduler: newMeteredQueue(v.schedule, v.sweeper, v.meter),
+		Scheduler: newMeteredQueue(v.schedule, v.sweeper, v.meter, v.refused),
 		Engines: func(ep entity.Endpoint) owner.Engine {
 			return v.engine(ep)
 		},
@@ -149,6 +152,7 @@
 		SaveTimeout:    v.s.Platform.Timeout * 2,
 		KeepAnswers:    keepAnswers,
 		KeepFamilies:   keepFamilies,
+		CacheBytes:     cacheBytes,
 	}
 }
 
@@ -171,8 +175,10 @@
 		Limits: front.Limits{
 			Header:         int64(v.s.Limits.Header),
 			Body:           int64(v.s.Limits.Body),
+			Bodies:         int64(v.s.Limits.Bodies),
 			JSONDepth:      v.s.Limits.JSONDepth,
 			SlowSender:     v.s.Limits.SlowSender,
+			Unread:         v.s.Limits.Idle,
 			RequestTimeout: v.s.Limits.RequestTimeout,
 		},
 	}
@@ -185,6 +191,7 @@
 		v.meshIn.Register(configService, &configRPC{v}),
 		v.meshIn.Register(relayService, &relayRPC{v}),
 		v.meshIn.Register(batchrpc.ServiceName, batchrpc.NewService(v.writer, v.s.Platform.Timeout)),
+		v.meshIn.Register(vmListService, &vmListRPC{v}),
 		v.meshIn.Register(fleetService, &fleetRPC{v}),
 		v.meshIn.Register(queue.ServiceName, v.schedule.Server()),
 		v.meshIn.Register(runnersService, &runnersRPC{v}),
