Give programs fifteen minutes to finish in runs against a running system

The test against a fleet failed 4 of 8 times under load: one program, whose caller thinks for two and a half minutes, had no time left of three minutes at scale 40.

--- a/internal/load/remote.go
+++ b/internal/load/remote.go
@@ -237,6 +237,10 @@
 	return &RefusedError{Reason: http.StatusText(res.StatusCode), RetryAfter: after}
 }
 
+// remotePatience is the time for programs to finish after the last arrival, in
+// a run against a running system.
+const remotePatience = 15 * time.Minute
+
 // RunRemote plays a plan against a running system. Arrivals and pauses go
 // faster than real time by scale, which is 1 for a system at its real speed.
 func RunRemote(ctx context.Context, plan PlanConfig, scale float64, target *Remote) (*Report, error) {
@@ -245,7 +249,7 @@
 		return nil, err
 	}
 	warmUp := time.Duration(warmUpShare * float64(plan.Duration))
-	summary := Run(ctx, p, target, RunConfig{Clock: Clock{Scale: scale}, WarmUp: warmUp, Patience: patience}).Summary()
+	summary := Run(ctx, p, target, RunConfig{Clock: Clock{Scale: scale}, WarmUp: warmUp, Patience: remotePatience}).Summary()
 	summary.WastedPrefix, summary.ReusablePrefix = nil, nil
 	return &Report{
 		Shape: plan.Shape, Seed: plan.Seed, ProgramsPerSec: plan.Rate,
