Bound numbers of callers that overflowed what is reckoned from them

max_tokens up to 2^63 is legal JSON. Its product with the bytes of a token overflowed, so that one call reserved a negative size in the buffer of the platform's outages, which lifted the bound for all programs of the VM; a merely large one found no room and was refused as not_run for good. The bound counts up to 2^24 tokens now, and room is reserved for at most 64 Ki tokens of answer and never for more than the budget. A budget of more than 292 years of seconds overflowed into a deadline in the past; more than ten years are refused.

--- a/internal/entity/program.go
+++ b/internal/entity/program.go
@@ -89,9 +89,15 @@
 	if b.Tokens <= 0 || b.Turns <= 0 || b.Seconds <= 0 {
 		return fmt.Errorf("budget needs positive tokens, turns and seconds")
 	}
+	if b.Seconds > MaxBudgetSeconds {
+		return fmt.Errorf("seconds must be at most %d", MaxBudgetSeconds)
+	}
 	return nil
 }
 
+// MaxBudgetSeconds bounds the time of a program: ten years.
+const MaxBudgetSeconds = 10 * 366 * 24 * 60 * 60
+
 // Usage is what has been drawn from a budget.
 type Usage struct {
 	Tokens int64 `json:"tokens"`
--- a/internal/front/chatbody.go
+++ b/internal/front/chatbody.go
@@ -28,6 +28,10 @@
 	"prompt_cache_key", "verbosity",
 }
 
+// mostTokens is more than any engine answers with. A larger bound means the
+// same, and would overflow what is reckoned from it.
+const mostTokens = 1 << 24
+
 var roles = []string{"system", "developer", "user", "assistant", "tool"}
 
 type streamOptions struct {
@@ -69,6 +73,7 @@
 		if err == nil && b.MaxTokens < 1 && !isNull(raw) {
 			return failure(nameBadRequest, name+" must be at least 1", name)
 		}
+		b.MaxTokens = min(b.MaxTokens, mostTokens)
 	case "n":
 		var n int
 		err = json.Unmarshal(raw, &n)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -178,6 +178,7 @@
 		{"a budget with an unknown field", "POST", create, `{"budget":{"tokens":1,"turns":1,"seconds":1,"coins":1}}`, nil, 400, "bad_request", "coins"},
 		{"a budget of the wrong type", "POST", create, `{"budget":{"tokens":"1","turns":1,"seconds":1}}`, nil, 400, "bad_request", "budget.tokens"},
 		{"a budget of nothing", "POST", create, `{"budget":{"tokens":0,"turns":1,"seconds":1}}`, nil, 400, "bad_request", "tokens"},
+		{"a budget of more time than can be reckoned with", "POST", create, `{"budget":{"tokens":1,"turns":1,"seconds":9223372036854775807}}`, nil, 400, "bad_request", "budget"},
 		{"a parent with a budget", "POST", create, `{"parent":"` + id + `","budget":{"tokens":1,"turns":1,"seconds":1}}`, nil, 400, "bad_request", "budget"},
 		{"a malformed parent", "POST", create, `{"parent":"?"}`, nil, 400, "bad_request", "parent"},
 		{"a tool's name that is none", "POST", "/v1/programs/" + id + "/tools/De%20posit", `{}`, nil, 400, "bad_request", "tool"},
--- a/internal/front/unread_test.go
+++ b/internal/front/odd_test.go
@@ -34,3 +34,15 @@
 	fmt.Fprintf(conn, "POST /v1/programs/%s/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", id, f.WorkspaceKeys[mine], len(body), body)
 	eventually(t, "the engine was told to cancel", func() bool { return f.Engines[0].Counters().Cancelled == 1 })
 }
+
+func TestChat_ABoundBeyondAllAnswersIsNone(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, time.Millisecond)
+	a := api{t, f.VMs[0].URL(), f.WorkspaceKeys[mine]}
+	id := a.newProgram()
+	for _, bound := range []string{"9000000000000000000", "2000000000", "50000000"} {
+		r := a.send("POST", "/v1/programs/"+id+"/chat/completions",
+			`{"model":"small","max_tokens":`+bound+`,"messages":[{"role":"user","content":[{"type":"text","text":"##say:a"}]}]}`)
+		is.Equal(r.status, 200)
+	}
+}
--- a/internal/front/programs.go
+++ b/internal/front/programs.go
@@ -38,6 +38,9 @@
 		return nil, failure(nameBadRequest, "a program needs a budget or a parent", "budget")
 	default:
 		args.Budget = entity.Budget{Tokens: p.Budget.Tokens, Turns: p.Budget.Turns, Seconds: p.Budget.Seconds}
+		if err := args.Budget.Validate(); err != nil {
+			return nil, failure(nameBadRequest, err.Error(), "budget")
+		}
 		args.ID = entity.RootIDFor(s.f.o.DC, workspace, requestID)
 	}
 	reply, err := s.f.o.Router.Create(ctx, args)
--- a/internal/system/owner/turn.go
+++ b/internal/system/owner/turn.go
@@ -75,6 +75,9 @@
 const (
 	recordBytes   = 4 << 10
 	bytesPerToken = 8
+	// roomTokens is the longest answer that room is reserved for; longer ones
+	// are kept beyond the bound of the buffer.
+	roomTokens = 64 << 10
 )
 
 // reserveRoom makes sure that the turn's record finds room in the buffer if
@@ -88,7 +91,8 @@
 		for i := range chat.Messages {
 			size += len(chat.Messages[i].Content) + len(chat.Messages[i].ToolCalls)
 		}
-		size += int(max(chat.MaxTokens, f.owner.o.DefaultTokens)) * bytesPerToken
+		tokens := max(chat.MaxTokens, f.owner.o.DefaultTokens)
+		size += int(min(tokens, f.rootRow().Budget.Tokens, roomTokens)) * bytesPerToken
 	}
 	room, err := f.owner.o.Journal.Reserve(f.root, size)
 	if err != nil {
