--- a/internal/vm/build.go
+++ b/internal/vm/build.go
@@ -50,7 +50,7 @@
 	if err := v.buildConfig(); err != nil {
 		return err
 	}
-	v.directory = directory.New(v.s.Endpoints, v.platform, v.recorder)
+	v.directory = directory.New(v.s.Endpoints, v.vmList, v.recorder)
 	v.buildRunners()
 	v.schedule = v.buildQueues()
 	v.owner = owner.New(v.ownerOptions())
@@ -81,13 +81,14 @@
 }
 
 func (v *VM) buildMembership() error {
+	v.buildVMList()
 	var err error
 	v.members, err = membership.New(membership.Options{
 		Self:      v.self(),
 		Seeds:     v.s.Fleet.Seeds,
 		Keys:      v.fleetKeys(),
 		Transport: v.gossip,
-		VMList:    v.platform,
+		VMList:    v.vmList,
 		Recorder:  v.recorder,
 		Logger:    v.log,
 		Metrics:   v.metrics.Set(),
@@ -127,7 +128,7 @@
 		DC:        v.s.VM.DC,
 		Self:      v.id,
 		Journal:   v.journal,
-		Scheduler: newMeteredQueue(v.schedule, v.sweeper, v.meter),
+		Scheduler: newMeteredQueue(v.schedule, v.sweeper, v.meter, v.refused),
 		Engines: func(ep entity.Endpoint) owner.Engine {
 			return v.engine(ep)
 		},
@@ -190,6 +191,7 @@
 		v.meshIn.Register(configService, &configRPC{v}),
 		v.meshIn.Register(relayService, &relayRPC{v}),
 		v.meshIn.Register(batchrpc.ServiceName, batchrpc.NewService(v.writer, v.s.Platform.Timeout)),
+		v.meshIn.Register(vmListService, &vmListRPC{v}),
 		v.meshIn.Register(fleetService, &fleetRPC{v}),
 		v.meshIn.Register(queue.ServiceName, v.schedule.Server()),
 		v.meshIn.Register(runnersService, &runnersRPC{v}),
