Bound the memory of a VM's estimates of all prefix caches

Each engine's estimate was bounded, their sum was not: 167 engines with caches of a million tokens would take 2.7 million blocks of 116 bytes, 318 MB. The bound is 524,288 blocks a VM now, 61 MB, shared between the engines.

--- /dev/null
+++ b/internal/policy/estimate/bench_test.go
@@ -0,0 +1,29 @@
+package estimate
+
+import (
+	"runtime"
+	"testing"
+	"time"
+)
+
+// BenchmarkPrefixes_Memory reports the bytes that a sampled block takes.
+func BenchmarkPrefixes_Memory(b *testing.B) {
+	const blocks = 64 << 10
+	cfg := DefaultPrefixConfig()
+	cfg.SampleEvery = 1
+	prompt := make([]uint64, blocks)
+	for i := range prompt {
+		prompt[i] = uint64(i) * 2654435761
+	}
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		p := NewPrefixes(cfg)
+		p.Sent(prompt, time.Now())
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(p)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/blocks, "B/block")
+}
--- a/internal/policy/estimate/estimate_test.go
+++ b/internal/policy/estimate/estimate_test.go
@@ -114,6 +114,25 @@
 	is.Equal(p.Held([]uint64{3, 4}), 0)
 }
 
+func TestPrefixes_BoundsItsMemory(t *testing.T) {
+	is := is.New(t)
+	p := NewPrefixes(everyBlock())
+	var prompt []uint64
+	for h := range uint64(100) {
+		prompt = append(prompt, h)
+	}
+	p.Sent(prompt, start)
+	is.Equal(p.Len(), 100)
+	p.SetCapacity(80) // the engine has room for no more
+	is.Equal(p.Len(), 80)
+	p.SetMaxBlocks(10)
+	is.Equal(p.Len(), 10)
+	is.Equal(p.Held(prompt), 10) // heads are kept
+	p.SetMaxBlocks(1000)
+	p.Sent(prompt, start)
+	is.Equal(p.Len(), 80)
+}
+
 func TestRates_FollowTheMeasurements(t *testing.T) {
 	is := is.New(t)
 	r := DefaultRates()
--- a/internal/policy/estimate/prefixes.go
+++ b/internal/policy/estimate/prefixes.go
@@ -15,7 +15,7 @@
 	// memory of the estimate. The length of a held prefix is then short by
 	// about as many blocks.
 	SampleEvery uint64
-	// MaxBlocks bounds the blocks that an engine is believed to hold.
+	// MaxBlocks bounds the sampled blocks kept of one engine.
 	MaxBlocks int
 	// Lag is the time by which an engine's cache events may be late.
 	Lag time.Duration
@@ -33,6 +33,7 @@
 	cfg      PrefixConfig
 	blocks   map[uint64]*list.Element
 	use      *list.List // of heldBlock, least recently used first
+	capacity int        // sampled blocks that the engine's cache has room for, 0 if unknown
 	instance string
 	next     uint64 // sequence number of the next cache event
 	synced   bool   // next is known and no event before it was missed
@@ -53,11 +54,22 @@
 // SetCapacity bounds the estimate by the capacity of the engine's cache, in
 // blocks.
 func (p *Prefixes) SetCapacity(blocks int) {
-	sampled := blocks / int(p.cfg.SampleEvery)
-	if sampled > 0 && sampled < p.cfg.MaxBlocks {
-		p.cfg.MaxBlocks = sampled
-		p.trim()
+	p.capacity = blocks / int(p.cfg.SampleEvery)
+	p.trim()
+}
+
+// SetMaxBlocks changes the bound on the blocks kept.
+func (p *Prefixes) SetMaxBlocks(n int) {
+	p.cfg.MaxBlocks = n
+	p.trim()
+}
+
+// limit is the bound in force.
+func (p *Prefixes) limit() int {
+	if p.capacity > 0 {
+		return min(p.capacity, p.cfg.MaxBlocks)
 	}
+	return p.cfg.MaxBlocks
 }
 
 // Held returns the number of leading blocks that the engine is believed to
@@ -200,7 +212,7 @@
 }
 
 func (p *Prefixes) trim() {
-	for len(p.blocks) > p.cfg.MaxBlocks {
+	for len(p.blocks) > p.limit() {
 		p.drop(p.use.Front())
 	}
 }
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -67,6 +67,8 @@
 	// ImportRate is the speed of KV import in tokens a second, 0 for engines
 	// that can't.
 	ImportRate float64
+	// TotalBlocks bounds the sampled blocks kept of all endpoints together.
+	TotalBlocks int
 	// UnknownPermits is assumed of a queue that has not reported yet.
 	UnknownPermits int
 }
@@ -79,6 +81,7 @@
 		Prefixes:       estimate.DefaultPrefixConfig(),
 		Health:         estimate.DefaultHealthConfig(),
 		Rates:          estimate.DefaultRates(),
+		TotalBlocks:    512 << 10,
 		UnknownPermits: 8,
 	}
 }
@@ -136,6 +139,19 @@
 			delete(s.states, name)
 		}
 	}
+	s.shareBlocks()
+}
+
+// shareBlocks shares the memory for estimates of prefix caches between the
+// endpoints.
+func (s *System) shareBlocks() {
+	if s.opts.TotalBlocks <= 0 || len(s.states) == 0 {
+		return
+	}
+	each := min(s.opts.Prefixes.MaxBlocks, s.opts.TotalBlocks/len(s.states))
+	for _, st := range s.states {
+		st.prefixes.SetMaxBlocks(each)
+	}
 }
 
 func (s *System) newState() *state {
