Send only the changed entries of the VM list between VMs

Cause: each change of one listed runner sent the whole list to every VM.

Change: the reader keeps its last four lists and tells a VM with one of them the entries that changed and the ids that are gone; lists are in order of their ids, so that the platform's order makes no difference.

--- a/internal/system/vmlist/vmlist.go
+++ b/internal/system/vmlist/vmlist.go
@@ -1,6 +1,6 @@
 // Package vmlist reads the platform's VM list once for all VMs of a data
 // centre. One VM, a soft role, reads the platform; the others ask it and get
-// the list only if it has changed. A VM that gets no answer from the reader
+// only the entries that have changed. A VM that gets no answer from the reader
 // reads the platform by itself, so that the role saves reads and nothing
 // depends on it.
 package vmlist
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -23,13 +24,25 @@
 // reading.
 const askTimeout = 500 * time.Millisecond
 
-// Args ask for the list unless it has the given digest.
+// keptVersions is the number of former lists that changes are told against.
+const keptVersions = 4
+
+// Args ask for the list by the digest of the copy that is held; zero for none.
 type Args struct{ Digest uint64 }
 
-// Reply is the list, or empty if it has the digest that was asked with.
+// Reply tells the list with a digest: as it differs from the list with the
+// digest Base, or whole if Base is zero.
 type Reply struct {
 	Digest uint64
-	VMs    []platform.ListedVM
+	Base   uint64
+	VMs    []platform.ListedVM // changed and new entries, or all
+	Gone   []string            // ids
+}
+
+// version is a whole list in order of the ids. It is never modified.
+type version struct {
+	digest uint64
+	vms    []platform.ListedVM
 }
 
 // Options set up a List. All but Clock are required.
@@ -45,6 +58,9 @@
 	Clock clock.Clock // the system's if nil
 }
 
+// errOtherBase means that changes came against a list that was not asked with.
+var errOtherBase = errors.New("changes against another list")
+
 // List is a platform.VMList, safe for concurrent use.
 type List struct {
 	o Options
@@ -52,8 +68,8 @@
 	reading sync.Mutex // held while the platform is read, so that it is read once
 
 	mu     sync.Mutex
-	copy   Reply // never modified once set
-	known  bool
+	copy   version       // digest zero if there is none
+	former []version     // own readings, the latest first
 	readAt time.Duration // of the last own reading
 	read   bool          // readAt is set
 }
@@ -75,69 +91,86 @@
 			return vms, nil
 		}
 	}
-	reply, err := l.current(ctx)
-	return reply.VMs, err
+	v, err := l.current(ctx)
+	return v.vms, err
 }
 
 // ask gets the list from the reader.
 func (l *List) ask(ctx context.Context, vm entity.VM) ([]platform.ListedVM, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	held, known := l.held()
-	var args Args
-	if known {
-		args.Digest = held.Digest
-	}
-	reply, err := l.o.Ask(ctx, vm, args)
+	held := l.held()
+	reply, err := l.o.Ask(ctx, vm, Args{Digest: held.digest})
 	if err != nil {
 		return nil, fmt.Errorf("ask %s for the VM list: %w", vm.ID, err)
 	}
-	if known && reply.Digest == held.Digest {
-		return held.VMs, nil
+	now := version{digest: reply.Digest, vms: reply.VMs}
+	switch reply.Base {
+	case 0:
+	case held.digest:
+		now.vms = patch(held.vms, reply.VMs, reply.Gone)
+	default:
+		return nil, fmt.Errorf("ask %s for the VM list: %w", vm.ID, errOtherBase)
 	}
-	l.hold(reply)
-	return reply.VMs, nil
+	l.hold(now)
+	return now.vms, nil
 }
 
 // Serve answers another VM of the data centre. A copy that is too old is read
 // anew first; if the platform can't be reached, the other VM has to try.
 func (l *List) Serve(ctx context.Context, args Args) (Reply, error) {
-	reply, err := l.current(ctx)
+	now, err := l.current(ctx)
 	if err != nil {
 		return Reply{}, err
 	}
-	if reply.Digest == args.Digest {
-		reply.VMs = nil
+	reply := Reply{Digest: now.digest, VMs: now.vms}
+	if old, ok := l.formerly(args.Digest); ok && unique(old.vms) && unique(now.vms) {
+		reply.Base = old.digest
+		reply.VMs, reply.Gone = diff(old.vms, now.vms)
 	}
 	return reply, nil
 }
 
+// formerly finds one of the last lists that were read.
+func (l *List) formerly(digest uint64) (version, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, v := range l.former {
+		if v.digest == digest {
+			return v, true
+		}
+	}
+	return version{}, false
+}
+
 // current returns a copy that is not too old.
-func (l *List) current(ctx context.Context) (Reply, error) {
+func (l *List) current(ctx context.Context) (version, error) {
 	l.reading.Lock()
 	defer l.reading.Unlock()
-	if reply, fresh := l.fresh(); fresh {
-		return reply, nil
+	if v, fresh := l.fresh(); fresh {
+		return v, nil
 	}
 	return l.readLocked(ctx)
 }
 
 // readLocked reads the platform. The caller holds reading.
-func (l *List) readLocked(ctx context.Context) (Reply, error) {
+func (l *List) readLocked(ctx context.Context) (version, error) {
 	vms, err := l.o.Platform.List(ctx)
 	if err != nil {
-		return Reply{}, err
+		return version{}, err
 	}
-	digest, err := digestOf(vms)
-	if err != nil {
-		return Reply{}, err
+	v := version{vms: sorted(vms)}
+	if v.digest, err = digestOf(v.vms); err != nil {
+		return version{}, err
 	}
-	reply := Reply{Digest: digest, VMs: vms}
-	l.hold(reply)
+	l.hold(v)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.readAt, l.read = l.o.Clock.Now(), true
-	return reply, nil
+	if len(l.former) == 0 || l.former[0].digest != v.digest {
+		l.former = append([]version{v}, l.former[:min(len(l.former), keptVersions-1)]...)
+	}
+	return v, nil
 }
 
 // digestOf identifies the content of a list. An empty list has a digest, too,
@@ -150,21 +183,21 @@
 	return max(1, xxhash.Sum64(raw)), nil
 }
 
-func (l *List) held() (Reply, bool) {
+func (l *List) held() version {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.copy, l.known
+	return l.copy
 }
 
 // fresh returns the copy of an own reading that is not too old.
-func (l *List) fresh() (Reply, bool) {
+func (l *List) fresh() (version, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.copy, l.read && l.o.Clock.Now()-l.readAt < l.o.MaxAge
 }
 
-func (l *List) hold(r Reply) {
+func (l *List) hold(v version) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.copy, l.known = r, true
+	l.copy = v
 }
--- a/internal/system/vmlist/vmlist_test.go
+++ b/internal/system/vmlist/vmlist_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"reflect"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/platform"
@@ -113,3 +115,47 @@
 		})
 	}
 }
+
+func TestDiff_PatchingTheOldListGivesTheNewOne(t *testing.T) {
+	entry := rapid.Custom(func(t *rapid.T) platform.ListedVM {
+		return platform.ListedVM{ID: rapid.StringMatching("[a-d][0-3]").Draw(t, "id"), Leaving: rapid.Bool().Draw(t, "leaving")}
+	})
+	list := rapid.SliceOfNDistinct(entry, 0, 12, func(v platform.ListedVM) string { return v.ID })
+	rapid.Check(t, func(t *rapid.T) {
+		old, now := sorted(list.Draw(t, "old")), sorted(list.Draw(t, "now"))
+		changed, gone := diff(old, now)
+		got := patch(old, changed, gone)
+		if len(got) != len(now) || len(now) > 0 && !reflect.DeepEqual(got, now) {
+			t.Fatalf("got %v, want %v", got, now)
+		}
+	})
+}
+
+func TestList_OnlyChangedEntriesAreSent(t *testing.T) {
+	is := is.New(t)
+	p := newPair()
+	p.source.vms = []platform.ListedVM{{ID: "vm-3"}, {ID: "vm-1"}, {ID: "vm-2"}}
+	_, err := p.asker.List(context.Background())
+	is.NoErr(err)
+	p.source.vms = []platform.ListedVM{{ID: "vm-2", Leaving: true}, {ID: "vm-1"}}
+	p.clock.now += time.Second
+	got, err := p.asker.List(context.Background())
+	is.NoErr(err)
+	is.Equal(got, []platform.ListedVM{{ID: "vm-1"}, {ID: "vm-2", Leaving: true}})
+	is.Equal(p.sent[1].VMs, []platform.ListedVM{{ID: "vm-2", Leaving: true}})
+	is.Equal(p.sent[1].Gone, []string{"vm-3"})
+}
+
+func TestList_ACopyThatTheReaderForgotIsReplacedWhole(t *testing.T) {
+	is := is.New(t)
+	p := newPair()
+	p.list(is, "vm-1")
+	for _, id := range []string{"vm-2", "vm-3", "vm-4", "vm-5", "vm-6"} {
+		p.source.vms = []platform.ListedVM{{ID: id}}
+		p.clock.now += time.Second
+		_, err := p.reader.List(context.Background())
+		is.NoErr(err)
+	}
+	p.list(is, "vm-6")
+	is.Equal(p.sent[1].Base, uint64(0))
+}
--- a/test/scale/fleet.go
+++ b/test/scale/fleet.go
@@ -44,6 +44,7 @@
 	platform *platformsvc.Server
 	url      string // of the platform
 	engines  []*httptest.Server
+	listed   []platform.ListedVM
 	servers  []*httptest.Server
 	operator string
 	key      string // of the workspace
@@ -101,7 +102,10 @@
 	if err := f.applyTable(ctx); err != nil {
 		return err
 	}
-	return f.await(ctx, readyLimit, "all VMs see each other", f.joined)
+	if err := f.await(ctx, readyLimit, "all VMs see each other", f.joined); err != nil {
+		return fmt.Errorf("%w: %s", err, f.stragglers())
+	}
+	return nil
 }
 
 func (f *fleet) build(ctx context.Context) error {
@@ -146,6 +150,7 @@
 	for i := range f.o.Listed {
 		listed = append(listed, farRunner(i))
 	}
+	f.listed = listed
 	f.store.SetVMs(listed)
 }
 
@@ -278,6 +283,22 @@
 	return true
 }
 
+// stragglers tells which VMs have ended, and how many others each sees.
+func (f *fleet) stragglers() string {
+	var out []string
+	for _, p := range f.vms {
+		select {
+		case <-p.exited:
+			out = append(out, p.id+" has ended")
+			continue
+		default:
+		}
+		m := f.metrics(p)
+		out = append(out, fmt.Sprintf("%s sees %.0f, has version %.0f", p.id, m["ibisstall_vms_alive_count"], m["ibisstall_config_version"]))
+	}
+	return strings.Join(out, ", ")
+}
+
 var errNotInTime = errors.New("not in time")
 
 // await polls a condition until it holds.
--- a/test/scale/rest.go
+++ b/test/scale/rest.go
@@ -11,6 +11,7 @@
 type restOptions struct {
 	measurement
 	Seconds int `long:"seconds" default:"20" description:"time to measure over"`
+	Change  int `long:"change" default:"0" description:"time between two changes of one listed runner, in seconds; 0 for none"`
 	Settle  int `long:"settle" default:"10" description:"time to wait after the start, in seconds"`
 }
 
@@ -21,6 +22,21 @@
 	return err
 }
 
+// rest waits while runners of the list change.
+func (o *restOptions) rest(ctx context.Context, f *fleet) error {
+	if o.Change == 0 {
+		return pause(ctx, time.Duration(o.Seconds)*time.Second)
+	}
+	for i := range o.Seconds / o.Change {
+		f.listed[len(f.listed)-1-i].Leaving = true
+		f.store.SetVMs(f.listed)
+		if err := pause(ctx, time.Duration(o.Change)*time.Second); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // average sums up a value over the fleet.
 type average struct {
 	sum, max float64
@@ -39,7 +55,7 @@
 	if err := pause(ctx, time.Duration(o.Settle)*time.Second); err != nil {
 		return err
 	}
-	before, after, err := f.between(func() error { return pause(ctx, time.Duration(o.Seconds)*time.Second) })
+	before, after, err := f.between(func() error { return o.rest(ctx, f) })
 	if err != nil {
 		return err
 	}
