--- a/internal/vm/build.go
+++ b/internal/vm/build.go
@@ -128,7 +128,7 @@
 		DC:        v.s.VM.DC,
 		Self:      v.id,
 		Journal:   v.journal,
-		Scheduler: newMeteredQueue(v.schedule, v.sweeper, v.meter),
+		Scheduler: newMeteredQueue(v.schedule, v.sweeper, v.meter, v.refused),
 		Engines: func(ep entity.Endpoint) owner.Engine {
 			return v.engine(ep)
 		},
@@ -175,6 +175,7 @@
 		Limits: front.Limits{
 			Header:         int64(v.s.Limits.Header),
 			Body:           int64(v.s.Limits.Body),
+			Bodies:         int64(v.s.Limits.Bodies),
 			JSONDepth:      v.s.Limits.JSONDepth,
 			SlowSender:     v.s.Limits.SlowSender,
 			Unread:         v.s.Limits.Idle,
