Log what libraries say as JSON lines, too

The HTTP server and net/rpc write to the standard library's log, which went to standard error as plain text (a failed TLS handshake, for one). serve passes it on to the log of JSON lines; the tests of the interface on real processes check each line of each VM, which failed before. /readyz on the admin address answers with a JSON body like the callers' one.

--- a/cmd/ibisstall/serve.go
+++ b/cmd/ibisstall/serve.go
@@ -6,6 +6,8 @@
 	"os/signal"
 	"syscall"
 
+	"go.uber.org/zap"
+
 	"ibisstall.example/ibisstall/internal/logging"
 	"ibisstall.example/ibisstall/internal/settings"
 	"ibisstall.example/ibisstall/internal/vm"
@@ -39,6 +41,12 @@
 		return err
 	}
 	defer log.Sync() // standard error can't always be synced
+	// The HTTP server and net/rpc write to the standard library's log.
+	restore, err := zap.RedirectStdLogAt(log, zap.WarnLevel)
+	if err != nil {
+		return err
+	}
+	defer restore()
 	v, err := vm.New(s, log)
 	if err != nil {
 		return err
--- a/internal/vm/admin.go
+++ b/internal/vm/admin.go
@@ -1,6 +1,7 @@
 package vm
 
 import (
+	"encoding/json"
 	"net/http"
 	"slices"
 	"time"
@@ -17,7 +18,10 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if err := (&fleet{v}).Ready(); err != nil {
-			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			w.Header().Set("Content-Type", "application/json")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			// The asker has gone if this fails.
+			_ = json.NewEncoder(w).Encode(notReady{notReadyError{Type: "not_run", Message: err.Error()}})
 			return
 		}
 		w.WriteHeader(http.StatusNoContent)
@@ -25,6 +29,16 @@
 	return &http.Server{Handler: mux, ReadHeaderTimeout: v.s.Limits.SlowSender}
 }
 
+// notReady is the body of an answer that the VM is not ready.
+type notReady struct {
+	Error notReadyError `json:"error"`
+}
+
+type notReadyError struct {
+	Type    string `json:"type"`
+	Message string `json:"message"`
+}
+
 // gauges are this VM's readings.
 func (v *VM) gauges() metric.VMGauges {
 	g := metric.VMGauges{
--- a/test/api_test.go
+++ b/test/api_test.go
@@ -364,9 +364,22 @@
 		outputs = append(outputs, p.log.String())
 		is.True(strings.Contains(p.log.String(), `"serving"`))
 	}
+	for _, p := range c.processes() {
+		onlyJSONLines(t, p)
+	}
 	for _, out := range outputs {
 		for _, secret := range []string{text, c.key, c.otherKey, c.operator, "fleet key of more"} {
 			is.True(!strings.Contains(out, secret))
 		}
 	}
 }
+
+// onlyJSONLines checks the log of a VM that has ended.
+func onlyJSONLines(t *testing.T, p *process) {
+	t.Helper()
+	for line := range strings.Lines(p.log.String()) {
+		if !json.Valid([]byte(line)) {
+			t.Errorf("%s logged %q", p.id, line)
+		}
+	}
+}
--- a/test/tls_test.go
+++ b/test/tls_test.go
@@ -161,6 +161,10 @@
 	c.eventually(20*time.Second, "the new VM is alive", func() bool { return c.alive(joined) == 4 })
 	s.chat(ctx, p, "joined", "through the new VM", func() *process { return joined })
 	is.Equal(len(s.problems), 0)
+	for _, vm := range c.processes() {
+		vm.kill()
+		onlyJSONLines(t, vm)
+	}
 }
 
 // refusesPlainText sends plain HTTP and a plain handshake.
