--- /dev/null
+++ b/internal/mesh/handshake_test.go
@@ -0,0 +1,123 @@
+package mesh
+
+import (
+	"errors"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestHandshake_Keys(t *testing.T) {
+	cases := []struct {
+		name           string
+		server, client [][]byte
+		ok             bool
+	}{
+		{"the same key", [][]byte{keyA}, [][]byte{keyA}, true},
+		{"a client that signs with the next key already", [][]byte{keyA, keyB}, [][]byte{keyB, keyA}, true},
+		{"a client that knows the next key only", [][]byte{keyB, keyA}, [][]byte{keyB}, true},
+		{"a server that knows the former key only", [][]byte{keyA}, [][]byte{keyB, keyA}, true},
+		{"another key", [][]byte{keyA}, [][]byte{keyB}, false},
+		{"no key", [][]byte{keyA}, nil, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var refused sync.Map
+			s, e := serve(t, ServerOptions{Keys: c.server, OnRefused: func(addr string, err error) { refused.Store(addr, err) }})
+			client := newClient(t, ClientOptions{Keys: c.client})
+			_, err := echo(client, s.Addr(), "x")
+			is.Equal(err == nil, c.ok)
+			if c.ok {
+				return
+			}
+			is.True(errors.Is(err, ErrNotSent))
+			is.Equal(e.count(), 0)
+			told := 0
+			refused.Range(func(_, err any) bool {
+				is.True(errors.Is(err.(error), ErrUnauthenticated))
+				told++
+				return true
+			})
+			is.Equal(told, 1)
+		})
+	}
+}
+
+func TestHandshake_AnOutsiderWithoutItReachesNoMethod(t *testing.T) {
+	is := is.New(t)
+	refused := make(chan error, 1)
+	s, e := serve(t, ServerOptions{Keys: [][]byte{keyA}, Silence: 100 * time.Millisecond, OnRefused: func(_ string, err error) { refused <- err }})
+	conn, err := net.Dial("tcp", s.Addr())
+	is.NoErr(err)
+	defer conn.Close()
+	// A request as net/rpc sends it, with no handshake before it.
+	_, err = conn.Write([]byte(strings.Repeat("\x2a\xff\x81\x03\x01\x01\x07Request", 20)))
+	is.NoErr(err)
+	is.True(<-refused != nil)
+	is.Equal(e.count(), 0)
+}
+
+func TestHandshake_ASilentStrangerIsDroppedInTime(t *testing.T) {
+	is := is.New(t)
+	refused := make(chan error, 1)
+	s, _ := serve(t, ServerOptions{Silence: 50 * time.Millisecond, OnRefused: func(_ string, err error) { refused <- err }})
+	conn, err := net.Dial("tcp", s.Addr())
+	is.NoErr(err)
+	defer conn.Close()
+	is.True(errors.Is(<-refused, os.ErrDeadlineExceeded))
+}
+
+func TestHandshake_AProofThatWasHeardIsWorthNothingLater(t *testing.T) {
+	is := is.New(t)
+	// What a client sends to a real server is heard...
+	near, far := net.Pipe()
+	heard := make(chan []byte, 1)
+	go func() {
+		var sent []byte
+		buf := make([]byte, 256)
+		n, _ := far.Read(buf)
+		sent = append(sent, buf[:n]...)
+		_, _ = far.Write(make([]byte, nonceSize))
+		n, _ = far.Read(buf)
+		heard <- append(sent, buf[:n]...)
+		far.Close()
+	}()
+	is.True(authenticate(near, [][]byte{keyA}, time.Second, true) != nil)
+	near.Close()
+	// ... and sent to another one.
+	is.True(errors.Is(answerTo(<-heard), ErrUnauthenticated))
+}
+
+// answerTo runs a server's handshake with a client that sends given bytes.
+func answerTo(sent []byte) error {
+	near, far := net.Pipe()
+	defer near.Close()
+	go func() {
+		first := min(nonceSize, len(sent))
+		defer far.Close()
+		_, _ = far.Write(sent[:first])
+		if first < nonceSize {
+			return
+		}
+		_, _ = far.Read(make([]byte, nonceSize))
+		_, _ = far.Write(sent[first:])
+	}()
+	return authenticate(near, [][]byte{keyA, keyB}, time.Second, false)
+}
+
+func FuzzHandshake_BytesOfAStranger(f *testing.F) {
+	f.Add([]byte(nil))
+	f.Add(make([]byte, nonceSize))
+	f.Add(make([]byte, nonceSize+maxKeys*proofSize))
+	f.Fuzz(func(t *testing.T, sent []byte) {
+		if answerTo(sent) == nil {
+			t.Fatal("a stranger was accepted")
+		}
+	})
+}
--- /dev/null
+++ b/internal/system/owner/apart_test.go
@@ -0,0 +1,49 @@
+package owner
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/mesh"
+)
+
+func TestOwner_AnotherWorkspaceIsToldNothingOfAProgram(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	a := w.vm("a")
+	budget := entity.Budget{Tokens: 1000, Turns: 10, Seconds: 3600}
+	w.create(a, budget)
+	ctx := context.Background()
+	foreign := ProgramArgs{ID: testProgram, Workspace: "weddings"}
+	never := ProgramArgs{ID: "amman-a.0002", Workspace: "weddings"}
+	_, want := a.Show(ctx, never)
+	is.True(mesh.HasCode(want, mesh.CodeNotFound))
+
+	requests := map[string]func() (ProgramReply, error){
+		"show":   func() (ProgramReply, error) { return a.Show(ctx, foreign) },
+		"cancel": func() (ProgramReply, error) { return a.Cancel(ctx, foreign) },
+		"create with its id": func() (ProgramReply, error) {
+			return a.Create(ctx, CreateArgs{ID: testProgram, Workspace: "weddings", Budget: budget})
+		},
+		"create with its id and another budget": func() (ProgramReply, error) {
+			return a.Create(ctx, CreateArgs{ID: testProgram, Workspace: "weddings", Budget: entity.Budget{Tokens: 1, Turns: 1, Seconds: 1}})
+		},
+		"make a sub-agent": func() (ProgramReply, error) {
+			return a.Create(ctx, CreateArgs{Parent: testProgram, Workspace: "weddings", RequestID: "r"})
+		},
+	}
+	for name, send := range requests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			reply, err := send()
+			is.Equal(mesh.AsFault(err), mesh.AsFault(want))
+			is.Equal(reply, ProgramReply{})
+		})
+	}
+	reply, err := a.Show(ctx, ProgramArgs{ID: testProgram, Workspace: "press"})
+	is.NoErr(err)
+	is.Equal(reply.Program.State, entity.ProgramActive)
+}
