Read the news of other VMs' engines in turn

Cause: each VM read the cache events of every engine of its data centre each second, so that its cost grew with the engines and an engine's with the VMs.

Change: a VM reads the engines with queues on itself each second, as before, and at most 16 of the others, in turn. With up to 16 others nothing changes; with 150 the estimate of one is up to 10 s old, and so is its word of leaving, which the VM list gives sooner.

--- a/internal/system/queue/news.go
+++ b/internal/system/queue/news.go
@@ -1,7 +1,10 @@
 package queue
 
 import (
+	"cmp"
 	"context"
+	"slices"
+	"sort"
 	"sync"
 	"time"
 
@@ -43,8 +46,9 @@
 }
 
 // followEngines reads the engines' news every NewsEvery until the context ends:
-// load reports where the engine's queue is on this VM, and cache events. An
-// engine that can't be read keeps its last estimate.
+// load reports where the engine's queue is on this VM, and cache events. Of the
+// engines with queues on other VMs it reads some each time, in turn. An engine
+// that can't be read keeps its last estimate.
 func (d *dispatcher) followEngines(ctx context.Context) {
 	if d.hooks.News == nil {
 		return
@@ -64,14 +68,16 @@
 // newsTimeout bounds the reading of all engines' news.
 const newsTimeout = 2 * time.Second
 
+// maxOthersRead bounds the engines with queues on other VMs that one round
+// reads, so that the cost of a VM does not grow with the engines of its data
+// centre.
+const maxOthersRead = 16
+
 func (d *dispatcher) readEngines(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, newsTimeout)
 	defer cancel()
 	var reads sync.WaitGroup
-	for _, e := range d.sys.Endpoints() {
-		if e.Kind != entity.KindEngine {
-			continue
-		}
+	for _, e := range d.toRead() {
 		reads.Go(func() {
 			d.readLoad(ctx, e)
 			_ = d.sys.ReadCacheNews(ctx, d.hooks.News, e) // the estimate stays as it is
@@ -80,6 +86,29 @@
 	reads.Wait()
 }
 
+// toRead returns the engines of the next round: all with queues on this VM, and
+// the others in turn. Only the loop of followEngines uses it.
+func (d *dispatcher) toRead() []entity.Endpoint {
+	var own, others []entity.Endpoint
+	for _, e := range d.sys.Endpoints() {
+		switch {
+		case e.Kind != entity.KindEngine:
+		case d.lines.owns(e.Name):
+			own = append(own, e)
+		default:
+			others = append(others, e)
+		}
+	}
+	slices.SortFunc(others, func(a, b entity.Endpoint) int { return cmp.Compare(a.Name, b.Name) })
+	next := sort.Search(len(others), func(i int) bool { return others[i].Name > d.lastOther })
+	for i := range min(len(others), maxOthersRead) {
+		e := others[(next+i)%len(others)]
+		own = append(own, e)
+		d.lastOther = e.Name
+	}
+	return own
+}
+
 func (d *dispatcher) readLoad(ctx context.Context, e entity.Endpoint) {
 	r, err := d.hooks.News.Load(ctx, e)
 	if err != nil || r.CacheTokens <= 0 {
--- a/internal/system/queue/scheduler.go
+++ b/internal/system/queue/scheduler.go
@@ -60,6 +60,9 @@
 	prefix string // of the permit ids, random for each dispatcher
 	serial atomic.Uint64
 
+	// lastOther is the last engine read in turn; see toRead.
+	lastOther string
+
 	mu       sync.Mutex
 	held     map[string]*heldCall                      // by permit id
 	sessions map[entity.ProgramID]map[string]time.Time // endpoints that a program used
