--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -196,6 +196,16 @@
 	t.Run("a truncated body", func(t *testing.T) {
 		raw(t, f, a.key, chat, `{"mo`, true).typed(t, 408, "timeout", "body")
 	})
+	t.Run("a header that never ends", func(t *testing.T) {
+		is := is.New(t)
+		conn, err := net.Dial("tcp", f.VMs[0].VM.Addr())
+		is.NoErr(err)
+		defer conn.Close()
+		fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: x\r\nX-Slow: ")
+		is.NoErr(conn.SetReadDeadline(time.Now().Add(10 * time.Second)))
+		_, err = conn.Read(make([]byte, 1))
+		is.Equal(err, io.EOF) // closed without a word, long before the deadline
+	})
 	is := is.New(t)
 	is.Equal(received(), calls)
 	is.Equal(len(f.Tools["deposit"][0].Executions()), 0)
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -375,7 +375,7 @@
 	if c.o.roots == nil {
 		return client
 	}
-	transport := &http.Transport{DisableKeepAlives: true, TLSClientConfig: &tls.Config{RootCAs: c.o.roots}}
+	transport := &http.Transport{DisableKeepAlives: true, ForceAttemptHTTP2: true, TLSClientConfig: &tls.Config{RootCAs: c.o.roots}}
 	return &http.Client{Transport: transport, Timeout: client.Timeout}
 }
 
--- a/test/tls_test.go
+++ b/test/tls_test.go
@@ -139,6 +139,7 @@
 	resp, err := c.client().Do(req)
 	is.NoErr(err)
 	defer resp.Body.Close()
+	is.Equal(resp.ProtoMajor, 2)
 	next := callersCA.write(t, dir, "callers", 8*time.Hour)
 	meshCA.write(t, dir, "mesh", 4*time.Hour)
 	for _, vm := range c.processes() {
