--- a/internal/front/auth.go
+++ b/internal/front/auth.go
@@ -73,10 +73,7 @@
 	if f.o.Config.Known() {
 		return failure(nameUnauthorized, "the key is not accepted", "Authorization")
 	}
-	out := failure(nameNotRun, "this VM does not know the workspaces' keys yet", "")
-	seconds := 1
-	out.RetryAfter = &seconds
-	return out
+	return failure(nameNotRun, "this VM does not know the workspaces' keys yet", "")
 }
 
 // operator checks an operator's key.
--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -36,12 +36,20 @@
 	nameInternal       = "internal"
 )
 
+// retryAfter is what a refusal tells that knows no better time, in seconds.
+const retryAfter = 1
+
 // failure makes the error of a method; param names what is wrong, if anything.
+// What may be sent again says when.
 func failure(name, message, param string) *types.Failure {
 	f := &types.Failure{Name: name, Detail: &types.ErrorDetail{Type: name, Message: message}}
 	if param != "" {
 		f.Detail.Param = &param
 	}
+	if name == nameNotRun || name == nameOverloaded {
+		seconds := retryAfter
+		f.RetryAfter = &seconds
+	}
 	return f
 }
 
--- a/internal/front/limits.go
+++ b/internal/front/limits.go
@@ -125,10 +125,7 @@
 }
 
 func tooManyBodies() *errorBody {
-	f := failure(nameOverloaded, "the VM holds as many request bodies as it may", "")
-	seconds := 1
-	f.RetryAfter = &seconds
-	return bodyOf(f, http.StatusTooManyRequests)
+	return bodyOf(failure(nameOverloaded, "the VM holds as many request bodies as it may", ""), http.StatusTooManyRequests)
 }
 
 func (f *Front) readLimited(w http.ResponseWriter, r *http.Request) ([]byte, *errorBody) {
