--- a/test/tls_test.go
+++ b/test/tls_test.go
@@ -139,6 +139,7 @@
 	resp, err := c.client().Do(req)
 	is.NoErr(err)
 	defer resp.Body.Close()
+	is.Equal(resp.ProtoMajor, 2)
 	next := callersCA.write(t, dir, "callers", 8*time.Hour)
 	meshCA.write(t, dir, "mesh", 4*time.Hour)
 	for _, vm := range c.processes() {
@@ -161,6 +162,10 @@
 	c.eventually(20*time.Second, "the new VM is alive", func() bool { return c.alive(joined) == 4 })
 	s.chat(ctx, p, "joined", "through the new VM", func() *process { return joined })
 	is.Equal(len(s.problems), 0)
+	for _, vm := range c.processes() {
+		vm.kill()
+		onlyJSONLines(t, vm)
+	}
 }
 
 // refusesPlainText sends plain HTTP and a plain handshake.
