--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -41,6 +41,7 @@
 			s.Limits.Header = 8 * settings.KiB
 			s.Limits.JSONDepth = 16
 			s.Limits.SlowSender = 300 * time.Millisecond
+			s.Limits.Idle = 300 * time.Millisecond
 		},
 	})
 	if err != nil {
@@ -177,6 +178,7 @@
 		{"a budget with an unknown field", "POST", create, `{"budget":{"tokens":1,"turns":1,"seconds":1,"coins":1}}`, nil, 400, "bad_request", "coins"},
 		{"a budget of the wrong type", "POST", create, `{"budget":{"tokens":"1","turns":1,"seconds":1}}`, nil, 400, "bad_request", "budget.tokens"},
 		{"a budget of nothing", "POST", create, `{"budget":{"tokens":0,"turns":1,"seconds":1}}`, nil, 400, "bad_request", "tokens"},
+		{"a budget of more time than can be reckoned with", "POST", create, `{"budget":{"tokens":1,"turns":1,"seconds":9223372036854775807}}`, nil, 400, "bad_request", "budget"},
 		{"a parent with a budget", "POST", create, `{"parent":"` + id + `","budget":{"tokens":1,"turns":1,"seconds":1}}`, nil, 400, "bad_request", "budget"},
 		{"a malformed parent", "POST", create, `{"parent":"?"}`, nil, 400, "bad_request", "parent"},
 		{"a tool's name that is none", "POST", "/v1/programs/" + id + "/tools/De%20posit", `{}`, nil, 400, "bad_request", "tool"},
@@ -194,6 +196,16 @@
 	t.Run("a truncated body", func(t *testing.T) {
 		raw(t, f, a.key, chat, `{"mo`, true).typed(t, 408, "timeout", "body")
 	})
+	t.Run("a header that never ends", func(t *testing.T) {
+		is := is.New(t)
+		conn, err := net.Dial("tcp", f.VMs[0].VM.Addr())
+		is.NoErr(err)
+		defer conn.Close()
+		fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: x\r\nX-Slow: ")
+		is.NoErr(conn.SetReadDeadline(time.Now().Add(10 * time.Second)))
+		_, err = conn.Read(make([]byte, 1))
+		is.Equal(err, io.EOF) // closed without a word, long before the deadline
+	})
 	is := is.New(t)
 	is.Equal(received(), calls)
 	is.Equal(len(f.Tools["deposit"][0].Executions()), 0)
--- a/internal/system/placement/placement_test.go
+++ b/internal/system/placement/placement_test.go
@@ -68,6 +68,14 @@
 				s.Finished("b", Ended{Call: call(1, 1), Failed: true}, start)
 			}
 		}, call(1, 1), "a", nil},
+		{"what troubles all endpoints keeps none from the calls", func(s *System) {
+			s.Sent("b", call(1, 1), start)
+			for _, name := range []string{"a", "b", "c"} {
+				for range 4 {
+					s.Finished(name, Ended{Call: call(1, 1), Failed: true}, start)
+				}
+			}
+		}, call(1, 1), "b", nil},
 		{"a target that nobody serves is an error", func(*System) {}, Call{Kind: entity.CallTool, Target: "deposit"}, "", ErrNoEndpoint},
 	}
 	for _, c := range cases {
@@ -116,7 +124,7 @@
 	s.SetEndpoints([]entity.Endpoint{engine("a"), engine("b")})
 	c := call(1, 1)
 	s.Sent("b", c, start)
-	s.Finished("b", Ended{Call: c}, start)
+	s.Finished("b", Ended{Call: c, Run: estimate.Call{Total: 4 * time.Second}}, start)
 	s.Report("b", estimate.Load{Running: 4, Waiting: 40, Permits: 4}, start)
 	d, err := s.Place(c, start)
 	is.NoErr(err)
--- a/test/scale/fleet.go
+++ b/test/scale/fleet.go
@@ -44,6 +44,7 @@
 	platform *platformsvc.Server
 	url      string // of the platform
 	engines  []*httptest.Server
+	listed   []platform.ListedVM
 	servers  []*httptest.Server
 	operator string
 	key      string // of the workspace
@@ -101,7 +102,10 @@
 	if err := f.applyTable(ctx); err != nil {
 		return err
 	}
-	return f.await(ctx, readyLimit, "all VMs see each other", f.joined)
+	if err := f.await(ctx, readyLimit, "all VMs see each other", f.joined); err != nil {
+		return fmt.Errorf("%w: %s", err, f.stragglers())
+	}
+	return nil
 }
 
 func (f *fleet) build(ctx context.Context) error {
@@ -143,9 +147,22 @@
 			Runner: name, Kind: "engine", Models: []string{model}, URL: s.URL,
 		})
 	}
+	for i := range f.o.Listed {
+		listed = append(listed, farRunner(i))
+	}
+	f.listed = listed
 	f.store.SetVMs(listed)
 }
 
+// farRunner returns the entry of an engine in a data centre without VMs.
+func farRunner(i int) platform.ListedVM {
+	name := fmt.Sprintf("far-%d", i)
+	return platform.ListedVM{
+		ID: "vm-" + name, Role: platform.RoleRunner, DC: "far", Region: region,
+		Runner: name, Kind: "engine", Models: []string{model}, URL: "http://127.0.0.1:9",
+	}
+}
+
 // freeAddr returns an address that is free on an IP number.
 func freeAddr(ip string) (string, error) {
 	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
@@ -266,6 +283,22 @@
 	return true
 }
 
+// stragglers tells which VMs have ended, and how many others each sees.
+func (f *fleet) stragglers() string {
+	var out []string
+	for _, p := range f.vms {
+		select {
+		case <-p.exited:
+			out = append(out, p.id+" has ended")
+			continue
+		default:
+		}
+		m := f.metrics(p)
+		out = append(out, fmt.Sprintf("%s sees %.0f, has version %.0f", p.id, m["ibisstall_vms_alive_count"], m["ibisstall_config_version"]))
+	}
+	return strings.Join(out, ", ")
+}
+
 var errNotInTime = errors.New("not in time")
 
 // await polls a condition until it holds.
