--- a/internal/vm/runners.go
+++ b/internal/vm/runners.go
@@ -17,11 +17,9 @@
 	"ibisstall.example/ibisstall/internal/system/sweep"
 )
 
-// Soft roles that concern the runners of a data centre.
-const (
-	roleSweeper ownership.Role = "sweeper"
-	roleOrders  ownership.Role = "orders"
-)
+// roleOrders is the soft role of the VM that orders the engines of a data
+// centre.
+const roleOrders ownership.Role = "orders"
 
 // demandWindow is the time over which the demand for models is measured.
 const demandWindow = time.Minute
@@ -66,22 +64,24 @@
 	return out
 }
 
+// sweptEngines returns the engines whose queues this VM holds, so that the work
+// of sweeping is spread over the VMs of the data centre.
 func (v *VM) sweptEngines() map[string]sweep.Engine {
 	out := make(map[string]sweep.Engine)
 	for _, e := range v.engines() {
-		out[e.Endpoint().Name] = e
+		name := e.Endpoint().Name
+		if _, local := v.locateQueue(name); local {
+			out[name] = e
+		}
 	}
 	return out
 }
 
-// sweep frees memory of the engines if it is this VM's turn.
+// sweep frees memory of the engines.
 func (v *VM) sweep(ctx context.Context) {
 	v.sweeper.Forget(func(id entity.ProgramID) bool {
 		return len(v.owner.States([]entity.ProgramID{id})) > 0
 	})
-	if !v.leads(roleSweeper) {
-		return
-	}
 	report, err := v.sweeper.Tick(ctx)
 	if err != nil && ctx.Err() == nil {
 		v.log.Warn("engines could not be swept whole; the next sweep tries again", tag.Error(err))
