--- a/test/runners_test.go
+++ b/test/runners_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -280,3 +281,38 @@
 		})
 	}
 }
+
+// TestRunners_CacheNewsIsReadAndResynced counts how VMs read an engine's cache:
+// whole at first and after lost events or a restart, else by events.
+func TestRunners_CacheNewsIsReadAndResynced(t *testing.T) {
+	for _, gaps := range []int{0, 3} {
+		t.Run(fmt.Sprintf("of every %d events one is lost", gaps), func(t *testing.T) {
+			is := is.New(t)
+			const vms = 2
+			c := newCluster(t, clusterOptions{dcs: []string{home}, vms: vms})
+			e := c.addEngines(1, runner.EngineOptions{EventGapEvery: gaps})[0]
+			c.eventually(10*time.Second, "each VM reads the cache", func() bool { return e.snapshots.Load() == vms })
+			s := newCallers(c)
+			ctx, cancel := withTimeout(60 * time.Second)
+			defer cancel()
+			long := strings.Repeat("many words of a context ", 40) + "and an end"
+			for i := range 6 {
+				p := s.create(ctx, fmt.Sprint("p", i), home)
+				is.True(p != nil)
+				s.chat(ctx, p, fmt.Sprint("first-", i), long, s.vm)
+				s.chat(ctx, p, fmt.Sprint("second-", i), "an answer", s.vm)
+			}
+			read := e.events.Load()
+			c.eventually(10*time.Second, "events are read", func() bool { return e.events.Load() >= read+2*vms })
+			if gaps == 0 {
+				is.Equal(e.snapshots.Load(), int64(vms))
+			} else {
+				is.True(e.snapshots.Load() > vms)
+			}
+			before := e.snapshots.Load()
+			e.Restart()
+			c.eventually(10*time.Second, "the new instance's cache is read", func() bool { return e.snapshots.Load() >= before+vms })
+			s.check()
+		})
+	}
+}
--- a/test/runnersfixture_test.go
+++ b/test/runnersfixture_test.go
@@ -20,18 +20,24 @@
 
 const home = "stgo-norte"
 
-// countedEngine counts the model calls that reach an engine, failed ones
-// included.
+// countedEngine counts what reaches an engine, failed requests included.
 type countedEngine struct {
 	*runner.Engine
-	name  string
-	calls atomic.Int64
+	name      string
+	calls     atomic.Int64 // model calls
+	events    atomic.Int64 // readings of cache events
+	snapshots atomic.Int64 // readings of the whole cache
 }
 
 // ServeHTTP implements http.Handler.
 func (e *countedEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.Method == http.MethodPost && r.URL.Path == "/v1/chat/completions" {
+	switch r.URL.Path {
+	case "/v1/chat/completions":
 		e.calls.Add(1)
+	case "/v1/cache/events":
+		e.events.Add(1)
+	case "/v1/cache":
+		e.snapshots.Add(1)
 	}
 	e.Engine.ServeHTTP(w, r)
 }
