--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -148,3 +148,29 @@
 		return s.nodes[1].m.members[s.nodes[0].id].rec.Config == 7 && s.nodes[2].m.members[s.nodes[0].id].rec.Config == 7
 	}))
 }
+
+func TestMachine_PausedSuspectorReadsTheRefutationBeforeItDeclaresADeath(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3, 4, 5} {
+		is := is.New(t)
+		s := newSimNet(seed)
+		s.fleet(6)
+		is.True(s.runUntil(time.Minute, s.converged))
+		suspect := s.nodes[2]
+		suspect.pausedTill = s.now + 990*time.Millisecond
+		var witness *simNode
+		found := s.runUntil(time.Second, func() bool {
+			for _, n := range s.nodes {
+				if mem := n.m.members[suspect.id]; mem != nil && mem.suspect() && mem.witnessed {
+					witness = n
+				}
+			}
+			return witness != nil
+		})
+		if !found {
+			continue // no probe fell into the pause early enough
+		}
+		witness.pausedTill = s.now + 2*time.Second
+		s.run(4 * time.Second)
+		is.Equal(witness.deaths[suspect.id], 0)
+	}
+}
--- a/internal/system/config/config_test.go
+++ b/internal/system/config/config_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -345,3 +346,36 @@
 		}
 	}
 }
+
+func TestManager_ConcurrentInstallsKeepTheHighestVersion(t *testing.T) {
+	is := is.New(t)
+	const versions = 200
+	m := newFleet(1).managers[0]
+	var wg sync.WaitGroup
+	for v := range uint64(versions) {
+		wg.Go(func() {
+			if err := m.install(&entity.Config{Version: v + 1}); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	highest := uint64(0)
+	for highest < versions {
+		changed := m.Changed()
+		now := m.InForce().Version
+		is.True(now >= highest)
+		highest = now
+		if highest == versions {
+			break
+		}
+		select {
+		case <-changed:
+		case <-time.After(10 * time.Second):
+			t.Fatalf("version %d in force, not %d", highest, versions)
+		}
+	}
+	wg.Wait()
+	is.Equal(m.InForce().Version, uint64(versions))
+	// The check before the lock may have passed while a higher one came.
+	is.True(!m.replace(&entity.Config{Version: 1}))
+}
