--- a/internal/membership/timing.go
+++ b/internal/membership/timing.go
@@ -28,7 +28,7 @@
 	MaxReconnecting int // addresses with a ping under way
 }
 
-// DefaultTiming detects a death within 2.5 s and rides out a pause of 1 s.
+// DefaultTiming detects a death within 3 s and rides out a pause of 1 s.
 func DefaultTiming() Timing {
 	return Timing{
 		Tick:             50 * time.Millisecond,
