--- a/internal/system/owner/family.go
+++ b/internal/system/owner/family.go
@@ -129,6 +129,8 @@
 	rows   map[entity.ProgramID]*entity.Program
 	from   map[entity.ProgramID]*entity.Program
 	change journal.Changes
+	// turnOf is the call whose turn the change records; nil if it records none.
+	turnOf *call
 }
 
 // row returns a copy of a program's row that the change will write.
@@ -170,6 +172,9 @@
 	for id, p := range e.rows {
 		f.programs[id] = p
 	}
+	if e.turnOf != nil {
+		delete(f.granted, e.turnOf.key()) // the root row counts it from now on
+	}
 	for callID := range f.settled {
 		if !hasFlight(f.programs[f.root], callID) {
 			delete(f.settled, callID)
--- a/internal/system/owner/turn.go
+++ b/internal/system/owner/turn.go
@@ -28,7 +28,13 @@
 		kind = timeline.CallRefused
 	}
 	f.owner.record(timeline.Event{Kind: kind, Program: c.args.Program, Request: c.args.RequestID, Detail: string(result.Fault.Code)})
+	f.ended(c)
 	c.finish(result, f.owner.o.Now())
+}
+
+// ended takes a call out of the family's books. It comes before the caller
+// learns of the end, so that its next call finds them in order.
+func (f *family) ended(c *call) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.running--
@@ -132,6 +138,7 @@
 		root.Used.Turns++
 		budget.Settle(root, callID, turn.Tokens)
 		e.change.Turns = append(e.change.Turns, turn)
+		e.turnOf = c
 		e.change.Reservation = c.takeRoom()
 		if intent != nil {
 			intent.Turn = turn.Number
--- a/internal/vm/fleet.go
+++ b/internal/vm/fleet.go
@@ -29,6 +29,8 @@
 	switch {
 	case f.v.draining.Load():
 		return fmt.Errorf("the VM is draining")
+	case !f.v.joined.Load():
+		return fmt.Errorf("the VM is still learning which other VMs there are")
 	case !f.v.table.Known():
 		return fmt.Errorf("neither the platform nor another VM has told the configuration yet")
 	default:
--- a/internal/vm/loops.go
+++ b/internal/vm/loops.go
@@ -19,6 +19,7 @@
 // startLoops runs the systems that have a tick.
 func (v *VM) startLoops(ctx context.Context) {
 	v.watchTLS(ctx)
+	v.spawn(func() { v.join(ctx) })
 	v.watchLoop(ctx)
 	v.runnerLoops(ctx)
 	v.loop(ctx, probeEvery, v.probePlatform)
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -86,7 +86,8 @@
 	metrics   *metric.Registry
 	recorder  timeline.Recorder // the ring, with its events counted
 
-	lapses   uint64 // isolations that the owner's loop has seen
+	lapses   uint64      // isolations that the owner's loop has seen
+	joined   atomic.Bool // the view of the fleet is whole
 	draining atomic.Bool
 	killed   chan struct{} // closed by Kill
 	killOnce sync.Once
--- a/test/callers_test.go
+++ b/test/callers_test.go
@@ -24,7 +24,8 @@
 	problems []string
 	programs []*program
 	// refused counts refusals that say that the call was not run, by type.
-	refused map[string]int
+	refused     map[string]int
+	lastRefusal string // its body
 }
 
 // program is one agent program and what its caller knows of it.
@@ -115,6 +116,7 @@
 		if a.kind == "not_run" || a.kind == "overloaded" {
 			s.mu.Lock()
 			s.refused[a.kind]++
+			s.lastRefusal = string(a.body)
 			s.mu.Unlock()
 		}
 		if !again || ctx.Err() != nil {
@@ -311,7 +313,7 @@
 // were told.
 func (s *callers) check() {
 	s.c.t.Helper()
-	s.c.t.Logf("%d programs, %d turns answered, refused %v", len(s.programs), s.turns(), s.refused)
+	s.c.t.Logf("%d programs, %d turns answered, refused %v %s", len(s.programs), s.turns(), s.refused, s.lastRefusal)
 	for _, p := range s.programs {
 		s.checkHistory(p)
 	}
