List an engine's sessions with its news only while its memory is short

The VM with an engine's queue listed the engine's sessions each second: at 6 engines with 42 programs each and 84 bytes a program, 21 KB/s.

--- a/internal/vm/runners.go
+++ b/internal/vm/runners.go
@@ -11,6 +11,7 @@
 	"ibisstall.example/ibisstall/internal/logging/tag"
 	"ibisstall.example/ibisstall/internal/policy/ownership"
 	"ibisstall.example/ibisstall/internal/policy/retain"
+	"ibisstall.example/ibisstall/internal/policy/retention"
 	"ibisstall.example/ibisstall/internal/system/orders"
 	"ibisstall.example/ibisstall/internal/system/placement"
 	"ibisstall.example/ibisstall/internal/system/queue"
@@ -150,6 +151,25 @@
 	return r.report, ok && time.Since(r.at) < limit
 }
 
+// Sessions implements placement.News. It lists none while the engine's memory
+// is not short: what idles for too long is left to the sweep, so that the
+// sessions of all engines are not listed at each reading of the news.
+func (n *news) Sessions(ctx context.Context, e entity.Endpoint) ([]endpoint.Session, error) {
+	if !n.short(e.Name) {
+		return nil, nil
+	}
+	return n.News.Sessions(ctx, e)
+}
+
+// short reports whether an engine's last report shows so much held memory that
+// some is to be released.
+func (n *news) short(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r := n.last[name].report
+	return float64(r.PinnedTokens) > retention.DefaultConfig().High*float64(r.CacheTokens)
+}
+
 // missing takes in that no engine was found for a model that operators list.
 func (n *news) missing() {
 	n.mu.Lock()
