Choose the holder of a role without a copy of the view

Cause: each look for a VM with a role that uses the platform copied the whole view, 41 KB at 350 VMs, for each batch of writes, among others.

go test -run xxx -bench PlatformRole ./internal/policy/ownership, before and after: 17.7 and 3.9 us, 40,960 and 0 B allocated.

--- a/internal/policy/ownership/ownership.go
+++ b/internal/policy/ownership/ownership.go
@@ -130,8 +130,13 @@
 // SoftRole returns the holder of a role in a data centre: an alive VM, or a
 // suspect one if there is none, or a leaving one if there is none of these.
 func SoftRole(role Role, dc string, view []entity.VM) (entity.VM, bool) {
-	for _, state := range []entity.VMState{entity.VMAlive, entity.VMSuspect, entity.VMLeaving} {
-		vm, ok := highest(string(role), view, func(vm *entity.VM) bool { return vm.DC == dc && vm.State == state })
+	return roleAmong(role, dc, view, func(*entity.VM) bool { return true })
+}
+
+// roleAmong is SoftRole among the VMs that eligible accepts.
+func roleAmong(role Role, dc string, view []entity.VM, eligible func(*entity.VM) bool) (entity.VM, bool) {
+	for _, state := range [...]entity.VMState{entity.VMAlive, entity.VMSuspect, entity.VMLeaving} {
+		vm, ok := highest(string(role), view, func(vm *entity.VM) bool { return vm.DC == dc && vm.State == state && eligible(vm) })
 		if ok {
 			return vm, true
 		}
@@ -142,13 +147,8 @@
 // PlatformRole is SoftRole for a role that uses the platform: VMs that reach it
 // go before VMs that don't.
 func PlatformRole(role Role, dc string, view []entity.VM) (entity.VM, bool) {
-	reaching := make([]entity.VM, 0, len(view))
-	for _, vm := range view {
-		if vm.PlatformReachable {
-			reaching = append(reaching, vm)
-		}
-	}
-	if vm, ok := SoftRole(role, dc, reaching); ok && vm.State != entity.VMLeaving {
+	reaches := func(vm *entity.VM) bool { return vm.PlatformReachable }
+	if vm, ok := roleAmong(role, dc, view, reaches); ok && vm.State != entity.VMLeaving {
 		return vm, true
 	}
 	return SoftRole(role, dc, view)
