--- a/test/runners_test.go
+++ b/test/runners_test.go
@@ -316,3 +316,21 @@
 		})
 	}
 }
+
+// TestRunners_HoldBoundsTheMemoryOfAPausedProgram lets a program pause for
+// longer than the hold; it goes on afterwards.
+func TestRunners_HoldBoundsTheMemoryOfAPausedProgram(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, clusterOptions{dcs: []string{home}, vms: 2, engines: 1, settings: "[engine]\nhold = 2s\nsweep_interval = 500ms"})
+	s := newCallers(c)
+	ctx, cancel := withTimeout(60 * time.Second)
+	defer cancel()
+	p := s.create(ctx, "p", home)
+	is.True(p != nil)
+	s.chat(ctx, p, "before", "before the pause", s.vm)
+	is.True(c.heldFor(s.programs) > 0)
+	c.eventually(10*time.Second, "its memory is let go of", func() bool { return c.heldFor(s.programs) == 0 })
+	is.Equal(s.state(p), "active")
+	s.chat(ctx, p, "after", "after the pause", s.vm)
+	s.check()
+}
