Remove state that nothing sets; write less often with more data centres

Reserved in the program's row has been zero since flights hold what a call may generate; the test of its adoption now asks for the flights instead. Twelve data centres that each write every 20 ms are 600 writes a second (docs/CAPACITY.md), at the platform's limit. The interval now grows with the data centres beyond three: by arithmetic 150 a second for twelve, and a turn waits up to 80 ms.

--- a/internal/entity/program.go
+++ b/internal/entity/program.go
@@ -131,12 +131,9 @@
 	// rows contain. It stands in the root row only.
 	Records uint64 `json:"records,omitempty"`
 
-	// Budget, Used and Reserved cover the family and stand in the root row
-	// only. Reserved is an amount granted to the owner but not yet settled;
-	// an adopter counts it as used, since it may have been spent.
-	Budget   Budget `json:"budget"`
-	Used     Usage  `json:"used"`
-	Reserved Usage  `json:"reserved"`
+	// Budget and Used cover the family and stand in the root row only.
+	Budget Budget `json:"budget"`
+	Used   Usage  `json:"used"`
 
 	// Flights are the model calls of the family whose tokens are not settled.
 	// They stand in the root row only; an adopter resumes or settles them.
--- a/internal/platform/batch/batch.go
+++ b/internal/platform/batch/batch.go
@@ -31,6 +31,8 @@
 	// MinSpacing is the least time between the starts of two transactions,
 	// so that the platform's write rate holds. Zero means none.
 	MinSpacing time.Duration
+	// Spacing, if set, is asked for MinSpacing before each transaction.
+	Spacing func() time.Duration
 	// Timeout bounds one request to the platform or to the Forwarder.
 	Timeout time.Duration
 	// Forwarder, if set, is tried before the committer's own platform write.
@@ -197,10 +199,14 @@
 	}
 }
 
-// space waits until MinSpacing has passed since the last batch began.
+// space waits until the spacing has passed since the last batch began.
 func (c *Committer) space() {
+	spacing := c.options.MinSpacing
+	if c.options.Spacing != nil {
+		spacing = c.options.Spacing()
+	}
 	c.mu.Lock()
-	wait := time.Until(c.lastSent.Add(c.options.MinSpacing))
+	wait := time.Until(c.lastSent.Add(spacing))
 	c.mu.Unlock()
 	if wait <= 0 {
 		return
--- a/internal/platform/batch/batch_test.go
+++ b/internal/platform/batch/batch_test.go
@@ -86,6 +86,18 @@
 	})
 }
 
+func TestCommitter_AsksForTheSpacing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newService()
+		c := New(s.Direct("a"), Options{MinSpacing: time.Second, Spacing: func() time.Duration { return time.Minute }})
+		defer c.Close()
+		start := time.Now()
+		commitAll(c, []platform.Write{put("1", "v", 0)}, []platform.Write{put("2", "v", 0)})
+		is.Equal(time.Since(start), time.Minute+delay)
+	})
+}
+
 func TestCommitter_FailsOnlyTheGroupsInConflict(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/system/journal/adopt.go
+++ b/internal/system/journal/adopt.go
@@ -26,8 +26,7 @@
 }
 
 // Adopt takes the ownership of families for an owner: it raises the epoch of
-// each root row by compare-and-set, counts what the former owner had reserved
-// as used, and writes the former owner's buffered records, which the mirror
+// each root row by compare-and-set, and writes the former owner's buffered records, which the mirror
 // keeps, in the same transaction, if they are of the epoch in the row. A
 // family that this journal owns already is returned as it is. The result is in
 // the order of the roots.
--- a/internal/system/journal/adopt_test.go
+++ b/internal/system/journal/adopt_test.go
@@ -54,20 +54,21 @@
 	})
 }
 
-func TestJournal_AdoptionCountsReservedAsUsed(t *testing.T) {
+func TestJournal_AdoptionKeepsUseAndOpenFlights(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
 	w := newWorld()
 	program := newProgram(testRoot)
 	program.Used = entity.Usage{Tokens: 10, Turns: 1}
-	program.Reserved = entity.Usage{Tokens: 90, Turns: 2}
+	program.Flights = []entity.Flight{{Program: testRoot, RequestID: "r", CallID: "c", Tokens: 90}}
 	_, err := w.journal(t, "vm-1", true).Create(ctx, program, "vm-1")
 	is.NoErr(err)
 	results := w.journal(t, "vm-2", true).Adopt(ctx, []entity.ProgramID{testRoot, "amman-a.none"}, "vm-2")
 	is.NoErr(results[0].Err)
 	adopted := results[0].Family.RootProgram()
-	is.Equal(adopted.Used, entity.Usage{Tokens: 100, Turns: 3})
-	is.Equal(adopted.Reserved, entity.Usage{})
+	is.Equal(adopted.Used, entity.Usage{Tokens: 10, Turns: 1})
+	is.Equal(adopted.Flights, program.Flights)
+	is.Equal(adopted.Epoch, uint64(2))
 	is.True(errors.Is(results[1].Err, ErrNotFound))
 }
 
--- a/internal/system/journal/transaction.go
+++ b/internal/system/journal/transaction.go
@@ -140,8 +140,7 @@
 	row.CompactedIn = kept.CompactedIn
 }
 
-// applyAdoption raises the epoch and counts what the former owner had reserved
-// as used, since it may have been spent.
+// applyAdoption raises the epoch and names the new owner.
 func (f *family) applyAdoption(txn *transaction, states map[entity.ProgramID]*entity.Program) {
 	root := states[f.root]
 	if root == nil {
@@ -150,9 +149,6 @@
 	}
 	root.Epoch = f.epoch
 	root.Owner = f.owner
-	root.Used.Tokens += root.Reserved.Tokens
-	root.Used.Turns += root.Reserved.Turns
-	root.Reserved = entity.Usage{}
 }
 
 // addProgramWrites adds the writes of the changed program rows, or a check of
--- a/internal/system/relay/relay.go
+++ b/internal/system/relay/relay.go
@@ -13,14 +13,11 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"ibisstall.example/ibisstall/internal/clock"
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/platform"
-	"ibisstall.example/ibisstall/internal/timeline"
 )
 
 // ErrNotSent is wrapped by a Call that surely did not reach the other VM.
@@ -30,7 +27,7 @@
 // doesn't wrap ErrNotSent means that the VM may have acted.
 type Call func(ctx context.Context, vm entity.VM, req Request) (Reply, error)
 
-// Options configure a Relay. Metrics, Clock and Recorder may be left out.
+// Options configure a Relay. Metrics may be left out.
 type Options struct {
 	Self    string // id of this VM
 	DC      string
@@ -42,12 +39,7 @@
 	Reachable func() bool
 	View      func() []entity.VM
 	Call      Call
-	// SetReachable tells the other VMs whether the own path works.
-	SetReachable func(bool)
-
-	Clock    clock.Clock
-	Recorder timeline.Recorder
-	Metrics  *metrics.Set
+	Metrics   *metrics.Set
 }
 
 // Relay is a platform.Table that falls back on other VMs. Its Objects do
@@ -67,12 +59,6 @@
 	if o.Self == "" || o.Table == nil || o.Objects == nil || o.Reachable == nil || o.View == nil || o.Call == nil {
 		return nil, errors.New("relay: own id, table, objects, reachability, view and call are required")
 	}
-	if o.Clock == nil {
-		o.Clock = clock.System{}
-	}
-	if o.Recorder == nil {
-		o.Recorder = timeline.Discard{}
-	}
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
@@ -84,35 +70,6 @@
 	}, nil
 }
 
-// Run tells the other VMs and the time line when the own path is lost and when
-// it is back, until ctx ends.
-func (r *Relay) Run(ctx context.Context) {
-	const every = 100 * time.Millisecond
-	was := true
-	for {
-		if now := r.o.Reachable(); now != was {
-			was = now
-			r.tell(now)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-r.o.Clock.After(every):
-		}
-	}
-}
-
-func (r *Relay) tell(reachable bool) {
-	kind := timeline.PlatformLost
-	if reachable {
-		kind = timeline.PlatformBack
-	}
-	r.o.Recorder.Record(timeline.Event{Kind: kind})
-	if r.o.SetReachable != nil {
-		r.o.SetReachable(reachable)
-	}
-}
-
 // Serve makes another VM's request on this VM's own path.
 func (r *Relay) Serve(ctx context.Context, req Request) Reply {
 	r.served.Inc()
--- a/internal/vm/platform.go
+++ b/internal/vm/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/mesh"
@@ -52,14 +53,27 @@
 	if err != nil {
 		return err
 	}
-	spacing := v.s.Journal.BatchInterval
 	timeout := v.s.Platform.Timeout
 	forwarder := batchrpc.NewForwarder(v.meshOut, timeout, v.batcher)
-	v.batch = batch.New(v.relay, batch.Options{MinSpacing: spacing, Timeout: timeout, Forwarder: forwarder})
-	v.writer = batch.New(v.relay, batch.Options{MinSpacing: spacing, Timeout: timeout})
+	v.batch = batch.New(v.relay, batch.Options{Spacing: v.writeSpacing, Timeout: timeout, Forwarder: forwarder})
+	v.writer = batch.New(v.relay, batch.Options{Spacing: v.writeSpacing, Timeout: timeout})
 	return nil
 }
 
+// spacedDCs is the number of data centres for which the batch interval of the
+// settings holds; more of them write less often, so that the writes of the whole
+// fleet stay the same.
+const spacedDCs = 3
+
+// writeSpacing returns the least time between two writes of this VM.
+func (v *VM) writeSpacing() time.Duration {
+	return spacingFor(v.s.Journal.BatchInterval, len(policy.Living(v.view())))
+}
+
+func spacingFor(interval time.Duration, dcs int) time.Duration {
+	return interval * time.Duration(max(dcs, spacedDCs)) / spacedDCs
+}
+
 // view returns the fleet as membership sees it.
 func (v *VM) view() []entity.VM { return v.members.View() }
 
