--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -91,13 +91,14 @@
 	draining atomic.Bool
 	killed   chan struct{} // closed by Kill
 	killOnce sync.Once
-	stop     context.CancelFunc // asks Run to drain and return
+	stopped  chan struct{} // closed by Stop
+	stopOnce sync.Once
 	running  sync.WaitGroup
 }
 
 // New binds the addresses of a VM and builds its systems. Run starts them.
 func New(s *settings.Settings, log *zap.Logger) (*VM, error) {
-	v := &VM{s: s, log: log, id: s.VM.ID, killed: make(chan struct{})}
+	v := &VM{s: s, log: log, id: s.VM.ID, killed: make(chan struct{}), stopped: make(chan struct{})}
 	if v.id == "" {
 		v.id = settings.GenerateID(s.VM.DC)
 	}
@@ -207,8 +208,6 @@
 // taking requests, lets the calls under way end, hands over its programs and
 // leaves.
 func (v *VM) Run(ctx context.Context) error {
-	ctx, v.stop = context.WithCancel(ctx)
-	defer v.stop()
 	background, endBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer endBackground()
 
@@ -226,6 +225,7 @@
 	var err error
 	select {
 	case <-ctx.Done():
+	case <-v.stopped:
 	case <-v.killed:
 	case err = <-failed:
 	}
@@ -311,11 +311,7 @@
 }
 
 // Stop asks Run to drain and return.
-func (v *VM) Stop() {
-	if v.stop != nil {
-		v.stop()
-	}
-}
+func (v *VM) Stop() { v.stopOnce.Do(func() { close(v.stopped) }) }
 
 // Kill ends Run at once, without draining, as the death of the process would.
 func (v *VM) Kill() { v.killOnce.Do(func() { close(v.killed) }) }
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -443,55 +443,6 @@
 	}
 }
 
-// partition cuts data centres off from all others, for TCP and datagrams both
-// ways.
-func (c *cluster) partition(cut ...string) {
-	inside := make(map[int]bool)
-	for _, dc := range cut {
-		inside[10+c.dcIndex(dc)] = true
-	}
-	for _, p := range c.processes() {
-		own := inside[10+c.dcIndex(p.dc)]
-		picks := func(source net.Addr) bool { return inside[subnet(source)] != own }
-		p.mesh.Cut(picks)
-		p.gossip.Cut(picks)
-	}
-}
-
-// oneWay drops what a data centre sends to the others; it still gets what they
-// send.
-func (c *cluster) oneWay(dc string) {
-	mute := 10 + c.dcIndex(dc)
-	for _, p := range c.processes() {
-		if p.dc == dc {
-			continue
-		}
-		picks := func(source net.Addr) bool { return subnet(source) == mute }
-		p.mesh.Cut(picks)
-		p.gossip.Cut(picks)
-	}
-}
-
-func (c *cluster) heal() {
-	for _, p := range c.processes() {
-		p.mesh.Cut(nil)
-		p.gossip.Cut(nil)
-	}
-}
-
-// subnet returns the third number of an address, which tells the data centre.
-func subnet(a net.Addr) int {
-	host, _, err := net.SplitHostPort(a.String())
-	if err != nil {
-		return 0
-	}
-	ip := net.ParseIP(host).To4()
-	if ip == nil {
-		return 0
-	}
-	return int(ip[2])
-}
-
 // setFaults sets the platform's faults.
 func (c *cluster) setFaults(faults ...platformsvc.Fault) {
 	c.t.Helper()
