--- a/internal/system/mirror/mirror.go
+++ b/internal/system/mirror/mirror.go
@@ -108,7 +108,7 @@
 		wg.Go(func() { merge(r.fetchFrom(ctx, vm, families)) })
 	}
 	wg.Wait()
-	return best, ctx.Err()
+	return best, nil
 }
 
 // mayHoldCopies tells whether to ask a VM. One of another data centre is asked
@@ -118,8 +118,18 @@
 	return vm.State != entity.VMDead || vm.DC != r.dc
 }
 
+// patience is how long to wait for one VM: a VM that does not answer must not
+// use up the time that the adoption itself needs.
+func patience(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return fetchTimeout
+	}
+	return min(fetchTimeout, time.Until(deadline)/2)
+}
+
 func (r *Remote) fetchFrom(ctx context.Context, vm entity.VM, families []journal.MirroredFamily) map[entity.ProgramID][]journal.Record {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, patience(ctx))
 	defer cancel()
 	if vm.ID == r.self {
 		found, err := r.store.Fetch(ctx, families)
