A sick engine is probed although it is never the best choice

Change: a probe that is due takes the next call without a prefix elsewhere, and prompts of less than a block are spread by their programs.

--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -130,7 +130,26 @@
 			best, bestPreference = choice, preference
 		}
 	}
-	return best, best.Index >= 0
+	if best.Index < 0 {
+		return best, false
+	}
+	if i, ok := dueProbe(candidates, usable); ok && candidates[best.Index].Held == 0 {
+		best = p.estimate(c, &candidates[i])
+		best.Index = i
+	}
+	return best, true
+}
+
+// dueProbe finds a sick endpoint that is due for a probe. It gets the next call
+// that gives up no prefix elsewhere: by its estimate alone it might never be
+// the best one, and so never be taken back.
+func dueProbe(candidates []Candidate, usable []int) (int, bool) {
+	for _, i := range usable {
+		if candidates[i].Sick && candidates[i].Probe {
+			return i, true
+		}
+	}
+	return 0, false
 }
 
 func (p *bySeconds) better(a Choice, preferenceA uint64, b Choice, preferenceB uint64) bool {
--- a/internal/policy/placement/placement_test.go
+++ b/internal/policy/placement/placement_test.go
@@ -48,6 +48,12 @@
 		{"a sick endpoint is used when it is the only one", KindSeconds, call, []Candidate{
 			changed("a", func(c *Candidate) { c.Sick = true }),
 		}, "a"},
+		{"a sick endpoint that is due for a probe gets a call without a prefix elsewhere", KindSeconds, call, []Candidate{
+			idle("a"), changed("b", func(c *Candidate) { c.Sick = true; c.Probe = true; c.Penalty = 4 }),
+		}, "b"},
+		{"a call with a prefix elsewhere is no probe", KindSeconds, call, []Candidate{
+			changed("a", func(c *Candidate) { c.Held = 9000 }), changed("b", func(c *Candidate) { c.Sick = true; c.Probe = true }),
+		}, "a"},
 		{"an endpoint that failed for the call is avoided", KindSeconds, Call{PromptTokens: 10_000, Avoid: []string{"a"}}, []Candidate{
 			changed("a", func(c *Candidate) { c.Held = 9000 }), idle("b"),
 		}, "b"},
--- a/internal/system/placement/place.go
+++ b/internal/system/placement/place.go
@@ -5,6 +5,8 @@
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"ibisstall.example/ibisstall/internal/entity"
 	"ibisstall.example/ibisstall/internal/policy/estimate"
 	"ibisstall.example/ibisstall/internal/policy/placement"
@@ -99,8 +101,17 @@
 		PromptTokens: c.PromptTokens,
 		AnswerTokens: answer,
 		Avoid:        c.Avoid,
-		Root:         placement.RootOf(c.Prompt),
+		Root:         rootOf(c),
+	}
+}
+
+// rootOf returns what calls with a common prefix share. Prompts of less than a
+// block share nothing, so that they are spread by their programs.
+func rootOf(c Call) uint64 {
+	if len(c.Prompt) == 0 {
+		return xxhash.Sum64String(string(c.Program))
 	}
+	return placement.RootOf(c.Prompt)
 }
 
 // answerTokens is the expected length of the answer.
