Put a call's prompt together once; drop fields that nothing sets

Each attempt of a model call copied the history twice, for its permit and for the engine. Hops stood in two messages, never set and never read: the router bounds its search itself.

--- a/internal/system/owner/chat.go
+++ b/internal/system/owner/chat.go
@@ -24,8 +24,8 @@
 type chatRun struct {
 	family *family
 	call   *call
-	talk   *conversation
-	fresh  []entity.Message
+	fresh  []entity.Message // new messages of the call
+	prompt []entity.Message // the history and the new messages
 	avoid  []string
 }
 
@@ -39,7 +39,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	r := &chatRun{family: f, call: c, talk: talk, fresh: fresh}
+	r := &chatRun{family: f, call: c, fresh: fresh, prompt: talk.prompt(fresh)}
 	if answer, callID, ok := r.takeOver(ctx); ok {
 		return r.record(ctx, callID, answer)
 	}
@@ -146,7 +146,6 @@
 
 func (r *chatRun) acquire(ctx context.Context, out chan<- acquired) {
 	c := r.call
-	prompt := r.talk.prompt(r.fresh)
 	req := queue.Request{
 		CallID:    c.args.RequestID,
 		Program:   c.args.Program,
@@ -157,7 +156,7 @@
 		MaxTokens: r.wantedTokens(),
 		Avoid:     r.avoid,
 	}
-	prefix := endpoint.PrefixOf(c.args.Target, prompt)
+	prefix := endpoint.PrefixOf(c.args.Target, r.prompt)
 	req.Prompt = prefix.Blocks()
 	req.PromptTokens = prefix.Tokens()
 	req.Deadline, _ = ctx.Deadline()
@@ -205,7 +204,7 @@
 		CallID:    callID,
 		Session:   c.args.Program,
 		Model:     c.args.Target,
-		Messages:  r.talk.prompt(r.fresh),
+		Messages:  r.prompt,
 		MaxTokens: grant,
 		Options:   c.args.Chat.Options,
 	}
--- a/internal/system/owner/message.go
+++ b/internal/system/owner/message.go
@@ -39,7 +39,6 @@
 type ProgramArgs struct {
 	ID        entity.ProgramID
 	Workspace string
-	Hops      int
 }
 
 // Chat is the part of a call that only model calls have.
@@ -75,8 +74,6 @@
 	// Deadline bounds the call; zero stands for the default timeout.
 	Deadline time.Time
 	Hint     Hint
-	// Hops counts the VMs that passed the call on.
-	Hops int
 }
 
 // StartReply acknowledges a call.
