--- /dev/null
+++ b/internal/forward/request.go
@@ -0,0 +1,68 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Part is a piece of a prompt that other prompts may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Request is one attempt of a caller.
+type Request struct {
+	ID                   string // of this attempt
+	Method, Target, Host string
+	Header               http.Header // end-to-end headers as the caller sent them
+	Body                 []byte
+	Arrived              time.Time
+	Deadline             time.Time // the caller waits no longer
+
+	Program, Session string // "" outside programs
+	// Finish is when the program should be done; zero if the caller doesn't
+	// say.
+	Finish time.Time
+	// Budget is the number of tokens that all turns of the program may
+	// generate; 0 if the request carries none.
+	Budget       int64
+	PromptTokens int
+	MaxTokens    int // most tokens that the request may generate
+	LengthHint   int // the caller's guess of the tokens generated; 0 if none
+	Prompt       []Part
+	Affinity     string // requests on the same object carry the same value
+	LastEvent    string // resume after this event; "" from the start
+}
+
+// IsTurn reports whether the request draws on a budget.
+func (r *Request) IsTurn() bool { return r.Program != "" && r.Budget > 0 }
+
+// Prefixes returns a name for each prefix of the prompt that ends with a part:
+// equal prefixes have equal names.
+func (r *Request) Prefixes() []uint64 {
+	if len(r.Prompt) == 0 {
+		return nil
+	}
+	names := make([]uint64, len(r.Prompt))
+	d := xxhash.New()
+	for i, p := range r.Prompt {
+		_, _ = d.WriteString(p.ID) // a hash takes everything
+		_, _ = d.WriteString(",")
+		names[i] = d.Sum64()
+	}
+	return names
+}
+
+// Endpoint is one live process of a service.
+type Endpoint struct {
+	ID      string
+	Born    int64 // start of the process, Unix milliseconds
+	Service string
+	Address string // host:port
+	DC      string
+	Slots   int  // requests that it runs at a time
+	Leaving bool // gets no new requests
+}
--- a/internal/logging/tag/tag.go
+++ b/internal/logging/tag/tag.go
@@ -100,3 +100,12 @@
 
 // Error is an error.
 func Error(err error) zap.Field { return zap.NamedError("error", err) }
+
+// ForwardedProgram is the program of a forwarded request, by its caller's name.
+func ForwardedProgram(id string) zap.Field { return zap.String("program", id) }
+
+// Waited is how long a request waited for a place, in seconds.
+func Waited(d time.Duration) zap.Field { return zap.Duration("waited_seconds", d) }
+
+// Attempts is the number of endpoints that a request was sent to.
+func Attempts(n int) zap.Field { return zap.Int("attempts", n) }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 )
 
 // Errors of the platform layer. An error that is none of them means that the
@@ -119,3 +120,26 @@
 type VMList interface {
 	List(ctx context.Context) ([]ListedVM, error)
 }
+
+// ErrHistoryGone means that the changes after a cursor are no longer kept.
+var ErrHistoryGone = errors.New("history of changes gone")
+
+// Committer is a table service that tells the version which a commit gave its
+// rows.
+type Committer interface {
+	// Get is that of Table.
+	Get(ctx context.Context, keys []Key) ([]Row, error)
+	// CommitAt is Commit of Table and returns the version of the rows written.
+	CommitAt(ctx context.Context, writes []Write) (uint64, error)
+}
+
+// Feed tells how tables change.
+type Feed interface {
+	// Snapshot returns all rows of a partition of a table as of one moment,
+	// and the cursor of that moment.
+	Snapshot(ctx context.Context, table string) ([]Row, uint64, error)
+	// Changes returns the rows of a table that have changed after a cursor,
+	// removed ones with version 0, and the next cursor. It waits for the
+	// first change for at most wait. ErrHistoryGone asks for a new snapshot.
+	Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Row, uint64, error)
+}
--- /dev/null
+++ b/internal/system/dispatch/client.go
@@ -0,0 +1,249 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ibisstall.example/ibisstall/internal/logging/tag"
+	"ibisstall.example/ibisstall/internal/mesh"
+)
+
+// Times of a client.
+const (
+	// answerLimit is the wait for an answer after which the scheduling VM is
+	// taken for dead or frozen; far above a round trip within a region.
+	answerLimit = 120 * time.Millisecond
+	// probeAfter is the first pause before a VM that did not answer is asked
+	// again, beside the requests; it doubles up to probeMost.
+	probeAfter = 500 * time.Millisecond
+	probeMost  = 8 * time.Second
+	// maxRemote is the number of VMs that are asked before this VM decides
+	// by itself.
+	maxRemote = 2
+)
+
+// RefusedError says that a request got no place. It has not run.
+type RefusedError struct {
+	Reason     string
+	RetryAfter time.Duration
+	Waited     time.Duration
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("no place: %s, retry after %v", e.Reason, e.RetryAfter)
+}
+
+// Fleet lists the VMs that may schedule a service, the preferred one first,
+// as addresses for the mesh; "" is this VM.
+type Fleet func(service string) []string
+
+// Client gets places from the VM that schedules a service. It is safe for
+// concurrent use.
+type Client struct {
+	Mesh  *mesh.Client
+	Local *Scheduler
+	Fleet Fleet
+	Log   *zap.Logger
+
+	mu       sync.Mutex
+	suspects map[string]*suspect  // guarded by mu, by address
+	pending  map[string][]Release // guarded by mu, by address
+	flushing map[string]bool      // guarded by mu
+}
+
+type suspect struct {
+	pause   time.Duration
+	next    time.Time
+	probing bool
+}
+
+// Place is a place at an endpoint. It must be given back once.
+type Place struct {
+	Endpoint, Address string
+	Waited            time.Duration
+	Scheduler         string // address of the VM that gave it; "" for this VM
+	ticket            uint64
+	client            *Client
+}
+
+// Acquire gets a place, waiting for one if need be. Its errors are a
+// *RefusedError and that of ctx.
+func (c *Client) Acquire(ctx context.Context, ask Ask) (*Place, error) {
+	start := time.Now()
+	remote := 0
+	for _, addr := range c.Fleet(ask.Service) {
+		if addr == "" || remote >= maxRemote {
+			break
+		}
+		if c.suspected(addr) {
+			continue
+		}
+		remote++
+		place, err := c.acquireFrom(ctx, addr, ask)
+		var refused *RefusedError
+		if err == nil || errors.As(err, &refused) || ctx.Err() != nil {
+			return place, err
+		}
+		c.suspect(addr, err)
+		spent := time.Since(start)
+		start = time.Now()
+		ask.Deadline -= spent
+		ask.Finish -= spent
+		ask.LateFinish -= spent
+	}
+	return c.acquireFrom(ctx, "", ask)
+}
+
+// acquireFrom gets a place from one VM.
+func (c *Client) acquireFrom(ctx context.Context, addr string, ask Ask) (*Place, error) {
+	var a Answer
+	if err := c.call(ctx, addr, "Ask", ask, &a); err != nil {
+		return nil, err
+	}
+	for a.State == Waiting {
+		err := c.call(ctx, addr, "Await", a.Ticket, &a)
+		if err != nil {
+			c.release(addr, Release{Ticket: a.Ticket, Result: Abandoned})
+			return nil, err
+		}
+	}
+	if a.State == Refused {
+		return nil, &RefusedError{Reason: a.Reason, RetryAfter: a.RetryAfter, Waited: a.Waited}
+	}
+	return &Place{
+		Endpoint: a.Endpoint, Address: a.Address, Waited: a.Waited, Scheduler: addr, ticket: a.Ticket, client: c,
+	}, nil
+}
+
+// call calls a scheduler, this VM's own without a connection.
+func (c *Client) call(ctx context.Context, addr, method string, args any, out *Answer) error {
+	if addr != "" {
+		limit := answerLimit
+		if method == "Await" {
+			limit += holdTime
+		}
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		return c.Mesh.Call(ctx, addr, serviceName+"."+method, args, out)
+	}
+	switch v := args.(type) {
+	case Ask:
+		*out = c.Local.Ask(v)
+	case uint64:
+		if done := c.Local.Done(v); done != nil {
+			hold := time.NewTimer(holdTime)
+			defer hold.Stop()
+			select {
+			case <-done:
+			case <-hold.C:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+		*out = c.Local.Fetch(v)
+	}
+	return nil
+}
+
+// Release gives the place back.
+func (p *Place) Release(r Release) {
+	r.Ticket = p.ticket
+	p.client.release(p.Scheduler, r)
+}
+
+// release sends a release without waiting for it. Releases to one VM that come
+// while another is under way are sent together.
+func (c *Client) release(addr string, r Release) {
+	if addr == "" {
+		c.Local.Release(r)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending == nil {
+		c.pending = make(map[string][]Release)
+		c.flushing = make(map[string]bool)
+	}
+	c.pending[addr] = append(c.pending[addr], r)
+	if !c.flushing[addr] {
+		c.flushing[addr] = true
+		go c.flush(addr)
+	}
+}
+
+func (c *Client) flush(addr string) {
+	for {
+		c.mu.Lock()
+		list := c.pending[addr]
+		delete(c.pending, addr)
+		if len(list) == 0 {
+			c.flushing[addr] = false
+			c.mu.Unlock()
+			return
+		}
+		c.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), answerLimit)
+		var ok bool
+		err := c.Mesh.Call(ctx, addr, serviceName+".Release", list, &ok)
+		cancel()
+		if err != nil {
+			// The places come free there when their deadlines have passed.
+			c.suspect(addr, err)
+		}
+	}
+}
+
+// suspected reports whether a VM is left out, and probes it when that is due.
+func (c *Client) suspected(addr string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.suspects[addr]
+	if s == nil {
+		return false
+	}
+	if !s.probing && time.Now().After(s.next) {
+		s.probing = true
+		go c.probe(addr)
+	}
+	return true
+}
+
+func (c *Client) suspect(addr string, cause error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.suspects == nil {
+		c.suspects = make(map[string]*suspect)
+	}
+	if c.suspects[addr] != nil {
+		return
+	}
+	c.suspects[addr] = &suspect{pause: probeAfter, next: time.Now().Add(probeAfter)}
+	c.Log.Warn("scheduler lost", tag.Address(addr), tag.Error(cause))
+}
+
+func (c *Client) probe(addr string) {
+	ctx, cancel := context.WithTimeout(context.Background(), answerLimit)
+	defer cancel()
+	var ok bool
+	err := c.Mesh.Call(ctx, addr, serviceName+".Release", []Release{}, &ok)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.suspects[addr]
+	if s == nil {
+		return
+	}
+	if err == nil {
+		delete(c.suspects, addr)
+		c.Log.Info("scheduler back", tag.Address(addr))
+		return
+	}
+	s.probing = false
+	s.pause = min(2*s.pause, probeMost)
+	s.next = time.Now().Add(s.pause)
+}
--- /dev/null
+++ b/internal/system/dispatch/directory.go
@@ -0,0 +1,106 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// VM is another VM of the system, or this one.
+type VM struct {
+	Name    string
+	Process string // id of this start of its process
+	Address string // for the mesh, host:port
+	DC      string
+}
+
+// Directory lists the VMs of the system. It is safe for concurrent use.
+type Directory struct {
+	Self VM
+
+	mu     sync.Mutex
+	vms    map[string]VM       // guarded by mu, by name
+	orders map[string][]string // guarded by mu; cache by service
+}
+
+// Replace puts a whole list in force.
+func (d *Directory) Replace(list []VM) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.vms = make(map[string]VM, len(list))
+	for _, vm := range list {
+		d.vms[vm.Name] = vm
+	}
+	d.orders = nil
+}
+
+// Change takes in VMs that are new or were started again, and the names of
+// those that have left.
+func (d *Directory) Change(list []VM, gone []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.vms == nil {
+		d.vms = make(map[string]VM)
+	}
+	for _, vm := range list {
+		d.vms[vm.Name] = vm
+	}
+	for _, name := range gone {
+		delete(d.vms, name)
+	}
+	d.orders = nil
+}
+
+// Order is a Fleet: it returns the addresses of the VMs by which a service is
+// scheduled, by rendezvous hashing over their names. This VM is "".
+func (d *Directory) Order(service string) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if order, ok := d.orders[service]; ok {
+		return order
+	}
+	type scored struct {
+		vm    VM
+		score uint64
+	}
+	list := make([]scored, 0, len(d.vms)+1)
+	for _, vm := range d.vms {
+		if vm.Name != d.Self.Name {
+			list = append(list, scored{vm, xxhash.Sum64String(service + "\x00" + vm.Name)})
+		}
+	}
+	list = append(list, scored{d.Self, xxhash.Sum64String(service + "\x00" + d.Self.Name)})
+	slices.SortFunc(list, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.vm.Name, b.vm.Name))
+	})
+	order := make([]string, len(list))
+	for i, s := range list {
+		if s.vm.Name != d.Self.Name {
+			order[i] = s.vm.Address
+		}
+	}
+	if d.orders == nil {
+		d.orders = make(map[string][]string)
+	}
+	d.orders[service] = order
+	return order
+}
+
+// AddressOf returns the address of a process, "" if it is not listed.
+func (d *Directory) AddressOf(process string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, vm := range d.vms {
+		if vm.Process == process {
+			return vm.Address
+		}
+	}
+	return ""
+}
+
+// Others returns the addresses of the other VMs in the order of a key.
+func (d *Directory) Others(key string) []string {
+	return slices.DeleteFunc(slices.Clone(d.Order(key)), func(addr string) bool { return addr == "" })
+}
--- /dev/null
+++ b/internal/system/dispatch/dispatch.go
@@ -0,0 +1,384 @@
+// Package dispatch hands out the places of endpoints. For each service one VM,
+// chosen by hashing over the live VMs, knows how many requests run at each
+// endpoint and which wait. Two such VMs at once cost efficiency only: an
+// endpoint that is overbooked refuses or queues.
+package dispatch
+
+import (
+	"sync"
+	"time"
+
+	"ibisstall.example/ibisstall/internal/clock"
+	"ibisstall.example/ibisstall/internal/forward"
+	policy "ibisstall.example/ibisstall/internal/policy/dispatch"
+	"ibisstall.example/ibisstall/internal/policy/estimate"
+	"ibisstall.example/ibisstall/internal/policy/placement"
+)
+
+// Times of the scheduler.
+const (
+	// firstRest is how long an endpoint that could not be reached is left
+	// alone; it doubles up to longestRest.
+	firstRest   = 500 * time.Millisecond
+	longestRest = 4 * time.Second
+	// fullRest is how long an endpoint that was full is left alone: requests
+	// that this VM doesn't know of hold its places.
+	fullRest = 40 * time.Millisecond
+	// lostAfter is how long a place or a waiting request is kept for a VM
+	// that doesn't ask for it any more.
+	lostAfter = 400 * time.Millisecond
+	// permitSlack is how long beyond its deadline a permit that was not given
+	// back is counted.
+	permitSlack = 500 * time.Millisecond
+	// startRun is assumed of a request before one was measured.
+	startRun = 100 * time.Millisecond
+)
+
+// Ask is a request for a place. Times are relative, since clocks differ.
+type Ask struct {
+	Service  string
+	Request  string // for the log
+	DC       string // of the VM that asks
+	Deadline time.Duration
+	// Finish and LateFinish may be negative; HasFinish tells whether they
+	// are known.
+	Finish, LateFinish time.Duration
+	HasFinish          bool
+	Priority           int
+	First              bool
+	Prefixes           []uint64 // names of the prompt's prefixes
+	PartTokens         []int32  // tokens that each adds
+	AnswerTokens       int
+	Avoid              []string // endpoints not to use
+}
+
+// State tells what became of a request for a place.
+type State int
+
+// The states.
+const (
+	Waiting State = iota
+	Granted
+	Refused
+)
+
+// Answer is the state of an Ask.
+type Answer struct {
+	State      State
+	Ticket     uint64
+	Endpoint   string // id, once granted
+	Address    string
+	Waited     time.Duration
+	RetryAfter time.Duration // of a refusal
+	Reason     string        // of a refusal
+}
+
+// Result tells how the use of a place ended.
+type Result int
+
+// The results.
+const (
+	Done        Result = iota
+	Failed             // the endpoint broke the request off
+	Full               // it had no room
+	Unreachable        // it could not be connected to
+	Abandoned          // the caller left
+)
+
+// Release gives a place back.
+type Release struct {
+	Ticket uint64
+	Result Result
+	Run    time.Duration // from sending to the end
+	First  time.Duration // from sending to the first byte
+	Tokens int           // generated
+}
+
+// Scheduler hands out the places of endpoints of all services. It is safe for
+// concurrent use.
+type Scheduler struct {
+	clock  clock.Clock
+	cfg    policy.Config
+	placer placement.Placer
+
+	mu     sync.Mutex
+	pools  map[string]*pool    // by service
+	places map[uint64]*request // by ticket
+	ticket uint64
+}
+
+// pool is a service.
+type pool struct {
+	endpoints map[string]*endpoint
+	waiting   []*request
+	run       time.Duration // mean time that a place is held
+}
+
+type endpoint struct {
+	forward.Endpoint
+	running   int
+	restUntil time.Duration
+	rest      time.Duration
+	rates     estimate.Rates
+	health    estimate.Health
+	prompts   *promptCache
+}
+
+// request is an Ask and what became of it.
+type request struct {
+	ask      Ask
+	task     policy.Task
+	pool     *pool
+	at       *endpoint // nil while it waits
+	answer   Answer
+	done     chan struct{} // closed once it is granted or refused
+	seen     time.Duration // when the asking VM was last heard of
+	fetched  bool          // the asking VM has the grant
+	held     int           // prompt tokens that the endpoint was believed to hold
+	refusals int
+}
+
+// NewScheduler returns a scheduler without endpoints. The ticket numbers of
+// two processes differ by their start.
+func NewScheduler(c clock.Clock, cfg policy.Config) *Scheduler {
+	return &Scheduler{
+		clock: c, cfg: cfg,
+		placer: placement.New(placement.KindSeconds, placement.Config{
+			RecomputeCost: 1, EvictionCost: 0.5, TieSeconds: 0,
+		}),
+		pools:  make(map[string]*pool),
+		places: make(map[uint64]*request),
+		ticket: uint64(c.Wall().UnixNano()),
+	}
+}
+
+// SetEndpoints puts the list of live endpoints in force. kvTokens is the prompt
+// cache of each service's endpoints in tokens.
+func (s *Scheduler) SetEndpoints(list []forward.Endpoint, kvTokens map[string]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listed := make(map[string]bool, len(list))
+	for _, e := range list {
+		listed[e.ID] = true
+		s.setEndpoint(e, kvTokens[e.Service])
+	}
+	for _, p := range s.pools {
+		for id, e := range p.endpoints {
+			if !listed[id] || e.Service != "" && s.pools[e.Service] != p {
+				delete(p.endpoints, id)
+			}
+		}
+	}
+	for _, p := range s.pools {
+		s.fill(p)
+	}
+}
+
+func (s *Scheduler) setEndpoint(e forward.Endpoint, kvTokens int) {
+	p := s.pool(e.Service)
+	known := p.endpoints[e.ID]
+	if known == nil || known.Born != e.Born || known.Address != e.Address {
+		known = &endpoint{rates: estimate.Rates{PrefillRate: startPrefill}}
+		p.endpoints[e.ID] = known
+	}
+	known.Endpoint = e
+	if kvTokens > 0 && known.prompts == nil {
+		known.prompts = newPromptCache(kvTokens)
+	}
+}
+
+func (s *Scheduler) pool(service string) *pool {
+	p := s.pools[service]
+	if p == nil {
+		p = &pool{endpoints: make(map[string]*endpoint), run: startRun}
+		s.pools[service] = p
+	}
+	return p
+}
+
+// Ask asks for a place. The answer is final unless its state is Waiting.
+func (s *Scheduler) Ask(a Ask) Answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	p := s.pool(a.Service)
+	s.ticket++
+	r := &request{ask: a, pool: p, done: make(chan struct{}), seen: now}
+	r.answer.Ticket = s.ticket
+	r.task = policy.Task{
+		Arrived: now, Deadline: now + a.Deadline, Priority: a.Priority, First: a.First,
+	}
+	if a.HasFinish {
+		r.task.Finish, r.task.LateFinish = now+a.Finish, now+a.LateFinish
+	}
+	if reason := s.hopeless(p, r, now); reason != "" {
+		s.refuse(r, now, reason)
+		return r.answer
+	}
+	s.places[r.answer.Ticket] = r
+	p.waiting = append(p.waiting, r)
+	s.fill(p)
+	if r.answer.State == Waiting {
+		s.shed(p, now)
+	}
+	r.fetched = r.answer.State != Waiting
+	if r.answer.State == Refused {
+		delete(s.places, r.answer.Ticket)
+	}
+	return r.answer
+}
+
+// hopeless tells why a request can't be served at all.
+func (s *Scheduler) hopeless(p *pool, r *request, now time.Duration) string {
+	usable := 0
+	for _, e := range p.endpoints {
+		if e.usable(r.ask.Avoid, now) {
+			usable++
+		}
+	}
+	if usable == 0 {
+		return "no endpoint"
+	}
+	return ""
+}
+
+// usable reports whether an endpoint may get requests at all.
+func (e *endpoint) usable(avoid []string, now time.Duration) bool {
+	if e.Leaving {
+		return false
+	}
+	for _, id := range avoid {
+		if id == e.ID {
+			return false
+		}
+	}
+	return e.restUntil <= now+fullRest
+}
+
+// Done returns a channel that closes when a waiting request is decided, or nil
+// for an unknown ticket.
+func (s *Scheduler) Done(ticket uint64) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.places[ticket]
+	if r == nil {
+		return nil
+	}
+	r.seen = s.clock.Now()
+	return r.done
+}
+
+// Fetch returns the present answer to a ticket; an unknown one is refused.
+func (s *Scheduler) Fetch(ticket uint64) Answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.places[ticket]
+	if r == nil {
+		return Answer{State: Refused, Ticket: ticket, Reason: "unknown ticket"}
+	}
+	r.seen = s.clock.Now()
+	if r.answer.State == Refused {
+		delete(s.places, ticket)
+	}
+	r.fetched = r.answer.State == Granted
+	return r.answer
+}
+
+// Release gives a place back, or takes a waiting request out. An unknown
+// ticket is no error: its time may have run out.
+func (s *Scheduler) Release(rel Release) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.places[rel.Ticket]
+	if r == nil {
+		return
+	}
+	now := s.clock.Now()
+	s.drop(r)
+	if r.at != nil {
+		r.at.ended(r, rel, now)
+		if rel.Result == Done && rel.Run > 0 {
+			r.pool.run = blend(r.pool.run, rel.Run)
+		}
+	}
+	s.fill(r.pool)
+}
+
+// blendWeight is the weight of a new sample in the mean run time of a service.
+const blendWeight = 0.05
+
+func blend(old, sample time.Duration) time.Duration {
+	return old + time.Duration(blendWeight*float64(sample-old))
+}
+
+// drop forgets a request and frees its place.
+func (s *Scheduler) drop(r *request) {
+	delete(s.places, r.answer.Ticket)
+	if r.at != nil {
+		r.at.running--
+		return
+	}
+	p := r.pool
+	for i, w := range p.waiting {
+		if w == r {
+			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// ended takes in what the end of a request tells of its endpoint.
+func (e *endpoint) ended(r *request, rel Release, now time.Duration) {
+	switch rel.Result {
+	case Done:
+		e.rest = 0
+		prompt := 0
+		for _, n := range r.ask.PartTokens {
+			prompt += int(n)
+		}
+		e.rates = e.rates.Observe(estimate.Call{
+			FirstToken: rel.First, Total: rel.Run, Prefilled: int64(prompt - r.held), Generated: int64(rel.Tokens),
+		})
+	case Full:
+		e.restUntil = max(e.restUntil, now+fullRest)
+	case Unreachable:
+		e.rest = min(max(firstRest, 2*e.rest), longestRest)
+		e.restUntil = now + e.rest
+		if e.prompts != nil {
+			e.prompts.clear()
+		}
+	}
+	if rel.Result == Done || rel.Result == Failed {
+		e.health = e.health.Observe(estimate.DefaultHealthConfig(), rel.Result == Failed, time.Unix(0, int64(now)))
+	}
+}
+
+// Tick refuses requests whose wait has become too long and frees the places of
+// VMs that are gone.
+func (s *Scheduler) Tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	for _, r := range s.places {
+		lost := !r.fetched && now-r.seen > lostAfter
+		expired := now > r.task.Deadline+permitSlack
+		if lost || expired {
+			s.drop(r)
+		}
+	}
+	for _, p := range s.pools {
+		s.fill(p)
+		s.shed(p, now)
+	}
+}
+
+// Waiting returns the number of waiting requests.
+func (s *Scheduler) Waiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, p := range s.pools {
+		n += len(p.waiting)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/system/dispatch/fill.go
@@ -0,0 +1,146 @@
+package dispatch
+
+import (
+	"sort"
+	"time"
+
+	policy "ibisstall.example/ibisstall/internal/policy/dispatch"
+	"ibisstall.example/ibisstall/internal/policy/placement"
+)
+
+const (
+	// startPrefill is the prompt tokens a second that are assumed of an
+	// engine before it is measured.
+	startPrefill = 50_000
+	// startToken is the time for one token that is assumed before.
+	startToken = 3 * time.Millisecond
+	// farPenalty multiplies the time at an endpoint of another data centre,
+	// so that equal ones are taken nearby: bytes between data centres cost.
+	farPenalty = 1.03
+)
+
+// fill gives free places to the waiting requests, the best ranked first.
+func (s *Scheduler) fill(p *pool) {
+	if len(p.waiting) == 0 {
+		return
+	}
+	now := s.clock.Now()
+	if len(p.waiting) > 1 {
+		sort.SliceStable(p.waiting, func(i, j int) bool {
+			return policy.Before(&p.waiting[i].task, &p.waiting[j].task, now, p.run)
+		})
+	}
+	kept := p.waiting[:0]
+	for _, r := range p.waiting {
+		if !s.place(p, r, now) {
+			kept = append(kept, r)
+		}
+	}
+	clear(p.waiting[len(kept):])
+	p.waiting = kept
+}
+
+// place gives a request a free place, if there is one that it may use.
+func (s *Scheduler) place(p *pool, r *request, now time.Duration) bool {
+	candidates := make([]placement.Candidate, 0, len(p.endpoints))
+	for _, e := range p.endpoints {
+		if e.running < e.Slots && e.restUntil <= now && e.usable(r.ask.Avoid, now) {
+			candidates = append(candidates, e.candidate(p, r, now))
+		}
+	}
+	if len(candidates) == 0 {
+		return false
+	}
+	call := placement.Call{AnswerTokens: int64(r.ask.AnswerTokens)}
+	for _, n := range r.ask.PartTokens {
+		call.PromptTokens += int64(n)
+	}
+	choice, ok := s.placer.Place(call, candidates)
+	if !ok {
+		return false
+	}
+	s.grant(r, p.endpoints[candidates[choice.Index].Name], now)
+	return true
+}
+
+// candidate describes an endpoint with a free place for a request.
+func (e *endpoint) candidate(p *pool, r *request, now time.Duration) placement.Candidate {
+	c := placement.Candidate{
+		Name: e.ID, Running: e.running, Permits: e.Slots, CallTime: p.run,
+		PrefillRate: e.rates.PrefillRate, TokenTime: e.rates.TokenTime,
+		Penalty: 1 + float64(e.running)/float64(max(1, e.Slots))*fullness,
+		Sick:    e.health.Sick(), Probe: e.health.ProbeDue(time.Unix(0, int64(now))),
+	}
+	if c.TokenTime == 0 {
+		c.TokenTime = startToken
+	}
+	if r.ask.AnswerTokens == 0 {
+		// A plain service: its run time stands for the decoding.
+		c.TokenTime = 0
+		c.PrefillRate = 0
+		c.Penalty *= 1
+	}
+	if e.prompts != nil {
+		c.Held = int64(e.prompts.held(r.ask.Prefixes, r.ask.PartTokens))
+	}
+	if e.DC != r.ask.DC {
+		c.Penalty *= farPenalty
+	}
+	return c
+}
+
+// fullness is the share by which a request takes longer at an endpoint whose
+// places are all taken but one than at an idle one.
+const fullness = 0.1
+
+func (s *Scheduler) grant(r *request, e *endpoint, now time.Duration) {
+	e.running++
+	if e.health.Sick() {
+		e.health = e.health.Probed(time.Unix(0, int64(now)))
+	}
+	if e.prompts != nil {
+		r.held = e.prompts.held(r.ask.Prefixes, r.ask.PartTokens)
+		e.prompts.sent(r.ask.Prefixes, r.ask.PartTokens)
+	}
+	r.at = e
+	r.answer.State = Granted
+	r.answer.Endpoint, r.answer.Address = e.ID, e.Address
+	r.answer.Waited = now - r.task.Arrived
+	r.seen = now
+	close(r.done)
+}
+
+// shed refuses the waiting requests whose estimated wait is longer than they
+// can bear. The waiting requests are sorted by rank.
+func (s *Scheduler) shed(p *pool, now time.Duration) {
+	capacity := p.capacity(now)
+	kept := p.waiting[:0]
+	for _, r := range p.waiting {
+		waits := capacity.WaitBehind(len(kept))
+		if waits <= policy.Patience(s.cfg, &r.task, now, p.run) {
+			kept = append(kept, r)
+			continue
+		}
+		s.refuse(r, now, "overloaded")
+	}
+	clear(p.waiting[len(kept):])
+	p.waiting = kept
+}
+
+func (p *pool) capacity(now time.Duration) policy.Capacity {
+	c := policy.Capacity{Run: p.run}
+	for _, e := range p.endpoints {
+		if e.usable(nil, now) && !e.health.Sick() {
+			c.Places += e.Slots
+		}
+	}
+	return c
+}
+
+func (s *Scheduler) refuse(r *request, now time.Duration, reason string) {
+	r.answer.State = Refused
+	r.answer.Reason = reason
+	r.answer.Waited = now - r.task.Arrived
+	r.answer.RetryAfter = policy.RetryAfter(s.cfg, r.pool.capacity(now), len(r.pool.waiting))
+	close(r.done)
+}
--- /dev/null
+++ b/internal/system/dispatch/service.go
@@ -0,0 +1,51 @@
+package dispatch
+
+import (
+	"time"
+
+	"ibisstall.example/ibisstall/internal/mesh"
+)
+
+// serviceName names the net/rpc service.
+const serviceName = "Dispatch"
+
+// holdTime is how long an Await of a waiting request is held before it is
+// answered, so that the VM that asks notices a frozen scheduler.
+const holdTime = 150 * time.Millisecond
+
+// service is the net/rpc face of a Scheduler.
+type service struct{ scheduler *Scheduler }
+
+// Register publishes a scheduler to the other VMs.
+func Register(server *mesh.Server, s *Scheduler) error {
+	return server.Register(serviceName, &service{s})
+}
+
+// Ask asks for a place and returns at once.
+func (v *service) Ask(a Ask, out *Answer) error {
+	*out = v.scheduler.Ask(a)
+	return nil
+}
+
+// Await returns once a waiting request is decided, or still waiting after
+// holdTime.
+func (v *service) Await(ticket uint64, out *Answer) error {
+	if done := v.scheduler.Done(ticket); done != nil {
+		hold := time.NewTimer(holdTime)
+		defer hold.Stop()
+		select {
+		case <-done:
+		case <-hold.C:
+		}
+	}
+	*out = v.scheduler.Fetch(ticket)
+	return nil
+}
+
+// Release gives places back.
+func (v *service) Release(list []Release, _ *bool) error {
+	for _, r := range list {
+		v.scheduler.Release(r)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/system/forwarder/exchange.go
@@ -0,0 +1,387 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"ibisstall.example/ibisstall/internal/forward"
+	"ibisstall.example/ibisstall/internal/httpconn"
+	"ibisstall.example/ibisstall/internal/logging/tag"
+	"ibisstall.example/ibisstall/internal/system/dispatch"
+)
+
+// errEndpointGone means that an endpoint has ended or can't be reached.
+var errEndpointGone = errors.New("endpoint gone")
+
+// errCaller means that the caller doesn't take its answer.
+var errCaller = errors.New("caller gone")
+
+// exchange is one request and its answer.
+type exchange struct {
+	f          *Forwarder
+	w          http.ResponseWriter
+	req        *forward.Request
+	ctx        context.Context
+	route      *forward.Route
+	service    *forward.Service
+	deadline   time.Time
+	lateFinish time.Time
+	first      bool
+
+	avoid     []string // endpoints not to use again
+	notRun    int      // endpoints that proved not to have run it
+	runs      int      // endpoints that may have run it
+	resumes   int
+	retryHint time.Duration
+
+	started   bool   // an answer's header has gone to the caller
+	done      bool   // the answer is complete
+	lastEvent string // last event passed on
+	events    int    // events passed on
+	status    int
+	reason    string // of an answer of our own
+	cause     error
+	endpoint  string
+	waited    time.Duration
+	firstByte time.Duration
+}
+
+// splitKey decides which share of a split route serves a request: all of a
+// program's are served by one.
+func splitKey(req *forward.Request) uint64 {
+	key := req.Program
+	if key == "" {
+		key = req.ID
+	}
+	return xxhash.Sum64String(key)
+}
+
+// next makes one attempt and reports whether another one is due.
+func (x *exchange) next() bool {
+	if x.ctx.Err() != nil || time.Until(x.deadline) < leastUseful {
+		x.giveUp(context.DeadlineExceeded)
+		return false
+	}
+	place, err := x.f.Places.Acquire(x.ctx, x.ask())
+	if err != nil {
+		x.giveUp(err)
+		return false
+	}
+	x.endpoint = place.Endpoint
+	x.waited += place.Waited
+	return x.use(place)
+}
+
+// use sends the request to the endpoint of a place, again while the endpoint
+// lives and the answer breaks off, and gives the place back. It reports whether
+// another endpoint should be tried.
+func (x *exchange) use(place *dispatch.Place) bool {
+	start := time.Now()
+	ran := false
+	for {
+		outcome, err := x.attempt(place)
+		x.cause = err
+		result := dispatch.Release{Run: time.Since(start), First: x.firstByte, Tokens: x.events * x.service.TokensPerEvent}
+		if outcome == broken && !ran {
+			ran = true
+			x.runs++
+		}
+		if outcome == broken && x.mayResume() && x.f.Pool.Reachable(x.ctx, place.Address) {
+			x.resumes++
+			x.f.Log.Debug("request resumed", tag.Request(x.req.ID), tag.Endpoint(place.Endpoint), tag.Error(err))
+			continue
+		}
+		switch outcome {
+		case complete:
+			result.Result = dispatch.Done
+		case broken:
+			result.Result = dispatch.Failed
+			if errors.Is(err, errEndpointGone) {
+				result.Result = dispatch.Unreachable
+			}
+		case full:
+			result.Result = dispatch.Full
+		case unreachable, elsewhere:
+			result.Result = dispatch.Unreachable
+			x.f.avoid(place.Endpoint, time.Now().Add(unreachableRest))
+		case abandoned:
+			result.Result = dispatch.Abandoned
+		}
+		place.Release(result)
+		return x.again(outcome, place.Endpoint, err)
+	}
+}
+
+// mayResume reports whether a request that broke off may be sent again.
+func (x *exchange) mayResume() bool {
+	return x.route.Repeatable() && x.resumes < maxResumes && x.ctx.Err() == nil &&
+		time.Until(x.deadline) >= leastUseful
+}
+
+// again decides what follows an attempt: it ends the exchange or asks for
+// another endpoint.
+func (x *exchange) again(o outcome, endpoint string, err error) bool {
+	switch o {
+	case complete:
+		x.done = true
+		return false
+	case abandoned:
+		x.giveUp(err)
+		return false
+	case full, unreachable, elsewhere:
+		x.notRun++
+		x.avoid = append(x.avoid, endpoint)
+		if x.notRun >= maxNotRun {
+			x.giveUp(err)
+			return false
+		}
+		return true
+	default: // broken
+		x.avoid = append(x.avoid, endpoint)
+		// An endpoint that has ended doesn't count among those that the
+		// request may run on; one that lives does.
+		if !x.mayResume() || !errors.Is(err, errEndpointGone) && x.runs >= max(1, x.route.MaxEndpoints) {
+			x.giveUp(err)
+			return false
+		}
+		x.resumes++
+		return true
+	}
+}
+
+// ask describes the request for the scheduler.
+func (x *exchange) ask() dispatch.Ask {
+	now := time.Now()
+	req := x.req
+	a := dispatch.Ask{
+		Service: x.service.Name, Request: req.ID, DC: x.f.DC, Deadline: x.deadline.Sub(now),
+		Priority: x.route.Priority, First: x.first, Prefixes: req.Prefixes(),
+		Avoid: append(x.f.avoided(now), x.avoid...),
+	}
+	if !req.Finish.IsZero() {
+		a.HasFinish, a.Finish = true, req.Finish.Sub(now)
+		a.LateFinish = max(a.Finish, x.lateFinish.Sub(now))
+	}
+	for _, p := range req.Prompt {
+		a.PartTokens = append(a.PartTokens, int32(p.Tokens))
+	}
+	if x.route.Kind == forward.Stream {
+		a.AnswerTokens = max(1, req.MaxTokens)
+		if req.LengthHint > 0 {
+			a.AnswerTokens = min(a.AnswerTokens, req.LengthHint)
+		}
+	}
+	return a
+}
+
+// giveUp answers a request that no endpoint will complete. What is promised
+// follows from whether it may have run.
+func (x *exchange) giveUp(err error) {
+	x.cause = err
+	if x.done || errors.Is(err, errCaller) || errors.Is(err, context.Canceled) {
+		x.reason = "caller gone"
+		return
+	}
+	retry := busyRetry
+	var refused *dispatch.RefusedError
+	if errors.As(err, &refused) {
+		retry = refused.RetryAfter
+	}
+	late := errors.Is(err, context.DeadlineExceeded)
+	switch {
+	case x.started:
+		x.reason = "answer broken off"
+	case x.runs > 0 && late:
+		x.refuse(http.StatusGatewayTimeout, "timed out at the endpoint", 0)
+	case x.runs > 0:
+		x.refuse(http.StatusBadGateway, "endpoint broke off", 0)
+	case late:
+		x.refuse(http.StatusServiceUnavailable, "timed out before it ran", retry)
+	default:
+		x.refuse(http.StatusServiceUnavailable, "no endpoint had room", retry)
+	}
+}
+
+// refuse sends an answer of our own. Statuses other than 502 and 504 promise
+// that the request has not run.
+func (x *exchange) refuse(status int, reason string, retryAfter time.Duration) {
+	x.status, x.reason, x.started, x.done = status, reason, true, true
+	h := x.w.Header()
+	h.Set("Content-Type", "application/json")
+	if status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	}
+	x.w.WriteHeader(status)
+	fmt.Fprintf(x.w, `{"error":{"type":%q,"message":%q}}`+"\n", http.StatusText(status), reason)
+}
+
+// finish logs and measures the exchange, and breaks off an answer that is not
+// complete.
+func (x *exchange) finish() {
+	took := time.Since(x.req.Arrived)
+	x.f.Meters.observe(x, took)
+	fields := []zap.Field{
+		tag.Request(x.req.ID), tag.Status(x.status), tag.Duration(took), tag.Waited(x.waited), tag.Endpoint(x.endpoint),
+		tag.Attempts(x.runs + x.notRun),
+	}
+	if x.req.Program != "" {
+		fields = append(fields, tag.ForwardedProgram(x.req.Program))
+	}
+	if x.reason != "" {
+		fields = append(fields, tag.Reason(x.reason))
+	}
+	if x.cause != nil {
+		fields = append(fields, tag.Error(x.cause))
+	}
+	x.f.Log.Info("request", fields...)
+	if x.started && !x.done {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// outcome is how an attempt at one endpoint ended.
+type outcome int
+
+const (
+	complete    outcome = iota
+	broken              // it may have run, and its answer is not complete
+	full                // the endpoint had no room: not run
+	unreachable         // nothing was sent
+	elsewhere           // another endpoint has the address: not run
+	abandoned           // the caller left or its time is over
+)
+
+// attempt sends the request once and passes on the answer.
+func (x *exchange) attempt(place *dispatch.Place) (outcome, error) {
+	conn, err := x.f.Pool.Get(x.ctx, place.Address, x.resumes > 0)
+	if err != nil {
+		if x.ctx.Err() != nil {
+			return abandoned, x.ctx.Err()
+		}
+		return unreachable, err
+	}
+	// Closing the connection is what cancels the request at the endpoint.
+	stop := context.AfterFunc(x.ctx, func() { conn.Close() })
+	defer stop()
+	conn.Limit = x.deadline
+	conn.Silence = silenceLimit
+	conn.OnSilence = func() error {
+		if x.ctx.Err() == nil && !x.f.Pool.Reachable(x.ctx, place.Address) {
+			return errEndpointGone
+		}
+		return nil
+	}
+	start := time.Now()
+	err = conn.Send(x.outgoing(place))
+	if err == nil {
+		var resp *http.Response
+		if resp, err = conn.Receive(x.req.Method, x.own); err == nil {
+			x.firstByte = time.Since(start)
+			return x.answer(conn, resp)
+		}
+	}
+	conn.Close()
+	switch {
+	case errors.Is(err, httpconn.ErrNotSent):
+		return unreachable, err
+	case x.ctx.Err() != nil:
+		x.runs++
+		return abandoned, x.ctx.Err()
+	default:
+		return broken, err
+	}
+}
+
+// own tells whether an answer belongs to the request: refusals carry no id.
+func (x *exchange) own(resp *http.Response) bool {
+	id := resp.Header.Get(x.f.Dialect.RequestID)
+	return id == x.req.ID || id == "" && x.refused(resp)
+}
+
+// refused reports whether an answer promises that the request has not run.
+func (x *exchange) refused(resp *http.Response) bool {
+	return resp.Header.Get(x.f.Dialect.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest
+}
+
+// outgoing is the request as the endpoint gets it.
+func (x *exchange) outgoing(place *dispatch.Place) *httpconn.Request {
+	h := make(http.Header, len(x.req.Header)+4)
+	for name, values := range x.req.Header {
+		h[name] = values
+	}
+	d := &x.f.Dialect
+	h[d.Deadline] = []string{strconv.FormatInt(max(1, time.Until(x.deadline).Milliseconds()), 10)}
+	h[d.ExpectEndpoint] = []string{place.Endpoint}
+	if x.lastEvent != "" {
+		h[d.LastEvent] = []string{x.lastEvent}
+	}
+	return &httpconn.Request{
+		Method: x.req.Method, Target: x.req.Target, Host: x.req.Host, Header: h, Body: x.req.Body,
+	}
+}
+
+// answer passes an answer on to the caller.
+func (x *exchange) answer(conn *httpconn.Conn, resp *http.Response) (outcome, error) {
+	if x.refused(resp) {
+		return x.refusal(conn, resp)
+	}
+	if promisesNotRun(resp.StatusCode) {
+		// Without proof that it didn't run, the promise can't be passed on.
+		conn.Close()
+		return broken, fmt.Errorf("endpoint answered %d without proof", resp.StatusCode)
+	}
+	if x.started && resp.StatusCode != http.StatusOK {
+		conn.Close()
+		return broken, fmt.Errorf("endpoint answered %d to the resumed request", resp.StatusCode)
+	}
+	var err error
+	if x.route.Kind == forward.Stream && resp.StatusCode == http.StatusOK {
+		err = x.stream(resp)
+	} else {
+		err = x.whole(resp)
+	}
+	if err == nil {
+		conn.Release(resp)
+		return complete, nil
+	}
+	conn.Close()
+	if errors.Is(err, errCaller) || x.ctx.Err() != nil {
+		x.runs++
+		if x.ctx.Err() != nil {
+			err = x.ctx.Err()
+		}
+		return abandoned, err
+	}
+	return broken, err
+}
+
+// promisesNotRun reports whether callers take a status as a promise.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusPaymentRequired:
+		return true
+	}
+	return false
+}
+
+// refusal takes in an answer that promises that nothing has run.
+func (x *exchange) refusal(conn *httpconn.Conn, resp *http.Response) (outcome, error) {
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		conn.Close()
+	} else {
+		conn.Release(resp)
+	}
+	err := fmt.Errorf("endpoint refused with %d", resp.StatusCode)
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		return elsewhere, err
+	}
+	return full, err
+}
--- /dev/null
+++ b/internal/system/forwarder/forwarder.go
@@ -0,0 +1,174 @@
+// Package forwarder passes requests of callers on to endpoints: it gets each a
+// place and, where it is a program's turn, tokens of the program's budget,
+// sends it, and carries the answer back. A request whose outcome is known to be
+// "not run" goes to another endpoint; one that broke off is repeated or resumed
+// where its route allows.
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ibisstall.example/ibisstall/internal/forward"
+	"ibisstall.example/ibisstall/internal/httpconn"
+	"ibisstall.example/ibisstall/internal/system/dispatch"
+	"ibisstall.example/ibisstall/internal/system/tokenbudget"
+)
+
+const (
+	// maxNotRun bounds the endpoints that are tried for one request while each
+	// proves that it has not run it.
+	maxNotRun = 4
+	// maxResumes bounds how often one request is sent again after it broke off.
+	maxResumes = 4
+	// silenceLimit is the time without bytes after which an endpoint is
+	// probed over a new connection.
+	silenceLimit = 700 * time.Millisecond
+	// leastUseful is the time below which no endpoint is asked any more.
+	leastUseful = 10 * time.Millisecond
+	// busyRetry is what a caller is told to wait when nothing better is known.
+	busyRetry = 300 * time.Millisecond
+	// unreachableRest is how long this VM avoids an endpoint that it could
+	// not connect to.
+	unreachableRest = 500 * time.Millisecond
+	// lateFactor times its objective is the time in which a program's end
+	// still has some use.
+	lateFactor = 2
+)
+
+// Dialect names the headers by which endpoints and this system talk.
+type Dialect struct {
+	RequestID      string // id of the attempt, echoed in the answer
+	Deadline       string // milliseconds that are left
+	ExpectEndpoint string // id of the endpoint that may run the request
+	NotRun         string // marks an answer that promises that nothing ran
+	LastEvent      string // resume after this event
+}
+
+// Budgets keeps the token budgets of programs.
+type Budgets interface {
+	Seen(program string, now, finish time.Time) (ran bool, started, objective time.Time)
+	Reserve(ctx context.Context, program string, budget, tokens int64) (*tokenbudget.Reservation, error)
+}
+
+// Places hands out places at endpoints.
+type Places interface {
+	Acquire(ctx context.Context, ask dispatch.Ask) (*dispatch.Place, error)
+}
+
+// Forwarder serves requests. It is safe for concurrent use.
+type Forwarder struct {
+	DC      string
+	Dialect Dialect
+	Config  func() *forward.Config // nil before one is known
+	Places  Places
+	Budgets Budgets
+	Pool    *httpconn.Pool
+	Log     *zap.Logger
+	Meters  *Meters
+
+	running atomic.Int64
+
+	mu          sync.Mutex
+	unreachable map[string]time.Time // guarded by mu; endpoint to the end of its rest
+}
+
+// Running returns the number of requests under way.
+func (f *Forwarder) Running() int64 { return f.running.Load() }
+
+// Serve answers a request. It panics with http.ErrAbortHandler where an answer
+// that was begun can't be completed, so that it doesn't look complete.
+func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, req *forward.Request) {
+	f.running.Add(1)
+	defer f.running.Add(-1)
+	x := &exchange{f: f, w: w, req: req}
+	defer x.finish()
+	cfg := f.Config()
+	if cfg == nil {
+		x.refuse(http.StatusServiceUnavailable, "no configuration yet", busyRetry)
+		return
+	}
+	x.route = cfg.Match(req.Host, path(req.Target))
+	if x.route == nil {
+		x.refuse(http.StatusNotFound, "no route", 0)
+		return
+	}
+	x.service = cfg.Services[x.route.ServiceOf(splitKey(req))]
+	if x.service == nil {
+		x.refuse(http.StatusServiceUnavailable, "no service", busyRetry)
+		return
+	}
+	x.deadline = req.Deadline
+	if t := req.Arrived.Add(x.route.Timeout); x.route.Timeout > 0 && t.Before(x.deadline) {
+		x.deadline = t
+	}
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	x.ctx = ctx
+	x.serve()
+}
+
+// avoided lists the endpoints that this VM can't reach now.
+func (f *Forwarder) avoided(now time.Time) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []string
+	for id, until := range f.unreachable {
+		if now.Before(until) {
+			list = append(list, id)
+		} else {
+			delete(f.unreachable, id)
+		}
+	}
+	return list
+}
+
+func (f *Forwarder) avoid(id string, until time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.unreachable == nil {
+		f.unreachable = make(map[string]time.Time)
+	}
+	f.unreachable[id] = until
+}
+
+// path returns the path of a request target without its query.
+func path(target string) string {
+	for i := range len(target) {
+		if target[i] == '?' {
+			return target[:i]
+		}
+	}
+	return target
+}
+
+// serve runs an exchange whose route is known.
+func (x *exchange) serve() {
+	req := x.req
+	if !req.Finish.IsZero() && req.Program != "" {
+		ran, started, objective := x.f.Budgets.Seen(req.Program, req.Arrived, req.Finish)
+		x.first = !ran && req.IsTurn()
+		x.lateFinish = objective.Add(objective.Sub(started) * (lateFactor - 1))
+	}
+	if req.IsTurn() && x.route.Kind == forward.Stream {
+		reservation, err := x.f.Budgets.Reserve(x.ctx, req.Program, req.Budget, int64(req.MaxTokens))
+		switch {
+		case errors.Is(err, tokenbudget.ErrSpent):
+			x.refuse(http.StatusPaymentRequired, "token budget spent", 0)
+			return
+		case err != nil:
+			x.cause = err
+			x.refuse(http.StatusServiceUnavailable, "token budget can't be read", busyRetry)
+			return
+		}
+		defer func() { reservation.Settle(int64(x.events) * int64(x.service.TokensPerEvent)) }()
+	}
+	for x.next() {
+	}
+}
