--- a/internal/logging/tag/tag.go
+++ b/internal/logging/tag/tag.go
@@ -109,3 +109,15 @@
 
 // Attempts is the number of endpoints that a request was sent to.
 func Attempts(n int) zap.Field { return zap.Int("attempts", n) }
+
+// Budget is the number of tokens that a program may generate.
+func Budget(tokens int64) zap.Field { return zap.Int64("budget_tokens", tokens) }
+
+// Taken is the part of a budget that VMs have taken as their shares.
+func Taken(tokens int64) zap.Field { return zap.Int64("taken_tokens", tokens) }
+
+// Left is what is left of the shares.
+func Left(tokens int64) zap.Field { return zap.Int64("left_tokens", tokens) }
+
+// Running is the tokens that running turns may still generate.
+func Running(tokens int64) zap.Field { return zap.Int64("running_tokens", tokens) }
--- a/internal/system/dispatch/client.go
+++ b/internal/system/dispatch/client.go
@@ -66,6 +66,7 @@
 // Place is a place at an endpoint. It must be given back once.
 type Place struct {
 	Endpoint, Address string
+	DC                string // of the endpoint
 	Waited            time.Duration
 	Scheduler         string // address of the VM that gave it; "" for this VM
 	ticket            uint64
@@ -117,7 +118,7 @@
 		return nil, &RefusedError{Reason: a.Reason, RetryAfter: a.RetryAfter, Waited: a.Waited}
 	}
 	return &Place{
-		Endpoint: a.Endpoint, Address: a.Address, Waited: a.Waited, Scheduler: addr, ticket: a.Ticket, client: c,
+		Endpoint: a.Endpoint, Address: a.Address, DC: a.DC, Waited: a.Waited, Scheduler: addr, ticket: a.Ticket, client: c,
 	}, nil
 }
 
--- a/internal/system/dispatch/directory.go
+++ b/internal/system/dispatch/directory.go
@@ -14,6 +14,7 @@
 	Process string // id of this start of its process
 	Address string // for the mesh, host:port
 	DC      string
+	Entry   uint64 // version of its entry in the list of VMs
 }
 
 // Directory lists the VMs of the system. It is safe for concurrent use.
@@ -54,7 +55,9 @@
 }
 
 // Order is a Fleet: it returns the addresses of the VMs by which a service is
-// scheduled, by rendezvous hashing over their names. This VM is "".
+// scheduled, by rendezvous hashing over their names. This VM is "". After the
+// preferred VM come those of this data centre, so that they agree on one while
+// the data centre is cut off.
 func (d *Directory) Order(service string) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -75,6 +78,9 @@
 	slices.SortFunc(list, func(a, b scored) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.vm.Name, b.vm.Name))
 	})
+	slices.SortStableFunc(list[1:], func(a, b scored) int {
+		return cmp.Compare(distance(a.vm.DC, d.Self.DC), distance(b.vm.DC, d.Self.DC))
+	})
 	order := make([]string, len(list))
 	for i, s := range list {
 		if s.vm.Name != d.Self.Name {
@@ -88,6 +94,13 @@
 	return order
 }
 
+func distance(dc, own string) int {
+	if dc == own {
+		return 0
+	}
+	return 1
+}
+
 // AddressOf returns the address of a process, "" if it is not listed.
 func (d *Directory) AddressOf(process string) string {
 	d.mu.Lock()
@@ -104,3 +117,16 @@
 func (d *Directory) Others(key string) []string {
 	return slices.DeleteFunc(slices.Clone(d.Order(key)), func(addr string) bool { return addr == "" })
 }
+
+// InDC returns the VMs of this data centre.
+func (d *Directory) InDC() []VM {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []VM
+	for _, vm := range d.vms {
+		if vm.DC == d.Self.DC {
+			list = append(list, vm)
+		}
+	}
+	return list
+}
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 package dispatch
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -50,6 +51,7 @@
 	PartTokens         []int32  // tokens that each adds
 	AnswerTokens       int
 	Avoid              []string // endpoints not to use
+	AvoidDCs           []string // data centres whose endpoints not to use
 }
 
 // State tells what became of a request for a place.
@@ -68,6 +70,7 @@
 	Ticket     uint64
 	Endpoint   string // id, once granted
 	Address    string
+	DC         string // of the endpoint
 	Waited     time.Duration
 	RetryAfter time.Duration // of a refusal
 	Reason     string        // of a refusal
@@ -232,7 +235,7 @@
 func (s *Scheduler) hopeless(p *pool, r *request, now time.Duration) string {
 	usable := 0
 	for _, e := range p.endpoints {
-		if e.usable(r.ask.Avoid, now) {
+		if e.usable(&r.ask, now) {
 			usable++
 		}
 	}
@@ -243,16 +246,8 @@
 }
 
 // usable reports whether an endpoint may get requests at all.
-func (e *endpoint) usable(avoid []string, now time.Duration) bool {
-	if e.Leaving {
-		return false
-	}
-	for _, id := range avoid {
-		if id == e.ID {
-			return false
-		}
-	}
-	return e.restUntil <= now+fullRest
+func (e *endpoint) usable(a *Ask, now time.Duration) bool {
+	return !e.Leaving && e.restUntil <= now+fullRest && !slices.Contains(a.Avoid, e.ID) && !slices.Contains(a.AvoidDCs, e.DC)
 }
 
 // Done returns a channel that closes when a waiting request is decided, or nil
--- a/internal/system/dispatch/fill.go
+++ b/internal/system/dispatch/fill.go
@@ -44,7 +44,7 @@
 func (s *Scheduler) place(p *pool, r *request, now time.Duration) bool {
 	candidates := make([]placement.Candidate, 0, len(p.endpoints))
 	for _, e := range p.endpoints {
-		if e.running < e.Slots && e.restUntil <= now && e.usable(r.ask.Avoid, now) {
+		if e.running < e.Slots && e.restUntil <= now && e.usable(&r.ask, now) {
 			candidates = append(candidates, e.candidate(p, r, now))
 		}
 	}
@@ -104,7 +104,7 @@
 	}
 	r.at = e
 	r.answer.State = Granted
-	r.answer.Endpoint, r.answer.Address = e.ID, e.Address
+	r.answer.Endpoint, r.answer.Address, r.answer.DC = e.ID, e.Address, e.DC
 	r.answer.Waited = now - r.task.Arrived
 	r.seen = now
 	close(r.done)
@@ -130,7 +130,7 @@
 func (p *pool) capacity(now time.Duration) policy.Capacity {
 	c := policy.Capacity{Run: p.run}
 	for _, e := range p.endpoints {
-		if e.usable(nil, now) && !e.health.Sick() {
+		if e.usable(&Ask{}, now) && !e.health.Sick() {
 			c.Places += e.Slots
 		}
 	}
--- a/internal/system/dispatch/prompts.go
+++ b/internal/system/dispatch/prompts.go
@@ -12,7 +12,7 @@
 
 type heldPrefix struct {
 	name   uint64
-	tokens int // beyond the prefix before it
+	tokens int // beyond the prefix before it; the last part of a line grows
 }
 
 func newPromptCache(capacity int) *promptCache {
@@ -23,10 +23,15 @@
 func (c *promptCache) held(prefixes []uint64, tokens []int32) int {
 	sum := 0
 	for i, name := range prefixes {
-		if c.byName[name] == nil || i >= len(tokens) {
+		e := c.byName[name]
+		if e == nil || i >= len(tokens) {
+			break
+		}
+		kept := e.Value.(*heldPrefix).tokens
+		sum += min(kept, int(tokens[i]))
+		if kept < int(tokens[i]) {
 			break
 		}
-		sum += int(tokens[i])
 	}
 	return sum
 }
@@ -35,15 +40,19 @@
 func (c *promptCache) sent(prefixes []uint64, tokens []int32) {
 	// The last prefix is touched first, so that its beginning outlives it.
 	for i := min(len(prefixes), len(tokens)) - 1; i >= 0; i-- {
+		n := int(tokens[i])
 		if e := c.byName[prefixes[i]]; e != nil {
 			c.recent.MoveToFront(e)
+			held := e.Value.(*heldPrefix)
+			c.size += n - held.tokens
+			held.tokens = n
 			continue
 		}
-		c.byName[prefixes[i]] = c.recent.PushFront(heldPrefix{prefixes[i], int(tokens[i])})
-		c.size += int(tokens[i])
+		c.byName[prefixes[i]] = c.recent.PushFront(&heldPrefix{prefixes[i], n})
+		c.size += n
 	}
 	for c.size > c.capacity && c.recent.Len() > 0 {
-		oldest := c.recent.Remove(c.recent.Back()).(heldPrefix)
+		oldest := c.recent.Remove(c.recent.Back()).(*heldPrefix)
 		delete(c.byName, oldest.name)
 		c.size -= oldest.tokens
 	}
--- a/internal/system/forwarder/answer.go
+++ b/internal/system/forwarder/answer.go
@@ -108,6 +108,9 @@
 		n, err := resp.Body.Read(chunk)
 		buf = append(buf, chunk[:n]...)
 		if end := eventsEnd(buf); end > 0 {
+			if x.maxEvents > 0 && x.events+bytes.Count(buf[:end], eventEnd) > x.maxEvents {
+				return fmt.Errorf("%w: the turn is longer than its budget", errCaller)
+			}
 			x.begin(resp)
 			x.note(buf[:end])
 			if werr := x.pass(flusher, buf[:end]); werr != nil {
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -46,6 +46,7 @@
 	done      bool   // the answer is complete
 	lastEvent string // last event passed on
 	events    int    // events passed on
+	maxEvents int    // that the budget allows to pass on; 0 for no bound
 	status    int
 	reason    string // of an answer of our own
 	cause     error
@@ -109,9 +110,11 @@
 			}
 		case full:
 			result.Result = dispatch.Full
-		case unreachable, elsewhere:
+		case unreachable:
+			result.Result = dispatch.Unreachable
+			x.f.reach.failed(place.Endpoint, place.DC, time.Now())
+		case elsewhere:
 			result.Result = dispatch.Unreachable
-			x.f.avoid(place.Endpoint, time.Now().Add(unreachableRest))
 		case abandoned:
 			result.Result = dispatch.Abandoned
 		}
@@ -161,10 +164,11 @@
 func (x *exchange) ask() dispatch.Ask {
 	now := time.Now()
 	req := x.req
+	endpoints, dcs := x.f.reach.avoided(now)
 	a := dispatch.Ask{
 		Service: x.service.Name, Request: req.ID, DC: x.f.DC, Deadline: x.deadline.Sub(now),
 		Priority: x.route.Priority, First: x.first, Prefixes: req.Prefixes(),
-		Avoid: append(x.f.avoided(now), x.avoid...),
+		Avoid: append(endpoints, x.avoid...), AvoidDCs: dcs,
 	}
 	if !req.Finish.IsZero() {
 		a.HasFinish, a.Finish = true, req.Finish.Sub(now)
@@ -242,7 +246,7 @@
 		fields = append(fields, tag.Error(x.cause))
 	}
 	x.f.Log.Info("request", fields...)
-	if x.started && !x.done {
+	if !x.done {
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -268,6 +272,7 @@
 		}
 		return unreachable, err
 	}
+	x.f.reach.reached(place.DC)
 	// Closing the connection is what cancels the request at the endpoint.
 	stop := context.AfterFunc(x.ctx, func() { conn.Close() })
 	defer stop()
--- a/internal/system/forwarder/forwarder.go
+++ b/internal/system/forwarder/forwarder.go
@@ -9,7 +9,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,9 +33,6 @@
 	leastUseful = 10 * time.Millisecond
 	// busyRetry is what a caller is told to wait when nothing better is known.
 	busyRetry = 300 * time.Millisecond
-	// unreachableRest is how long this VM avoids an endpoint that it could
-	// not connect to.
-	unreachableRest = 500 * time.Millisecond
 	// lateFactor times its objective is the time in which a program's end
 	// still has some use.
 	lateFactor = 2
@@ -74,9 +70,7 @@
 	Meters  *Meters
 
 	running atomic.Int64
-
-	mu          sync.Mutex
-	unreachable map[string]time.Time // guarded by mu; endpoint to the end of its rest
+	reach   reach
 }
 
 // Running returns the number of requests under way.
@@ -114,30 +108,6 @@
 	x.serve()
 }
 
-// avoided lists the endpoints that this VM can't reach now.
-func (f *Forwarder) avoided(now time.Time) []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var list []string
-	for id, until := range f.unreachable {
-		if now.Before(until) {
-			list = append(list, id)
-		} else {
-			delete(f.unreachable, id)
-		}
-	}
-	return list
-}
-
-func (f *Forwarder) avoid(id string, until time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.unreachable == nil {
-		f.unreachable = make(map[string]time.Time)
-	}
-	f.unreachable[id] = until
-}
-
 // path returns the path of a request target without its query.
 func path(target string) string {
 	for i := range len(target) {
@@ -167,6 +137,7 @@
 			x.refuse(http.StatusServiceUnavailable, "token budget can't be read", busyRetry)
 			return
 		}
+		x.maxEvents = int(reservation.Tokens()) / max(1, x.service.TokensPerEvent)
 		defer func() { reservation.Settle(int64(x.events) * int64(x.service.TokensPerEvent)) }()
 	}
 	for x.next() {
--- a/internal/system/tokenbudget/peers.go
+++ b/internal/system/tokenbudget/peers.go
@@ -3,8 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
+	"ibisstall.example/ibisstall/internal/logging/tag"
 	"ibisstall.example/ibisstall/internal/mesh"
 	"ibisstall.example/ibisstall/internal/platform"
 )
@@ -13,10 +18,17 @@
 const serviceName = "TokenBudget"
 
 const (
-	// recallLimit bounds the question for an unused share.
-	recallLimit = 150 * time.Millisecond
+	// reserveLimit bounds a reservation at another VM, which may wait for
+	// running turns.
+	reserveLimit = settleWait + 150*time.Millisecond
+	// allowLimit bounds a question to a keeper, which answers at once.
+	allowLimit = 150 * time.Millisecond
+	// silentRest is how long a VM that did not answer is left alone.
+	silentRest = time.Second
 	// relayLimit bounds one relayed call.
 	relayLimit = 400 * time.Millisecond
+	// tryAgain is the pause before a path that is out is tried again.
+	tryAgain = 150 * time.Millisecond
 	// maxRelays is the number of VMs that are asked to make a call.
 	maxRelays = 2
 )
@@ -38,31 +50,59 @@
 
 // service is the net/rpc face of a Ledger.
 type service struct {
-	ledger *Ledger
-	own    platform.Committer // this VM's own path to the table service
+	ledger     *Ledger
+	allowances *Allowances
+	store      *Relayed
+}
+
+// Register publishes a ledger, and a way to the table service, to the other
+// VMs.
+func Register(server *mesh.Server, l *Ledger, store *Relayed) error {
+	return server.Register(serviceName, &service{l, l.Allowances, store})
+}
+
+// Reserved is the answer to a reservation.
+type Reserved struct {
+	ID          uint64
+	Spent       bool // ErrSpent
+	Unavailable bool // ErrUnavailable
+	Elsewhere   bool // this VM is not the program's home
 }
 
-// Register publishes a ledger to the other VMs.
-func Register(server *mesh.Server, l *Ledger, own platform.Committer) error {
-	return server.Register(serviceName, &service{l, own})
+// Reserve makes a reservation for another VM.
+func (s *service) Reserve(ask Ask, out *Reserved) error {
+	ctx, cancel := context.WithTimeout(context.Background(), reserveLimit)
+	defer cancel()
+	id, err := s.ledger.reserveFor(ctx, ask)
+	out.ID = id
+	out.Spent = errors.Is(err, ErrSpent)
+	out.Elsewhere = errors.Is(err, errElsewhere)
+	out.Unavailable = err != nil && !out.Spent && !out.Elsewhere
+	return nil
 }
 
-// Recall gives up what is left of the share of a program.
-func (s *service) Recall(program string, left *int64) error {
-	*left = s.ledger.Surrender(program)
+// Settled ends a reservation.
+type Settled struct {
+	ID        uint64
+	Generated int64
+}
+
+// Settle ends a reservation of another VM.
+func (s *service) Settle(end Settled, _ *bool) error {
+	s.ledger.settleFor(end.ID, end.Generated)
 	return nil
 }
 
 // Relay makes a call for a VM that can't reach the table service.
 func (s *service) Relay(call RelayCall, out *RelayResult) error {
-	ctx, cancel := context.WithTimeout(context.Background(), relayLimit)
-	defer cancel()
-	var err error
-	if len(call.Writes) > 0 {
-		out.Version, err = s.own.CommitAt(ctx, call.Writes)
-	} else {
-		out.Rows, err = s.own.Get(ctx, call.Keys)
-	}
+	err := s.store.own(context.Background(), func(ctx context.Context) (err error) {
+		if len(call.Writes) > 0 {
+			out.Version, err = s.store.Own.CommitAt(ctx, call.Writes)
+		} else {
+			out.Rows, err = s.store.Own.Get(ctx, call.Keys)
+		}
+		return err
+	})
 	var conflict *platform.ConflictError
 	out.Conflict = errors.As(err, &conflict)
 	out.Unknown = err != nil && !out.Conflict && !errors.Is(err, platform.ErrUnavailable)
@@ -85,25 +125,76 @@
 // Mesh reaches the ledgers of other VMs.
 type Mesh struct {
 	Client *mesh.Client
+	Log    *zap.Logger
 	// AddressOf returns the address of a process, "" if it is gone; Others
 	// those of VMs to relay calls.
 	AddressOf func(process string) string
 	Others    func(key string) []string
+
+	mu     sync.Mutex
+	silent map[string]time.Time // guarded by mu; address to the end of its rest
 }
 
-// Recall implements Peers.
-func (m *Mesh) Recall(ctx context.Context, process, program string) int64 {
+// call calls another VM. One that did not answer is left alone for a while, so
+// that requests don't wait for it one after the other.
+func (m *Mesh) call(ctx context.Context, process, method string, limit time.Duration, args, reply any) error {
 	addr := m.AddressOf(process)
 	if addr == "" {
-		return 0
+		return fmt.Errorf("%w: %s is not listed", mesh.ErrNotSent, process)
+	}
+	m.mu.Lock()
+	resting := time.Now().Before(m.silent[addr])
+	m.mu.Unlock()
+	if resting {
+		return fmt.Errorf("%w: %s did not answer lately", mesh.ErrNotSent, process)
 	}
-	ctx, cancel := context.WithTimeout(ctx, recallLimit)
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	var left int64
-	if err := m.Client.Call(ctx, addr, serviceName+".Recall", program, &left); err != nil {
-		return 0 // its share stays taken
+	err := m.Client.Call(ctx, addr, method, args, reply)
+	if err != nil && !errors.Is(ctx.Err(), context.Canceled) {
+		m.mu.Lock()
+		if m.silent == nil {
+			m.silent = make(map[string]time.Time)
+		}
+		m.silent[addr] = time.Now().Add(silentRest)
+		m.mu.Unlock()
 	}
-	return left
+	return err
+}
+
+// Reserve implements Peers.
+func (m *Mesh) Reserve(ctx context.Context, home string, ask Ask) (uint64, error) {
+	var got Reserved
+	err := m.call(ctx, home, serviceName+".Reserve", reserveLimit, ask, &got)
+	switch {
+	case err != nil:
+		// A reservation that was made all the same counts as used there.
+		return 0, fmt.Errorf("%w: %w", errElsewhere, err)
+	case got.Spent:
+		return 0, ErrSpent
+	case got.Elsewhere:
+		return 0, errElsewhere
+	case got.Unavailable:
+		return 0, ErrUnavailable
+	}
+	return got.ID, nil
+}
+
+// Settle implements Peers.
+func (m *Mesh) Settle(home string, id uint64, generated int64) {
+	m.settle(home, serviceName+".Settle", id, generated)
+}
+
+// settle doesn't wait for the other VM, which counts a reservation as used if
+// it never hears of its end.
+func (m *Mesh) settle(process, method string, id uint64, generated int64) {
+	go func() {
+		var ok bool
+		err := m.call(context.Background(), process, method, reserveLimit, Settled{id, generated}, &ok)
+		if err != nil {
+			m.Log.Info("reservation not settled", tag.PeerVM(process), tag.Error(err))
+		}
+	}()
 }
 
 // Relayed is a table service that falls back on the paths of other VMs while
@@ -113,8 +204,11 @@
 	Mesh *Mesh
 	// Limit bounds a call on the own path.
 	Limit time.Duration
-	// Down reports whether the own path is known to be out.
-	Down func() bool
+	Log   *zap.Logger
+
+	mu   sync.Mutex
+	down bool      // guarded by mu; the own path is out
+	next time.Time // guarded by mu; when it is tried again
 }
 
 var _ platform.Committer = (*Relayed)(nil)
@@ -148,14 +242,51 @@
 	return out.Version, err
 }
 
-// own makes a call on the own path, if that is not known to be out.
+// own makes a call on the own path. While that is out, one call at a time is
+// let through to try it, and the others fail at once.
 func (r *Relayed) own(ctx context.Context, call func(context.Context) error) error {
-	if r.Down() {
+	if !r.admit(time.Now()) {
 		return platform.ErrUnavailable
 	}
-	ctx, cancel := context.WithTimeout(ctx, r.Limit)
+	callCtx, cancel := context.WithTimeout(ctx, r.Limit)
 	defer cancel()
-	return call(ctx)
+	err := call(callCtx)
+	if ctx.Err() == nil {
+		r.note(err)
+	}
+	return err
+}
+
+func (r *Relayed) admit(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.down {
+		return true
+	}
+	if now.Before(r.next) {
+		return false
+	}
+	r.next = now.Add(r.Limit + tryAgain)
+	return true
+}
+
+// note takes in how a call on the own path ended. A conflict is an answer.
+func (r *Relayed) note(err error) {
+	out := errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknown)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if out {
+		r.next = time.Now().Add(tryAgain)
+	}
+	if out == r.down {
+		return
+	}
+	r.down = out
+	if out {
+		r.Log.Warn("table service lost", tag.Error(err))
+	} else {
+		r.Log.Info("table service regained")
+	}
 }
 
 // relay asks other VMs until one has made the call.
--- a/internal/system/tokenbudget/tokenbudget.go
+++ b/internal/system/tokenbudget/tokenbudget.go
@@ -1,7 +1,8 @@
-// Package tokenbudget keeps the token budgets of programs whose requests are
-// passed on by any VM. What a VM may still hand out is taken from the
-// program's row in the table service beforehand, in shares, so that a budget
-// holds when VMs die: a share that is lost with its VM counts as used.
+// Package tokenbudget keeps the token budgets of programs whose requests any VM
+// passes on. A program's budget is kept by one VM, its home: the first that
+// served it. The home takes tokens from the program's row in the table service
+// in shares before it hands them out, so that a budget holds when VMs die: a
+// share that is lost with its VM counts as used.
 package tokenbudget
 
 import (
@@ -28,20 +29,29 @@
 	ErrUnavailable = errors.New("token budget unavailable")
 )
 
+// errElsewhere means that another VM is the program's home.
+var errElsewhere = errors.New("program has another home")
+
 const (
 	// Table is the table of the rows.
 	Table = "budgets"
 	// partitions spreads the rows, since a partition of the table service
 	// takes a bounded number of writes a second.
 	partitions = 32
-	// shareTurns is the number of turns at their most that a VM takes from
+	// shareTurns is the number of turns at their most that a home takes from
 	// the row at a time: few writes, and little lost with a VM.
-	shareTurns = 3
-	// maxConflicts bounds the attempts to take a share while other VMs take
-	// theirs.
-	maxConflicts = 6
+	shareTurns = 2
+	// maxRounds bounds the attempts to find or take a home while others do.
+	maxRounds = 6
+	// settleWait is how long a turn waits for tokens that running turns may
+	// give back, in steps of settlePause: about the length of a turn.
+	settleWait  = 300 * time.Millisecond
+	settlePause = 20 * time.Millisecond
 	// idleLimit is how long an account without reservations is kept.
 	idleLimit = 90 * time.Second
+	// reservationLimit is how long a reservation of another VM is kept; one
+	// that was not settled by then counts as used.
+	reservationLimit = 10 * time.Second
 )
 
 // Row is a program's row.
@@ -49,33 +59,39 @@
 	Budget int64 `json:"b"`
 	// Taken is the sum of the shares that were taken and not given back.
 	Taken int64 `json:"t"`
-	// Holders are the shares by VM.
-	Holders map[string]int64 `json:"h"`
+	// Home is the process that may take shares; "" if it has left.
+	Home string `json:"h"`
 }
 
-// Store is the part of the table service that budgets need.
-type Store interface {
-	Get(ctx context.Context, keys []platform.Key) ([]platform.Row, error)
-	// CommitAt commits and returns the version that the rows then have.
-	CommitAt(ctx context.Context, writes []platform.Write) (uint64, error)
+// Peers reaches the ledgers of other VMs.
+type Peers interface {
+	// Reserve makes a reservation at a program's home. Its errors are those
+	// of Ledger.Reserve, and errElsewhere if the home can't be reached or is
+	// none any more.
+	Reserve(ctx context.Context, home string, ask Ask) (uint64, error)
+	// Settle ends a reservation there.
+	Settle(home string, id uint64, generated int64)
 }
 
-// Peers asks other VMs for shares that they don't need.
-type Peers interface {
-	// Recall takes what a VM has left of its share of a program; 0 if it
-	// can't be reached.
-	Recall(ctx context.Context, vm, program string) int64
+// Ask is a reservation that one VM makes at another.
+type Ask struct {
+	Program        string
+	Budget, Tokens int64
 }
 
-// Ledger holds the shares of one VM. It is safe for concurrent use.
+// Ledger holds the accounts of one VM. It is safe for concurrent use.
 type Ledger struct {
 	VM    string // id of this process
-	Store Store
+	Store platform.Committer
 	Peers Peers
-	Log   *zap.Logger
+	// Allowances hands out the part of the budgets that is not recorded.
+	Allowances *Allowances
+	Log        *zap.Logger
 
 	mu       sync.Mutex
-	accounts map[string]*account // guarded by mu
+	accounts map[string]*account  // guarded by mu
+	remote   map[uint64]*reserved // guarded by mu; reservations of other VMs
+	lastID   uint64               // guarded by mu
 }
 
 // account is this VM's view of a program.
@@ -83,26 +99,37 @@
 	claim sync.Mutex // held while the row is read and written
 
 	// The rest is guarded by the ledger's mu.
-	row      Row
-	version  uint64 // of the row; 0 if none was read or written
-	stale    bool   // the row may have changed since, by a write without answer
-	left     int64  // of this VM's share
-	reserved int64
-	used     time.Time
-	started  time.Time
-	finish   time.Time // the program's objective as its first request here told it
-	ran      bool      // a turn has run
+	row     Row
+	version uint64 // of the row; 0 if none was read or written
+	stale   bool   // the row may have changed since
+	left    int64  // of the shares that this VM has taken
+	running int64  // reserved by turns that run
+	used    time.Time
+	started time.Time
+	finish  time.Time // the program's objective as its first request here told it
+	ran     bool      // a turn has run
 }
 
 // Reservation is what a running turn may generate.
 type Reservation struct {
 	ledger  *Ledger
-	account *account
+	account *account // at this VM, or nil
+	home    string   // the process that keeps it otherwise
+	keeper  string   // or the keeper that has granted it
+	id      uint64
 	tokens  int64
 }
 
-// Seen notes a request of a program and returns whether its program has run
-// anything here, and the time objective that its first request had.
+// Tokens returns how many tokens the turn may generate.
+func (r *Reservation) Tokens() int64 { return r.tokens }
+
+type reserved struct {
+	*Reservation
+	made time.Time
+}
+
+// Seen notes a request of a program. It returns whether the program has run
+// anything here, when it was first seen and the objective that it then had.
 func (l *Ledger) Seen(program string, now, finish time.Time) (ran bool, started, objective time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -126,30 +153,125 @@
 	return a
 }
 
-// Reserve sets aside the tokens that a turn may generate at the most. Its
-// errors wrap ErrSpent or ErrUnavailable.
+// Reserve sets aside the tokens that a turn may generate at the most. Tokens of
+// the reservation tells how many these are. Its errors wrap ErrSpent or
+// ErrUnavailable.
 func (l *Ledger) Reserve(ctx context.Context, program string, budget, tokens int64) (*Reservation, error) {
-	now := time.Now()
+	ask := Ask{Program: program, Budget: budget, Tokens: tokens}
+	r, err := l.reserveRecorded(ctx, ask)
+	if err == nil {
+		return r, nil
+	}
+	keeper, id, granted, allowErr := l.Allowances.Reserve(ctx, ask)
+	if allowErr != nil {
+		if errors.Is(allowErr, ErrSpent) && errors.Is(err, ErrSpent) {
+			l.Log.Info("token budget spent", tag.ForwardedProgram(program), tag.Budget(budget))
+			return nil, ErrSpent
+		}
+		return nil, fmt.Errorf("%w: %w, %w", ErrUnavailable, err, allowErr)
+	}
 	l.mu.Lock()
-	a := l.account(program, now)
+	l.account(program, time.Now()).ran = true
 	l.mu.Unlock()
-	if r := l.reserve(a, tokens); r != nil {
+	return &Reservation{ledger: l, keeper: keeper, id: id, tokens: granted}, nil
+}
+
+// reserveRecorded reserves from the recorded part of a budget, at its home.
+func (l *Ledger) reserveRecorded(ctx context.Context, ask Ask) (*Reservation, error) {
+	l.mu.Lock()
+	a := l.account(ask.Program, time.Now())
+	l.mu.Unlock()
+	for range maxRounds {
+		r, err := l.reserveHere(ctx, a, ask, false)
+		if !errors.Is(err, errElsewhere) {
+			return r, err
+		}
+		home := l.homeOf(a)
+		id, err := l.Peers.Reserve(ctx, home, ask)
+		if err == nil {
+			l.mu.Lock()
+			a.ran = true
+			l.mu.Unlock()
+			return &Reservation{ledger: l, home: home, id: id, tokens: ask.Tokens}, nil
+		}
+		if !errors.Is(err, errElsewhere) {
+			return nil, err
+		}
+		r, err = l.reserveHere(ctx, a, ask, true)
+		if !errors.Is(err, errElsewhere) {
+			return r, err
+		}
+	}
+	return nil, fmt.Errorf("%w: the home moves", ErrUnavailable)
+}
+
+func (l *Ledger) homeOf(a *account) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return a.row.Home
+}
+
+// reserveHere reserves at this VM as the program's home. With takeOver it makes
+// itself the home in place of one that can't be reached.
+func (l *Ledger) reserveHere(ctx context.Context, a *account, ask Ask, takeOver bool) (*Reservation, error) {
+	if r := l.reserve(a, ask.Tokens); r != nil {
 		return r, nil
 	}
 	a.claim.Lock()
 	defer a.claim.Unlock()
-	if r := l.reserve(a, tokens); r != nil {
-		return r, nil // another turn has taken a share meanwhile
-	}
-	if err := l.takeShare(ctx, a, program, budget, tokens); err != nil {
-		return nil, err
+	until := time.Now().Add(settleWait)
+	for range maxRounds {
+		if r := l.reserve(a, ask.Tokens); r != nil {
+			return r, nil // another turn has taken a share or settled
+		}
+		row, version, err := l.current(ctx, a, ask, takeOver)
+		if err != nil {
+			return nil, err
+		}
+		if row.Home != "" && row.Home != l.VM && !takeOver {
+			return nil, errElsewhere
+		}
+		left, running := l.balance(a)
+		recorded, _ := Parts(row.Budget, ask.Tokens, l.Allowances.DCs)
+		missing, free := ask.Tokens-left, recorded-row.Taken
+		if free < missing {
+			return l.awaitSettled(ctx, a, ask, running, until)
+		}
+		row.Home = l.VM
+		share := max(missing, min(free, shareTurns*ask.Tokens))
+		if err := l.swap(ctx, a, ask.Program, row, version, share); err != nil {
+			return nil, err
+		}
 	}
-	if r := l.reserve(a, tokens); r != nil {
-		return r, nil
+	return nil, fmt.Errorf("%w: too many conflicts", ErrUnavailable)
+}
+
+// awaitSettled waits for tokens that running turns give back: to refuse ends
+// the program.
+func (l *Ledger) awaitSettled(ctx context.Context, a *account, ask Ask, running int64, until time.Time) (*Reservation, error) {
+	for running > 0 && time.Now().Before(until) {
+		if !sleep(ctx, settlePause) {
+			return nil, fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
+		}
+		if r := l.reserve(a, ask.Tokens); r != nil {
+			return r, nil
+		}
+		_, running = l.balance(a)
 	}
 	return nil, ErrSpent
 }
 
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // reserve takes tokens from this VM's share, or returns nil.
 func (l *Ledger) reserve(a *account, tokens int64) *Reservation {
 	l.mu.Lock()
@@ -158,102 +280,82 @@
 		return nil
 	}
 	a.left -= tokens
-	a.reserved += tokens
+	a.running += tokens
 	a.ran = true
 	return &Reservation{ledger: l, account: a, tokens: tokens}
 }
 
+func (l *Ledger) balance(a *account) (left, running int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return a.left, a.running
+}
+
 // Settle ends a turn that generated a number of tokens. Settling twice does
 // nothing.
 func (r *Reservation) Settle(generated int64) {
+	switch {
+	case r.home != "":
+		r.ledger.Peers.Settle(r.home, r.id, generated)
+		r.home = ""
+		return
+	case r.keeper != "":
+		r.ledger.Allowances.Settle(r.keeper, r.id, generated)
+		r.keeper = ""
+		return
+	case r.account == nil:
+		return
+	}
 	l := r.ledger
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r.account == nil {
-		return
-	}
-	r.account.reserved -= r.tokens
+	r.account.running -= r.tokens
 	r.account.left += r.tokens - generated // below 0 if more came than was allowed
 	r.account.used = time.Now()
 	r.account = nil
 }
 
-// takeShare takes at least enough for a turn from the row.
-func (l *Ledger) takeShare(ctx context.Context, a *account, program string, budget, tokens int64) error {
-	recalled := false
-	for range maxConflicts {
-		row, version, err := l.current(ctx, a, program, budget)
-		if err != nil {
-			return err
-		}
-		l.mu.Lock()
-		missing := tokens - a.left
-		l.mu.Unlock()
-		free := row.Budget - row.Taken
-		if free < missing {
-			if recalled || !l.recall(ctx, a, program, row) {
-				return ErrSpent
-			}
-			recalled = true
-			l.mu.Lock()
-			enough := a.left >= tokens
-			l.mu.Unlock()
-			if enough {
-				return nil
-			}
-			continue
-		}
-		share := max(missing, min(free, shareTurns*tokens))
-		done, err := l.swap(ctx, a, program, row, version, share)
-		if err != nil || done {
-			return err
-		}
-	}
-	return fmt.Errorf("%w: too many conflicts", ErrUnavailable)
-}
-
-// current returns the row as it is known here, reading it if need be. A row
-// that is not known is taken for absent first: most programs are new, and a
-// write tells if they aren't.
-func (l *Ledger) current(ctx context.Context, a *account, program string, budget int64) (Row, uint64, error) {
+// current returns the row as it is known here, reading it if it may have
+// changed. A row that is not known is taken for absent first: most programs are
+// new, and the write tells if they aren't.
+func (l *Ledger) current(ctx context.Context, a *account, ask Ask, reread bool) (Row, uint64, error) {
 	l.mu.Lock()
-	row, version, stale := a.row.clone(), a.version, a.stale
+	row, version, stale := a.row, a.version, a.stale
 	l.mu.Unlock()
-	if !stale {
+	if !stale && !(reread && row.Home != l.VM) {
 		if version == 0 {
-			row = Row{Budget: budget}
+			row = Row{Budget: ask.Budget}
 		}
 		return row, version, nil
 	}
-	rows, err := l.Store.Get(ctx, []platform.Key{rowKey(program)})
+	rows, err := l.Store.Get(ctx, []platform.Key{rowKey(ask.Program)})
 	if err != nil {
 		return Row{}, 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	row, version = Row{Budget: budget}, rows[0].Version
+	row, version = Row{Budget: ask.Budget}, rows[0].Version
 	if version != 0 {
 		if err := json.Unmarshal(rows[0].Value, &row); err != nil {
-			return Row{}, 0, fmt.Errorf("%w: row of %s: %w", ErrUnavailable, program, err)
+			return Row{}, 0, fmt.Errorf("%w: row of %s: %w", ErrUnavailable, ask.Program, err)
 		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	// A write whose answer was lost has taken effect if the row says so.
-	a.left += max(0, row.Holders[l.VM]-a.row.Holders[l.VM])
-	a.row, a.version, a.stale = row.clone(), version, false
+	if row.Home == l.VM {
+		// Only the home writes: a difference is a write of this VM whose
+		// answer was lost.
+		a.left += max(0, row.Taken-a.row.Taken)
+	}
+	a.row, a.version, a.stale = row, version, false
 	return row, version, nil
 }
 
-// swap writes a row with a larger share of this VM. It reports false if the row
-// was changed by another VM.
-func (l *Ledger) swap(ctx context.Context, a *account, program string, row Row, version uint64, share int64) (bool, error) {
-	if row.Holders == nil {
-		row.Holders = make(map[string]int64)
-	}
-	row.Holders[l.VM] += share
+// swap writes a row of which this VM has taken a share more. A conflict is no
+// error: the row is read again.
+func (l *Ledger) swap(ctx context.Context, a *account, program string, row Row, version uint64, share int64) error {
 	row.Taken += share
 	value, err := json.Marshal(row)
 	if err != nil {
-		return false, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	at, err := l.Store.CommitAt(ctx, []platform.Write{{Key: rowKey(program), IfVersion: version, Value: value}})
 	var conflict *platform.ConflictError
@@ -263,56 +365,69 @@
 	case err == nil:
 		a.row, a.version = row, at
 		a.left += share
-		return true, nil
+		return nil
 	case errors.As(err, &conflict):
 		a.stale = true
-		return false, nil
-	case errors.Is(err, platform.ErrUnknown):
+		return nil
+	case !errors.Is(err, platform.ErrUnavailable):
 		a.stale = true
 	}
-	l.Log.Debug("no share of a budget", tag.Request(program), tag.Error(err))
-	return false, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	return fmt.Errorf("%w: %w", ErrUnavailable, err)
 }
 
-// recall asks the other holders for what they have left.
-func (l *Ledger) recall(ctx context.Context, a *account, program string, row Row) bool {
-	got := int64(0)
-	for vm := range row.Holders {
-		if vm != l.VM {
-			got += l.Peers.Recall(ctx, vm, program)
-		}
+// reserveFor makes a reservation for another VM, if this VM is the home.
+func (l *Ledger) reserveFor(ctx context.Context, ask Ask) (uint64, error) {
+	l.mu.Lock()
+	a := l.accounts[ask.Program]
+	l.mu.Unlock()
+	if a == nil {
+		return 0, errElsewhere
+	}
+	r, err := l.reserveHere(ctx, a, ask, false)
+	if err != nil {
+		return 0, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	a.left += got
-	a.stale = true // a VM that left may have given its share back
-	return true
+	if l.remote == nil {
+		l.remote = make(map[uint64]*reserved)
+	}
+	l.lastID++
+	l.remote[l.lastID] = &reserved{Reservation: r, made: time.Now()}
+	return l.lastID, nil
 }
 
-// Surrender gives up what is left of this VM's share of a program to another
-// VM and returns it.
-func (l *Ledger) Surrender(program string) int64 {
+// settleFor ends a reservation of another VM.
+func (l *Ledger) settleFor(id uint64, generated int64) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	a := l.accounts[program]
-	if a == nil || a.left <= 0 {
-		return 0
+	r := l.remote[id]
+	delete(l.remote, id)
+	l.mu.Unlock()
+	if r != nil {
+		r.Settle(generated)
 	}
-	left := a.left
-	a.left = 0
-	return left
 }
 
-// Sweep forgets programs that have been idle for long. What is left of their
-// shares stays taken.
+// Sweep forgets programs that have been idle for long, and counts what other
+// VMs have not settled in time as used.
 func (l *Ledger) Sweep(now time.Time) {
+	var overdue []*reserved
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	for id, r := range l.remote {
+		if now.Sub(r.made) > reservationLimit {
+			overdue = append(overdue, r)
+			delete(l.remote, id)
+		}
+	}
 	for program, a := range l.accounts {
-		if a.reserved == 0 && now.Sub(a.used) > idleLimit {
+		if a.running == 0 && now.Sub(a.used) > idleLimit {
 			delete(l.accounts, program)
 		}
 	}
+	l.mu.Unlock()
+	for _, r := range overdue {
+		r.Settle(r.tokens)
+	}
 }
 
 // GiveBack returns what is left of the shares of programs used since a time to
@@ -321,12 +436,15 @@
 	l.mu.Lock()
 	open := make(map[string]*account)
 	for program, a := range l.accounts {
-		if a.left > 0 && a.version != 0 && !a.stale && a.used.After(since) {
+		if a.row.Home == l.VM && !a.stale && a.used.After(since) {
 			open[program] = a
 		}
 	}
 	l.mu.Unlock()
 	for program, a := range open {
+		if ctx.Err() != nil {
+			return
+		}
 		l.giveBack(ctx, a, program)
 	}
 }
@@ -335,32 +453,21 @@
 	a.claim.Lock()
 	defer a.claim.Unlock()
 	l.mu.Lock()
-	left := a.left
-	a.left = 0
-	row, version := a.row.clone(), a.version
+	left := max(0, a.left)
+	a.left -= left
+	row, version := a.row, a.version
 	l.mu.Unlock()
-	if left <= 0 {
-		return
-	}
-	// A conflict means that another VM has changed the row; the share then
-	// stays taken, which is safe.
-	if _, err := l.swap(ctx, a, program, row, version, -left); err != nil {
-		l.Log.Debug("share of a budget not given back", tag.Request(program), tag.Error(err))
+	row.Home = ""
+	// After a conflict the share stays taken, which is safe.
+	if err := l.swap(ctx, a, program, row, version, -left); err != nil {
+		l.Log.Info("share of a budget not given back", tag.ForwardedProgram(program), tag.Error(err))
 	}
 	l.mu.Lock()
-	a.left = 0
+	a.left = min(0, a.left)
+	a.stale = true
 	l.mu.Unlock()
 }
 
-func (r Row) clone() Row {
-	holders := make(map[string]int64, len(r.Holders))
-	for vm, n := range r.Holders {
-		holders[vm] = n
-	}
-	r.Holders = holders
-	return r
-}
-
 // rowKey names the row of a program: partition and id.
 func rowKey(program string) platform.Key {
 	partition := strconv.FormatUint(xxhash.Sum64String(program)%partitions, 10)
