--- a/internal/system/forwarder/answer.go
+++ b/internal/system/forwarder/answer.go
@@ -108,8 +108,8 @@
 		n, err := resp.Body.Read(chunk)
 		buf = append(buf, chunk[:n]...)
 		if end := eventsEnd(buf); end > 0 {
-			if x.maxEvents > 0 && x.events+bytes.Count(buf[:end], eventEnd) > x.maxEvents {
-				return fmt.Errorf("%w: the turn is longer than its budget", errCaller)
+			if err := x.mayPass(bytes.Count(buf[:end], eventEnd)); err != nil {
+				return fmt.Errorf("%w: %w", errBudget, err)
 			}
 			x.begin(resp)
 			x.note(buf[:end])
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -16,11 +16,15 @@
 	"ibisstall.example/ibisstall/internal/httpconn"
 	"ibisstall.example/ibisstall/internal/logging/tag"
 	"ibisstall.example/ibisstall/internal/system/dispatch"
+	"ibisstall.example/ibisstall/internal/system/tokenbudget"
 )
 
 // errEndpointGone means that an endpoint has ended or can't be reached.
 var errEndpointGone = errors.New("endpoint gone")
 
+// errBudget means that the budget ran out within a turn.
+var errBudget = errors.New("token budget spent within the turn")
+
 // errCaller means that the caller doesn't take its answer.
 var errCaller = errors.New("caller gone")
 
@@ -42,11 +46,13 @@
 	resumes   int
 	retryHint time.Duration
 
+	reservations []*tokenbudget.Reservation
+
 	started   bool   // an answer's header has gone to the caller
 	done      bool   // the answer is complete
 	lastEvent string // last event passed on
 	events    int    // events passed on
-	maxEvents int    // that the budget allows to pass on; 0 for no bound
+	maxEvents int    // that the reservations allow to pass on
 	status    int
 	reason    string // of an answer of our own
 	cause     error
@@ -358,7 +364,7 @@
 		return complete, nil
 	}
 	conn.Close()
-	if errors.Is(err, errCaller) || x.ctx.Err() != nil {
+	if errors.Is(err, errCaller) || errors.Is(err, errBudget) || x.ctx.Err() != nil {
 		x.runs++
 		if x.ctx.Err() != nil {
 			err = x.ctx.Err()
--- a/internal/system/forwarder/forwarder.go
+++ b/internal/system/forwarder/forwarder.go
@@ -33,6 +33,10 @@
 	leastUseful = 10 * time.Millisecond
 	// busyRetry is what a caller is told to wait when nothing better is known.
 	busyRetry = 300 * time.Millisecond
+	// reserveShare is the divisor of a turn's most tokens that gives what is
+	// reserved at a time: most turns generate far less than they may, and
+	// turns that run side by side must not use up the budget by reserving.
+	reserveShare = 3
 	// lateFactor times its objective is the time in which a program's end
 	// still has some use.
 	lateFactor = 2
@@ -50,7 +54,7 @@
 // Budgets keeps the token budgets of programs.
 type Budgets interface {
 	Seen(program string, now, finish time.Time) (ran bool, started, objective time.Time)
-	Reserve(ctx context.Context, program string, budget, tokens int64) (*tokenbudget.Reservation, error)
+	Reserve(ctx context.Context, ask tokenbudget.Ask) (*tokenbudget.Reservation, error)
 }
 
 // Places hands out places at endpoints.
@@ -127,8 +131,8 @@
 		x.lateFinish = objective.Add(objective.Sub(started) * (lateFactor - 1))
 	}
 	if req.IsTurn() && x.route.Kind == forward.Stream {
-		reservation, err := x.f.Budgets.Reserve(x.ctx, req.Program, req.Budget, int64(req.MaxTokens))
-		switch {
+		defer x.settle()
+		switch err := x.reserve(); {
 		case errors.Is(err, tokenbudget.ErrSpent):
 			x.refuse(http.StatusPaymentRequired, "token budget spent", 0)
 			return
@@ -137,8 +141,6 @@
 			x.refuse(http.StatusServiceUnavailable, "token budget can't be read", busyRetry)
 			return
 		}
-		x.maxEvents = int(reservation.Tokens()) / max(1, x.service.TokensPerEvent)
-		defer func() { reservation.Settle(int64(x.events) * int64(x.service.TokensPerEvent)) }()
 	}
 	for x.next() {
 	}
--- /dev/null
+++ b/internal/system/forwarder/tokens.go
@@ -0,0 +1,39 @@
+package forwarder
+
+import "ibisstall.example/ibisstall/internal/system/tokenbudget"
+
+// reserve sets aside tokens for the next events of a turn.
+func (x *exchange) reserve() error {
+	most := int64(x.req.MaxTokens)
+	perEvent := int64(max(1, x.service.TokensPerEvent))
+	want := min(most, (most/reserveShare+perEvent-1)/perEvent*perEvent)
+	r, err := x.f.Budgets.Reserve(x.ctx, tokenbudget.Ask{
+		Program: x.req.Program, Budget: x.req.Budget, Turn: most, Tokens: want,
+	})
+	if err != nil {
+		return err
+	}
+	x.reservations = append(x.reservations, r)
+	x.maxEvents += int(r.Tokens() / perEvent)
+	return nil
+}
+
+// settle gives back what the turn did not generate.
+func (x *exchange) settle() {
+	generated := int64(x.events) * int64(x.service.TokensPerEvent)
+	for _, r := range x.reservations {
+		used := min(generated, r.Tokens())
+		generated -= used
+		r.Settle(used)
+	}
+}
+
+// mayPass makes sure that the budget holds a number of further events.
+func (x *exchange) mayPass(events int) error {
+	for len(x.reservations) > 0 && x.events+events > x.maxEvents {
+		if err := x.reserve(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/system/tokenbudget/allowance.go
+++ b/internal/system/tokenbudget/allowance.go
@@ -34,9 +34,6 @@
 	bucketsPerDC = 16
 	// recordedShare is the divisor of the budget that gives the recorded part.
 	recordedShare = 2
-	// partialShare is the divisor of a turn's most tokens that gives the least
-	// that a turn is let run with.
-	partialShare = 2
 	// leaveLimit is how long a process that has left the list of VMs may
 	// still run; above the grace that the platform gives.
 	leaveLimit = 20 * time.Second
@@ -67,9 +64,9 @@
 // Allowances hands out the parts of data centres. It is safe for concurrent use.
 type Allowances struct {
 	DC    string
-	DCs   int    // number of data centres
-	VM    string // name of this VM
-	Self  string // id of this process
+	DCs   []string // all data centres
+	VM    string   // name of this VM
+	Self  string   // id of this process
 	Store platform.Committer
 	Mesh  *Mesh
 	// Processes returns the present process of each VM of this data centre,
@@ -246,20 +243,44 @@
 	return k.Process
 }
 
-// Reserve takes tokens of this data centre's part of a budget, at its keeper:
-// the turn's most or, near the end of the part, less. It returns the keeper, the
-// id of the grant there and its tokens. Errors wrap ErrSpent and ErrUnavailable.
+// Reserve takes tokens of the parts of the data centres, this one's first, at
+// their keepers. It returns the keeper, the id of the grant there and its
+// tokens. Errors wrap ErrSpent, if all parts are spent, and ErrUnavailable.
 func (a *Allowances) Reserve(ctx context.Context, ask Ask) (keeper string, id uint64, tokens int64, err error) {
-	keeper = a.keeperOf(ask.Program, a.DC)
-	switch {
-	case keeper == "":
-		return "", 0, 0, fmt.Errorf("%w: no keeper", ErrUnavailable)
-	case keeper == a.Self:
-		id, tokens, err = a.hand(ask)
-	default:
-		id, tokens, err = a.Mesh.allow(ctx, keeper, ask)
-	}
-	return keeper, id, tokens, err
+	spent := 0
+	for _, dc := range a.nearFirst() {
+		keeper = a.keeperOf(ask.Program, dc)
+		switch {
+		case keeper == "":
+			continue
+		case keeper == a.Self:
+			id, tokens, err = a.hand(ask)
+		default:
+			id, tokens, err = a.Mesh.allow(ctx, keeper, ask)
+		}
+		if err == nil {
+			return keeper, id, tokens, nil
+		}
+		if errors.Is(err, ErrSpent) {
+			spent++
+		}
+	}
+	if spent == len(a.DCs) {
+		return "", 0, 0, ErrSpent
+	}
+	return "", 0, 0, fmt.Errorf("%w: a keeper can't be reached", ErrUnavailable)
+}
+
+// nearFirst returns the data centres, this one first.
+func (a *Allowances) nearFirst() []string {
+	list := make([]string, 1, len(a.DCs))
+	list[0] = a.DC
+	for _, dc := range a.DCs {
+		if dc != a.DC {
+			list = append(list, dc)
+		}
+	}
+	return list
 }
 
 // hand takes tokens from a part that this VM keeps.
@@ -277,9 +298,9 @@
 		kept.programs[ask.Program] = h
 	}
 	h.last = time.Now()
-	_, part := Parts(ask.Budget, ask.Tokens, a.DCs)
+	_, part := Parts(ask.Budget, ask.Turn, len(a.DCs))
 	tokens := min(ask.Tokens, part-h.used)
-	if tokens < max(1, ask.Tokens/partialShare) {
+	if tokens < ask.Tokens {
 		return 0, 0, ErrSpent
 	}
 	h.used += tokens
--- a/internal/system/tokenbudget/tokenbudget.go
+++ b/internal/system/tokenbudget/tokenbudget.go
@@ -45,7 +45,7 @@
 	maxRounds = 6
 	// settleWait is how long a turn waits for tokens that running turns may
 	// give back, in steps of settlePause: about the length of a turn.
-	settleWait  = 300 * time.Millisecond
+	settleWait  = 500 * time.Millisecond
 	settlePause = 20 * time.Millisecond
 	// idleLimit is how long an account without reservations is kept.
 	idleLimit = 90 * time.Second
@@ -73,10 +73,12 @@
 	Settle(home string, id uint64, generated int64)
 }
 
-// Ask is a reservation that one VM makes at another.
+// Ask is a demand on a program's budget.
 type Ask struct {
-	Program        string
-	Budget, Tokens int64
+	Program string
+	Budget  int64 // of the program
+	Turn    int64 // most tokens of one turn
+	Tokens  int64 // to reserve now
 }
 
 // Ledger holds the accounts of one VM. It is safe for concurrent use.
@@ -153,11 +155,10 @@
 	return a
 }
 
-// Reserve sets aside the tokens that a turn may generate at the most. Tokens of
-// the reservation tells how many these are. Its errors wrap ErrSpent or
-// ErrUnavailable.
-func (l *Ledger) Reserve(ctx context.Context, program string, budget, tokens int64) (*Reservation, error) {
-	ask := Ask{Program: program, Budget: budget, Tokens: tokens}
+// Reserve sets aside tokens that a turn may generate; Tokens of the reservation
+// tells how many these are. A turn that needs more reserves again. Errors wrap
+// ErrSpent or ErrUnavailable.
+func (l *Ledger) Reserve(ctx context.Context, ask Ask) (*Reservation, error) {
 	r, err := l.reserveRecorded(ctx, ask)
 	if err == nil {
 		return r, nil
@@ -165,13 +166,13 @@
 	keeper, id, granted, allowErr := l.Allowances.Reserve(ctx, ask)
 	if allowErr != nil {
 		if errors.Is(allowErr, ErrSpent) && errors.Is(err, ErrSpent) {
-			l.Log.Info("token budget spent", tag.ForwardedProgram(program), tag.Budget(budget))
+			l.Log.Info("token budget spent", tag.ForwardedProgram(ask.Program), tag.Budget(ask.Budget))
 			return nil, ErrSpent
 		}
 		return nil, fmt.Errorf("%w: %w, %w", ErrUnavailable, err, allowErr)
 	}
 	l.mu.Lock()
-	l.account(program, time.Now()).ran = true
+	l.account(ask.Program, time.Now()).ran = true
 	l.mu.Unlock()
 	return &Reservation{ledger: l, keeper: keeper, id: id, tokens: granted}, nil
 }
@@ -232,13 +233,13 @@
 			return nil, errElsewhere
 		}
 		left, running := l.balance(a)
-		recorded, _ := Parts(row.Budget, ask.Tokens, l.Allowances.DCs)
+		recorded, _ := Parts(row.Budget, ask.Turn, len(l.Allowances.DCs))
 		missing, free := ask.Tokens-left, recorded-row.Taken
 		if free < missing {
 			return l.awaitSettled(ctx, a, ask, running, until)
 		}
 		row.Home = l.VM
-		share := max(missing, min(free, shareTurns*ask.Tokens))
+		share := max(missing, min(free, shareTurns*ask.Turn))
 		if err := l.swap(ctx, a, ask.Program, row, version, share); err != nil {
 			return nil, err
 		}
@@ -249,14 +250,15 @@
 // awaitSettled waits for tokens that running turns give back: to refuse ends
 // the program.
 func (l *Ledger) awaitSettled(ctx context.Context, a *account, ask Ask, running int64, until time.Time) (*Reservation, error) {
-	for running > 0 && time.Now().Before(until) {
+	left, _ := l.balance(a)
+	for left+running >= ask.Tokens && running > 0 && time.Now().Before(until) {
 		if !sleep(ctx, settlePause) {
 			return nil, fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
 		}
 		if r := l.reserve(a, ask.Tokens); r != nil {
 			return r, nil
 		}
-		_, running = l.balance(a)
+		left, running = l.balance(a)
 	}
 	return nil, ErrSpent
 }
