--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -30,7 +30,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("log level: %w", err)
 	}
-	encoder := zapcore.NewJSONEncoder(zapcore.EncoderConfig{
+	core := zapcore.NewCore(encoder(), zapcore.Lock(zapcore.AddSync(w)), l)
+	core = zapcore.NewSamplerWithOptions(core, repeatPeriod, repeatFirst, repeatEvery)
+	return zap.New(core, zap.Fields(tag.VM(vm), tag.DC(dc))), nil
+}
+
+func encoder() zapcore.Encoder {
+	return zapcore.NewJSONEncoder(zapcore.EncoderConfig{
 		TimeKey:        tag.KeyTime,
 		LevelKey:       tag.KeyLevel,
 		NameKey:        tag.KeyComponent,
@@ -40,12 +46,21 @@
 		EncodeLevel:    zapcore.LowercaseLevelEncoder,
 		EncodeDuration: zapcore.SecondsDurationEncoder,
 	})
-	core := zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(w)), l)
-	core = zapcore.NewSamplerWithOptions(core, repeatPeriod, repeatFirst, repeatEvery)
-	return zap.New(core, zap.Fields(tag.VM(vm), tag.DC(dc))), nil
 }
 
 func encodeTime(t time.Time, enc zapcore.PrimitiveArrayEncoder) {
 	const layout = "2006-01-02T15:04:05.000Z"
 	enc.AppendString(t.UTC().Format(layout))
 }
+
+// Bounded returns a logger like New, whose volume is bounded by lines a second
+// rather than by repeats, and which drops lines instead of waiting for w. Each
+// second in which lines were dropped ends with a line that counts them.
+func Bounded(w io.Writer, level, vm, dc string, linesPerSecond int) (*zap.Logger, error) {
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("log level: %w", err)
+	}
+	sink := newSink(w, linesPerSecond)
+	return zap.New(zapcore.NewCore(encoder(), sink, l), zap.Fields(tag.VM(vm), tag.DC(dc))), nil
+}
--- a/internal/logging/tag/tag.go
+++ b/internal/logging/tag/tag.go
@@ -121,3 +121,6 @@
 
 // Running is the tokens that running turns may still generate.
 func Running(tokens int64) zap.Field { return zap.Int64("running_tokens", tokens) }
+
+// FinishIn is the time that is left until a program should be done, in seconds.
+func FinishIn(d time.Duration) zap.Field { return zap.Duration("finish_in_seconds", d) }
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -245,6 +245,12 @@
 	if x.req.Program != "" {
 		fields = append(fields, tag.ForwardedProgram(x.req.Program))
 	}
+	if x.route != nil {
+		fields = append(fields, tag.Target(x.route.Name))
+	}
+	if !x.req.Finish.IsZero() {
+		fields = append(fields, tag.FinishIn(time.Until(x.req.Finish)))
+	}
 	if x.reason != "" {
 		fields = append(fields, tag.Reason(x.reason))
 	}
