--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -123,8 +123,12 @@
 	restUntil time.Duration
 	rest      time.Duration
 	rates     estimate.Rates
-	health    estimate.Health
-	prompts   *promptCache
+	// prefillRate is the fastest that the endpoint was seen to read prompts,
+	// in tokens a second, slowly forgotten: most samples hold other work too.
+	prefillRate float64
+	awaited     int // waiting requests that are best off here
+	health      estimate.Health
+	prompts     *promptCache
 }
 
 // request is an Ask and what became of it.
@@ -181,7 +185,7 @@
 	p := s.pool(e.Service)
 	known := p.endpoints[e.ID]
 	if known == nil || known.Born != e.Born || known.Address != e.Address {
-		known = &endpoint{rates: estimate.Rates{PrefillRate: startPrefill}}
+		known = &endpoint{prefillRate: startPrefill}
 		p.endpoints[e.ID] = known
 	}
 	known.Endpoint = e
@@ -331,9 +335,7 @@
 		for _, n := range r.ask.PartTokens {
 			prompt += int(n)
 		}
-		e.rates = e.rates.Observe(estimate.Call{
-			FirstToken: rel.First, Total: rel.Run, Prefilled: int64(prompt - r.held), Generated: int64(rel.Tokens),
-		})
+		e.observe(prompt-r.held, rel)
 	case Full:
 		e.restUntil = max(e.restUntil, now+fullRest)
 	case Unreachable:
@@ -348,6 +350,16 @@
 	}
 }
 
+// observe takes in the times of a request that read a number of prompt tokens.
+func (e *endpoint) observe(prefilled int, rel Release) {
+	e.rates = e.rates.Observe(estimate.Call{
+		FirstToken: rel.First, Total: rel.Run, Prefilled: int64(prefilled), Generated: int64(rel.Tokens),
+	})
+	if prefilled >= leastPrefill && rel.First > 0 {
+		e.prefillRate = max(float64(prefilled)/rel.First.Seconds(), e.prefillRate*prefillMemory)
+	}
+}
+
 // Tick refuses requests whose wait has become too long and frees the places of
 // VMs that are gone.
 func (s *Scheduler) Tick() {
--- a/internal/system/dispatch/fill.go
+++ b/internal/system/dispatch/fill.go
@@ -12,6 +12,11 @@
 	// startPrefill is the prompt tokens a second that are assumed of an
 	// engine before it is measured.
 	startPrefill = 50_000
+	// leastPrefill is the number of prompt tokens from which the time to the
+	// first token tells of the speed of reading.
+	leastPrefill = 400
+	// prefillMemory is what is kept of the best rate with each later sample.
+	prefillMemory = 0.998
 	// startToken is the time for one token that is assumed before.
 	startToken = 3 * time.Millisecond
 	// farPenalty multiplies the time at an endpoint of another data centre,
@@ -19,7 +24,13 @@
 	farPenalty = 1.03
 )
 
-// fill gives free places to the waiting requests, the best ranked first.
+// maxRanked bounds the waiting requests that are looked at for each place that
+// comes free, the best ranked first: it bounds the work while many wait.
+const maxRanked = 48
+
+// fill gives free places to the waiting requests, the best ranked first. A
+// request whose best endpoint is full waits for it where that costs less than
+// to compute its prompt anew elsewhere.
 func (s *Scheduler) fill(p *pool) {
 	if len(p.waiting) == 0 {
 		return
@@ -30,9 +41,12 @@
 			return policy.Before(&p.waiting[i].task, &p.waiting[j].task, now, p.run)
 		})
 	}
+	for _, e := range p.endpoints {
+		e.awaited = 0
+	}
 	kept := p.waiting[:0]
-	for _, r := range p.waiting {
-		if !s.place(p, r, now) {
+	for i, r := range p.waiting {
+		if i >= maxRanked || !s.place(p, r, now) {
 			kept = append(kept, r)
 		}
 	}
@@ -40,11 +54,11 @@
 	p.waiting = kept
 }
 
-// place gives a request a free place, if there is one that it may use.
+// place gives a request a place at its best endpoint, if that has a free one.
 func (s *Scheduler) place(p *pool, r *request, now time.Duration) bool {
 	candidates := make([]placement.Candidate, 0, len(p.endpoints))
 	for _, e := range p.endpoints {
-		if e.running < e.Slots && e.restUntil <= now && e.usable(&r.ask, now) {
+		if e.restUntil <= now && e.usable(&r.ask, now) {
 			candidates = append(candidates, e.candidate(p, r, now))
 		}
 	}
@@ -59,26 +73,29 @@
 	if !ok {
 		return false
 	}
-	s.grant(r, p.endpoints[candidates[choice.Index].Name], now)
+	best := p.endpoints[candidates[choice.Index].Name]
+	if best.running >= best.Slots {
+		best.awaited++
+		return false
+	}
+	s.grant(r, best, now)
 	return true
 }
 
-// candidate describes an endpoint with a free place for a request.
+// candidate describes an endpoint to the placer.
 func (e *endpoint) candidate(p *pool, r *request, now time.Duration) placement.Candidate {
 	c := placement.Candidate{
-		Name: e.ID, Running: e.running, Permits: e.Slots, CallTime: p.run,
-		PrefillRate: e.rates.PrefillRate, TokenTime: e.rates.TokenTime,
+		Name: e.ID, Running: e.running, Waiting: e.awaited, Permits: e.Slots, CallTime: p.run,
 		Penalty: 1 + float64(e.running)/float64(max(1, e.Slots))*fullness,
 		Sick:    e.health.Sick(), Probe: e.health.ProbeDue(time.Unix(0, int64(now))),
 	}
-	if c.TokenTime == 0 {
-		c.TokenTime = startToken
-	}
-	if r.ask.AnswerTokens == 0 {
-		// A plain service: its run time stands for the decoding.
-		c.TokenTime = 0
-		c.PrefillRate = 0
-		c.Penalty *= 1
+	if r.ask.AnswerTokens > 0 {
+		c.TokenTime = e.rates.TokenTime
+		if c.TokenTime == 0 {
+			c.TokenTime = startToken
+		}
+		// A prefill holds up all streams of the batch.
+		c.PrefillRate = e.prefillRate / float64(1+e.running)
 	}
 	if e.prompts != nil {
 		c.Held = int64(e.prompts.held(r.ask.Prefixes, r.ask.PartTokens))
--- a/internal/system/forwarder/answer.go
+++ b/internal/system/forwarder/answer.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/textproto"
 	"strings"
+	"time"
 )
 
 // Sizes of answers.
@@ -111,6 +112,9 @@
 			if err := x.mayPass(bytes.Count(buf[:end], eventEnd)); err != nil {
 				return fmt.Errorf("%w: %w", errBudget, err)
 			}
+			if x.events == 0 {
+				x.firstByte = time.Since(x.sent)
+			}
 			x.begin(resp)
 			x.note(buf[:end])
 			if werr := x.pass(flusher, buf[:end]); werr != nil {
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -58,7 +58,8 @@
 	cause     error
 	endpoint  string
 	waited    time.Duration
-	firstByte time.Duration
+	sent      time.Time     // of the last attempt
+	firstByte time.Duration // from there to the first event of a stream
 }
 
 // splitKey decides which share of a split route serves a request: all of a
@@ -296,12 +297,11 @@
 		}
 		return nil
 	}
-	start := time.Now()
+	x.sent = time.Now()
 	err = conn.Send(x.outgoing(place))
 	if err == nil {
 		var resp *http.Response
 		if resp, err = conn.Receive(x.req.Method, x.own); err == nil {
-			x.firstByte = time.Since(start)
 			return x.answer(conn, resp)
 		}
 	}
@@ -312,6 +312,9 @@
 	case x.ctx.Err() != nil:
 		x.runs++
 		return abandoned, x.ctx.Err()
+	case !time.Now().Before(x.deadline):
+		x.runs++
+		return abandoned, context.DeadlineExceeded
 	default:
 		return broken, err
 	}
