--- a/internal/system/forwarder/forwarder.go
+++ b/internal/system/forwarder/forwarder.go
@@ -33,9 +33,8 @@
 	leastUseful = 10 * time.Millisecond
 	// busyRetry is what a caller is told to wait when nothing better is known.
 	busyRetry = 300 * time.Millisecond
-	// reserveShare is the divisor of a turn's most tokens that gives what is
-	// reserved at a time: most turns generate far less than they may, and
-	// turns that run side by side must not use up the budget by reserving.
+	// reserveShare is the divisor of a turn's most tokens that gives a step of
+	// reserving: most turns generate far less than they may.
 	reserveShare = 3
 	// lateFactor times its objective is the time in which a program's end
 	// still has some use.
@@ -55,6 +54,7 @@
 type Budgets interface {
 	Seen(program string, now, finish time.Time) (ran bool, started, objective time.Time)
 	Reserve(ctx context.Context, ask tokenbudget.Ask) (*tokenbudget.Reservation, error)
+	Extend(ctx context.Context, ask tokenbudget.Ask) (*tokenbudget.Reservation, error)
 }
 
 // Places hands out places at endpoints.
--- a/internal/system/forwarder/tokens.go
+++ b/internal/system/forwarder/tokens.go
@@ -2,14 +2,20 @@
 
 import "ibisstall.example/ibisstall/internal/system/tokenbudget"
 
-// reserve sets aside tokens for the next events of a turn.
+// reserve sets aside tokens for a turn or, where it has used up what it has, for
+// its next events.
 func (x *exchange) reserve() error {
 	most := int64(x.req.MaxTokens)
 	perEvent := int64(max(1, x.service.TokensPerEvent))
-	want := min(most, (most/reserveShare+perEvent-1)/perEvent*perEvent)
-	r, err := x.f.Budgets.Reserve(x.ctx, tokenbudget.Ask{
-		Program: x.req.Program, Budget: x.req.Budget, Turn: most, Tokens: want,
-	})
+	ask := tokenbudget.Ask{
+		Program: x.req.Program, Budget: x.req.Budget, Turn: most,
+		Step: min(most, (most/reserveShare+perEvent-1)/perEvent*perEvent),
+	}
+	reserve := x.f.Budgets.Reserve
+	if len(x.reservations) > 0 {
+		reserve = x.f.Budgets.Extend
+	}
+	r, err := reserve(x.ctx, ask)
 	if err != nil {
 		return err
 	}
--- a/internal/system/tokenbudget/allowance.go
+++ b/internal/system/tokenbudget/allowance.go
@@ -243,32 +243,50 @@
 	return k.Process
 }
 
-// Reserve takes tokens of the parts of the data centres, this one's first, at
-// their keepers. It returns the keeper, the id of the grant there and its
-// tokens. Errors wrap ErrSpent, if all parts are spent, and ErrUnavailable.
-func (a *Allowances) Reserve(ctx context.Context, ask Ask) (keeper string, id uint64, tokens int64, err error) {
+// Reserve takes a step's tokens of the parts of the data centres, this one's
+// first, at their keepers. It returns the keeper and the id of the grant there.
+// Errors wrap ErrSpent, if all parts are spent, and ErrUnavailable.
+func (a *Allowances) Reserve(ctx context.Context, ask Ask) (keeper string, id uint64, err error) {
 	spent := 0
 	for _, dc := range a.nearFirst() {
 		keeper = a.keeperOf(ask.Program, dc)
-		switch {
-		case keeper == "":
-			continue
-		case keeper == a.Self:
-			id, tokens, err = a.hand(ask)
-		default:
-			id, tokens, err = a.Mesh.allow(ctx, keeper, ask)
-		}
+		id, _, err = a.allow(ctx, keeper, ask, false)
 		if err == nil {
-			return keeper, id, tokens, nil
+			return keeper, id, nil
 		}
 		if errors.Is(err, ErrSpent) {
 			spent++
 		}
 	}
 	if spent == len(a.DCs) {
-		return "", 0, 0, ErrSpent
+		return "", 0, ErrSpent
+	}
+	return "", 0, fmt.Errorf("%w: a keeper can't be reached", ErrUnavailable)
+}
+
+// TakeAll takes what is left of the parts of all data centres whose keepers can
+// be reached.
+func (a *Allowances) TakeAll(ctx context.Context, ask Ask) int64 {
+	sum := int64(0)
+	for _, dc := range a.nearFirst() {
+		_, tokens, err := a.allow(ctx, a.keeperOf(ask.Program, dc), ask, true)
+		if err == nil {
+			sum += tokens
+		}
+	}
+	return sum
+}
+
+// allow asks a keeper, this VM itself without a call.
+func (a *Allowances) allow(ctx context.Context, keeper string, ask Ask, all bool) (uint64, int64, error) {
+	switch keeper {
+	case "":
+		return 0, 0, fmt.Errorf("%w: no keeper", ErrUnavailable)
+	case a.Self:
+		return a.hand(ask, all)
+	default:
+		return a.Mesh.allow(ctx, keeper, ask, all)
 	}
-	return "", 0, 0, fmt.Errorf("%w: a keeper can't be reached", ErrUnavailable)
 }
 
 // nearFirst returns the data centres, this one first.
@@ -283,8 +301,9 @@
 	return list
 }
 
-// hand takes tokens from a part that this VM keeps.
-func (a *Allowances) hand(ask Ask) (uint64, int64, error) {
+// hand takes tokens from a part that this VM keeps: a step's, or with all
+// whatever is left, for good.
+func (a *Allowances) hand(ask Ask, all bool) (uint64, int64, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	b := bucketOf(ask.Program)
@@ -299,17 +318,21 @@
 	}
 	h.last = time.Now()
 	_, part := Parts(ask.Budget, ask.Turn, len(a.DCs))
-	tokens := min(ask.Tokens, part-h.used)
-	if tokens < ask.Tokens {
+	left := part - h.used
+	if all && left > 0 {
+		h.used += left
+		return 0, left, nil
+	}
+	if left < max(1, ask.Step) {
 		return 0, 0, ErrSpent
 	}
-	h.used += tokens
+	h.used += ask.Step
 	if a.grants == nil {
 		a.grants = make(map[uint64]*grant)
 	}
 	a.lastID++
-	a.grants[a.lastID] = &grant{ask.Program, b, tokens, h.last}
-	return a.lastID, tokens, nil
+	a.grants[a.lastID] = &grant{ask.Program, b, ask.Step, h.last}
+	return a.lastID, ask.Step, nil
 }
 
 // settle ends a grant of which a number of tokens was generated. A grant that
@@ -400,9 +423,15 @@
 	Spent, Unavailable bool
 }
 
+// AllowAsk is a question of another VM.
+type AllowAsk struct {
+	Ask
+	All bool // whatever is left, for good
+}
+
 // Allow hands out tokens to another VM.
-func (s *service) Allow(ask Ask, out *Allowed) error {
-	id, tokens, err := s.allowances.hand(ask)
+func (s *service) Allow(ask AllowAsk, out *Allowed) error {
+	id, tokens, err := s.allowances.hand(ask.Ask, ask.All)
 	out.ID, out.Tokens = int64(id), tokens
 	out.Spent = errors.Is(err, ErrSpent)
 	out.Unavailable = err != nil && !out.Spent
@@ -415,9 +444,9 @@
 	return nil
 }
 
-func (m *Mesh) allow(ctx context.Context, keeper string, ask Ask) (uint64, int64, error) {
+func (m *Mesh) allow(ctx context.Context, keeper string, ask Ask, all bool) (uint64, int64, error) {
 	var got Allowed
-	err := m.call(ctx, keeper, serviceName+".Allow", allowLimit, ask, &got)
+	err := m.call(ctx, keeper, serviceName+".Allow", allowLimit, AllowAsk{ask, all}, &got)
 	switch {
 	case err != nil:
 		return 0, 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
--- a/internal/system/tokenbudget/peers.go
+++ b/internal/system/tokenbudget/peers.go
@@ -20,7 +20,7 @@
 const (
 	// reserveLimit bounds a reservation at another VM, which may wait for
 	// running turns.
-	reserveLimit = settleWait + 150*time.Millisecond
+	reserveLimit = settleWait + 400*time.Millisecond
 	// allowLimit bounds a question to a keeper, which answers at once.
 	allowLimit = 150 * time.Millisecond
 	// silentRest is how long a VM that did not answer is left alone.
--- a/internal/system/tokenbudget/tokenbudget.go
+++ b/internal/system/tokenbudget/tokenbudget.go
@@ -47,6 +47,9 @@
 	// give back, in steps of settlePause: about the length of a turn.
 	settleWait  = 500 * time.Millisecond
 	settlePause = 20 * time.Millisecond
+	// borrowPause is the least time between two questions for the parts of
+	// the data centres.
+	borrowPause = 300 * time.Millisecond
 	// idleLimit is how long an account without reservations is kept.
 	idleLimit = 90 * time.Second
 	// reservationLimit is how long a reservation of another VM is kept; one
@@ -78,7 +81,9 @@
 	Program string
 	Budget  int64 // of the program
 	Turn    int64 // most tokens of one turn
-	Tokens  int64 // to reserve now
+	// Step is what a turn reserves at a time while the budget's home can't be
+	// reached: all of a turn's most would use up the small part that is left.
+	Step int64
 }
 
 // Ledger holds the accounts of one VM. It is safe for concurrent use.
@@ -102,10 +107,12 @@
 
 	// The rest is guarded by the ledger's mu.
 	row     Row
-	version uint64 // of the row; 0 if none was read or written
-	stale   bool   // the row may have changed since
-	left    int64  // of the shares that this VM has taken
-	running int64  // reserved by turns that run
+	version uint64    // of the row; 0 if none was read or written
+	stale   bool      // the row may have changed since
+	left    int64     // of the shares that this VM has taken
+	lent    int64     // of these, taken from the parts of data centres
+	asked   time.Time // when those were last asked for
+	running int64     // reserved by turns that run
 	used    time.Time
 	started time.Time
 	finish  time.Time // the program's objective as its first request here told it
@@ -156,25 +163,34 @@
 }
 
 // Reserve sets aside tokens that a turn may generate; Tokens of the reservation
-// tells how many these are. A turn that needs more reserves again. Errors wrap
+// tells how many these are. A turn that needs more calls Extend. Errors wrap
 // ErrSpent or ErrUnavailable.
 func (l *Ledger) Reserve(ctx context.Context, ask Ask) (*Reservation, error) {
 	r, err := l.reserveRecorded(ctx, ask)
 	if err == nil {
 		return r, nil
 	}
-	keeper, id, granted, allowErr := l.Allowances.Reserve(ctx, ask)
+	if errors.Is(err, ErrSpent) {
+		l.Log.Info("token budget spent", tag.ForwardedProgram(ask.Program), tag.Budget(ask.Budget))
+		return nil, err
+	}
+	r, allowErr := l.Extend(ctx, ask)
 	if allowErr != nil {
-		if errors.Is(allowErr, ErrSpent) && errors.Is(err, ErrSpent) {
-			l.Log.Info("token budget spent", tag.ForwardedProgram(ask.Program), tag.Budget(ask.Budget))
-			return nil, ErrSpent
-		}
 		return nil, fmt.Errorf("%w: %w, %w", ErrUnavailable, err, allowErr)
 	}
+	return r, nil
+}
+
+// Extend sets aside a step's tokens of the parts of the data centres.
+func (l *Ledger) Extend(ctx context.Context, ask Ask) (*Reservation, error) {
+	keeper, id, err := l.Allowances.Reserve(ctx, ask)
+	if err != nil {
+		return nil, err
+	}
 	l.mu.Lock()
 	l.account(ask.Program, time.Now()).ran = true
 	l.mu.Unlock()
-	return &Reservation{ledger: l, keeper: keeper, id: id, tokens: granted}, nil
+	return &Reservation{ledger: l, keeper: keeper, id: id, tokens: ask.Step}, nil
 }
 
 // reserveRecorded reserves from the recorded part of a budget, at its home.
@@ -193,7 +209,7 @@
 			l.mu.Lock()
 			a.ran = true
 			l.mu.Unlock()
-			return &Reservation{ledger: l, home: home, id: id, tokens: ask.Tokens}, nil
+			return &Reservation{ledger: l, home: home, id: id, tokens: ask.Turn}, nil
 		}
 		if !errors.Is(err, errElsewhere) {
 			return nil, err
@@ -215,14 +231,14 @@
 // reserveHere reserves at this VM as the program's home. With takeOver it makes
 // itself the home in place of one that can't be reached.
 func (l *Ledger) reserveHere(ctx context.Context, a *account, ask Ask, takeOver bool) (*Reservation, error) {
-	if r := l.reserve(a, ask.Tokens); r != nil {
+	if r := l.reserve(a, ask); r != nil {
 		return r, nil
 	}
 	a.claim.Lock()
 	defer a.claim.Unlock()
 	until := time.Now().Add(settleWait)
 	for range maxRounds {
-		if r := l.reserve(a, ask.Tokens); r != nil {
+		if r := l.reserve(a, ask); r != nil {
 			return r, nil // another turn has taken a share or settled
 		}
 		row, version, err := l.current(ctx, a, ask, takeOver)
@@ -234,8 +250,9 @@
 		}
 		left, running := l.balance(a)
 		recorded, _ := Parts(row.Budget, ask.Turn, len(l.Allowances.DCs))
-		missing, free := ask.Tokens-left, recorded-row.Taken
+		missing, free := ask.Turn-left, recorded-row.Taken
 		if free < missing {
+			l.borrow(ctx, a, ask)
 			return l.awaitSettled(ctx, a, ask, running, until)
 		}
 		row.Home = l.VM
@@ -247,15 +264,37 @@
 	return nil, fmt.Errorf("%w: too many conflicts", ErrUnavailable)
 }
 
+// borrow takes what is left of the parts of the data centres, so that the whole
+// budget can be handed out at its home.
+func (l *Ledger) borrow(ctx context.Context, a *account, ask Ask) {
+	l.mu.Lock()
+	lately := time.Since(a.asked) < borrowPause
+	if !lately {
+		a.asked = time.Now()
+	}
+	l.mu.Unlock()
+	if lately {
+		return
+	}
+	got := l.Allowances.TakeAll(ctx, ask)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a.left += got
+	a.lent += got
+}
+
 // awaitSettled waits for tokens that running turns give back: to refuse ends
 // the program.
 func (l *Ledger) awaitSettled(ctx context.Context, a *account, ask Ask, running int64, until time.Time) (*Reservation, error) {
+	if r := l.reserve(a, ask); r != nil {
+		return r, nil
+	}
 	left, _ := l.balance(a)
-	for left+running >= ask.Tokens && running > 0 && time.Now().Before(until) {
+	for left+running >= ask.Turn && running > 0 && time.Now().Before(until) {
 		if !sleep(ctx, settlePause) {
 			return nil, fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
 		}
-		if r := l.reserve(a, ask.Tokens); r != nil {
+		if r := l.reserve(a, ask); r != nil {
 			return r, nil
 		}
 		left, running = l.balance(a)
@@ -275,16 +314,16 @@
 }
 
 // reserve takes tokens from this VM's share, or returns nil.
-func (l *Ledger) reserve(a *account, tokens int64) *Reservation {
+func (l *Ledger) reserve(a *account, ask Ask) *Reservation {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if a.left < tokens {
+	if a.left < ask.Turn {
 		return nil
 	}
-	a.left -= tokens
-	a.running += tokens
+	a.left -= ask.Turn
+	a.running += ask.Turn
 	a.ran = true
-	return &Reservation{ledger: l, account: a, tokens: tokens}
+	return &Reservation{ledger: l, account: a, tokens: ask.Turn}
 }
 
 func (l *Ledger) balance(a *account) (left, running int64) {
@@ -455,7 +494,7 @@
 	a.claim.Lock()
 	defer a.claim.Unlock()
 	l.mu.Lock()
-	left := max(0, a.left)
+	left := max(0, a.left-a.lent) // the lent part is not the row's
 	a.left -= left
 	row, version := a.row, a.version
 	l.mu.Unlock()
