--- a/internal/logging/tag/tag.go
+++ b/internal/logging/tag/tag.go
@@ -124,3 +124,6 @@
 
 // FinishIn is the time that is left until a program should be done, in seconds.
 func FinishIn(d time.Duration) zap.Field { return zap.Duration("finish_in_seconds", d) }
+
+// Whole tells whether all parts of a budget were within reach.
+func Whole(yes bool) zap.Field { return zap.Bool("whole", yes) }
--- a/internal/system/dispatch/directory.go
+++ b/internal/system/dispatch/directory.go
@@ -15,6 +15,7 @@
 	Address string // for the mesh, host:port
 	DC      string
 	Entry   uint64 // version of its entry in the list of VMs
+	Leaving bool   // schedules nothing any more
 }
 
 // Directory lists the VMs of the system. It is safe for concurrent use.
@@ -70,7 +71,7 @@
 	}
 	list := make([]scored, 0, len(d.vms)+1)
 	for _, vm := range d.vms {
-		if vm.Name != d.Self.Name {
+		if vm.Name != d.Self.Name && !vm.Leaving {
 			list = append(list, scored{vm, xxhash.Sum64String(service + "\x00" + vm.Name)})
 		}
 	}
--- a/internal/system/tokenbudget/allowance.go
+++ b/internal/system/tokenbudget/allowance.go
@@ -175,7 +175,7 @@
 	p, listed := processes[old.VM]
 	if listed {
 		delete(a.unlisted, name)
-		return p.Entry > old.Entry
+		return p.ID != old.Process && p.Entry > old.Entry
 	}
 	if a.unlisted == nil {
 		a.unlisted = make(map[string]time.Time)
@@ -265,16 +265,19 @@
 }
 
 // TakeAll takes what is left of the parts of all data centres whose keepers can
-// be reached.
-func (a *Allowances) TakeAll(ctx context.Context, ask Ask) int64 {
-	sum := int64(0)
+// be reached. It reports whether all of them could.
+func (a *Allowances) TakeAll(ctx context.Context, ask Ask) (sum int64, whole bool) {
+	whole = true
 	for _, dc := range a.nearFirst() {
 		_, tokens, err := a.allow(ctx, a.keeperOf(ask.Program, dc), ask, true)
-		if err == nil {
+		switch {
+		case err == nil:
 			sum += tokens
+		case !errors.Is(err, ErrSpent):
+			whole = false
 		}
 	}
-	return sum
+	return sum, whole
 }
 
 // allow asks a keeper, this VM itself without a call.
@@ -308,7 +311,7 @@
 	defer a.mu.Unlock()
 	b := bucketOf(ask.Program)
 	kept := a.kept[b]
-	if kept == nil || a.leaving || time.Now().Before(kept.after) {
+	if kept == nil || time.Now().Before(kept.after) {
 		return 0, 0, fmt.Errorf("%w: bucket not kept here", ErrUnavailable)
 	}
 	h := kept.programs[ask.Program]
@@ -377,7 +380,7 @@
 	}
 }
 
-// Leave stops handing out.
+// Leave stops claiming.
 func (a *Allowances) Leave() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -385,7 +388,7 @@
 }
 
 // Release gives up all buckets and tells the successors what was handed out. It
-// follows Leave, after all turns have ended.
+// hands out nothing more.
 func (a *Allowances) Release(ctx context.Context) {
 	a.mu.Lock()
 	var writes []platform.Write
@@ -408,6 +411,7 @@
 			Key: platform.Key{Table: KeeperTable, ID: "/" + name}, IfVersion: a.keepers[name].version, Value: value,
 		})
 	}
+	a.kept = nil
 	a.mu.Unlock()
 	if len(writes) == 0 {
 		return
--- a/internal/system/tokenbudget/peers.go
+++ b/internal/system/tokenbudget/peers.go
@@ -64,6 +64,7 @@
 // Reserved is the answer to a reservation.
 type Reserved struct {
 	ID          uint64
+	Tokens      int64
 	Spent       bool // ErrSpent
 	Unavailable bool // ErrUnavailable
 	Elsewhere   bool // this VM is not the program's home
@@ -73,8 +74,8 @@
 func (s *service) Reserve(ask Ask, out *Reserved) error {
 	ctx, cancel := context.WithTimeout(context.Background(), reserveLimit)
 	defer cancel()
-	id, err := s.ledger.reserveFor(ctx, ask)
-	out.ID = id
+	id, tokens, err := s.ledger.reserveFor(ctx, ask)
+	out.ID, out.Tokens = id, tokens
 	out.Spent = errors.Is(err, ErrSpent)
 	out.Elsewhere = errors.Is(err, errElsewhere)
 	out.Unavailable = err != nil && !out.Spent && !out.Elsewhere
@@ -163,21 +164,21 @@
 }
 
 // Reserve implements Peers.
-func (m *Mesh) Reserve(ctx context.Context, home string, ask Ask) (uint64, error) {
+func (m *Mesh) Reserve(ctx context.Context, home string, ask Ask) (id uint64, tokens int64, err error) {
 	var got Reserved
-	err := m.call(ctx, home, serviceName+".Reserve", reserveLimit, ask, &got)
+	err = m.call(ctx, home, serviceName+".Reserve", reserveLimit, ask, &got)
 	switch {
 	case err != nil:
 		// A reservation that was made all the same counts as used there.
-		return 0, fmt.Errorf("%w: %w", errElsewhere, err)
+		return 0, 0, fmt.Errorf("%w: %w", errElsewhere, err)
 	case got.Spent:
-		return 0, ErrSpent
+		return 0, 0, ErrSpent
 	case got.Elsewhere:
-		return 0, errElsewhere
+		return 0, 0, errElsewhere
 	case got.Unavailable:
-		return 0, ErrUnavailable
+		return 0, 0, ErrUnavailable
 	}
-	return got.ID, nil
+	return got.ID, got.Tokens, nil
 }
 
 // Settle implements Peers.
--- a/internal/system/tokenbudget/tokenbudget.go
+++ b/internal/system/tokenbudget/tokenbudget.go
@@ -71,7 +71,7 @@
 	// Reserve makes a reservation at a program's home. Its errors are those
 	// of Ledger.Reserve, and errElsewhere if the home can't be reached or is
 	// none any more.
-	Reserve(ctx context.Context, home string, ask Ask) (uint64, error)
+	Reserve(ctx context.Context, home string, ask Ask) (id uint64, tokens int64, err error)
 	// Settle ends a reservation there.
 	Settle(home string, id uint64, generated int64)
 }
@@ -111,6 +111,7 @@
 	stale   bool      // the row may have changed since
 	left    int64     // of the shares that this VM has taken
 	lent    int64     // of these, taken from the parts of data centres
+	whole   bool      // all of these were had
 	asked   time.Time // when those were last asked for
 	running int64     // reserved by turns that run
 	used    time.Time
@@ -171,7 +172,6 @@
 		return r, nil
 	}
 	if errors.Is(err, ErrSpent) {
-		l.Log.Info("token budget spent", tag.ForwardedProgram(ask.Program), tag.Budget(ask.Budget))
 		return nil, err
 	}
 	r, allowErr := l.Extend(ctx, ask)
@@ -204,12 +204,12 @@
 			return r, err
 		}
 		home := l.homeOf(a)
-		id, err := l.Peers.Reserve(ctx, home, ask)
+		id, tokens, err := l.Peers.Reserve(ctx, home, ask)
 		if err == nil {
 			l.mu.Lock()
 			a.ran = true
 			l.mu.Unlock()
-			return &Reservation{ledger: l, home: home, id: id, tokens: ask.Turn}, nil
+			return &Reservation{ledger: l, home: home, id: id, tokens: tokens}, nil
 		}
 		if !errors.Is(err, errElsewhere) {
 			return nil, err
@@ -248,15 +248,13 @@
 		if row.Home != "" && row.Home != l.VM && !takeOver {
 			return nil, errElsewhere
 		}
-		left, running := l.balance(a)
 		recorded, _ := Parts(row.Budget, ask.Turn, len(l.Allowances.DCs))
-		missing, free := ask.Turn-left, recorded-row.Taken
-		if free < missing {
-			l.borrow(ctx, a, ask)
-			return l.awaitSettled(ctx, a, ask, running, until)
+		free := recorded - row.Taken
+		if free <= 0 {
+			return l.awaitSettled(ctx, a, ask, l.borrow(ctx, a, ask), until)
 		}
 		row.Home = l.VM
-		share := max(missing, min(free, shareTurns*ask.Turn))
+		share := min(free, shareTurns*ask.Turn)
 		if err := l.swap(ctx, a, ask.Program, row, version, share); err != nil {
 			return nil, err
 		}
@@ -265,41 +263,50 @@
 }
 
 // borrow takes what is left of the parts of the data centres, so that the whole
-// budget can be handed out at its home.
-func (l *Ledger) borrow(ctx context.Context, a *account, ask Ask) {
+// budget can be handed out at its home. It reports whether all of them are here
+// or spent.
+func (l *Ledger) borrow(ctx context.Context, a *account, ask Ask) (whole bool) {
 	l.mu.Lock()
-	lately := time.Since(a.asked) < borrowPause
+	lately, whole := time.Since(a.asked) < borrowPause, a.whole
 	if !lately {
 		a.asked = time.Now()
 	}
 	l.mu.Unlock()
 	if lately {
-		return
+		return whole
 	}
-	got := l.Allowances.TakeAll(ctx, ask)
+	got, whole := l.Allowances.TakeAll(ctx, ask)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a.left += got
 	a.lent += got
+	a.whole = whole
+	return whole
 }
 
 // awaitSettled waits for tokens that running turns give back: to refuse ends
-// the program.
-func (l *Ledger) awaitSettled(ctx context.Context, a *account, ask Ask, running int64, until time.Time) (*Reservation, error) {
-	if r := l.reserve(a, ask); r != nil {
-		return r, nil
-	}
-	left, _ := l.balance(a)
-	for left+running >= ask.Turn && running > 0 && time.Now().Before(until) {
-		if !sleep(ctx, settlePause) {
-			return nil, fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
-		}
+// the program. If parts of the budget are out of reach, a turn may begin with a
+// step's tokens, since most turns need no more.
+func (l *Ledger) awaitSettled(ctx context.Context, a *account, ask Ask, whole bool, until time.Time) (*Reservation, error) {
+	for {
 		if r := l.reserve(a, ask); r != nil {
 			return r, nil
 		}
-		left, running = l.balance(a)
+		if !whole {
+			if r := l.reserveSome(a, ask); r != nil {
+				return r, nil
+			}
+		}
+		left, running := l.balance(a)
+		if running == 0 || left+running < ask.Turn || !time.Now().Before(until) {
+			l.Log.Info("token budget spent", tag.ForwardedProgram(ask.Program), tag.Budget(ask.Budget),
+				tag.Left(left), tag.Running(running), tag.Whole(whole))
+			return nil, ErrSpent
+		}
+		if !sleep(ctx, settlePause) {
+			return nil, fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
+		}
 	}
-	return nil, ErrSpent
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
@@ -313,17 +320,27 @@
 	}
 }
 
-// reserve takes tokens from this VM's share, or returns nil.
+// reserve takes a turn's most tokens from what is here, or returns nil.
 func (l *Ledger) reserve(a *account, ask Ask) *Reservation {
+	return l.take(a, ask.Turn, ask.Turn)
+}
+
+// reserveSome takes at least a step's tokens, or returns nil.
+func (l *Ledger) reserveSome(a *account, ask Ask) *Reservation {
+	return l.take(a, ask.Step, ask.Turn)
+}
+
+func (l *Ledger) take(a *account, least, most int64) *Reservation {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if a.left < ask.Turn {
+	if a.left < max(1, least) {
 		return nil
 	}
-	a.left -= ask.Turn
-	a.running += ask.Turn
+	tokens := min(a.left, most)
+	a.left -= tokens
+	a.running += tokens
 	a.ran = true
-	return &Reservation{ledger: l, account: a, tokens: ask.Turn}
+	return &Reservation{ledger: l, account: a, tokens: tokens}
 }
 
 func (l *Ledger) balance(a *account) (left, running int64) {
@@ -417,16 +434,16 @@
 }
 
 // reserveFor makes a reservation for another VM, if this VM is the home.
-func (l *Ledger) reserveFor(ctx context.Context, ask Ask) (uint64, error) {
+func (l *Ledger) reserveFor(ctx context.Context, ask Ask) (uint64, int64, error) {
 	l.mu.Lock()
 	a := l.accounts[ask.Program]
 	l.mu.Unlock()
 	if a == nil {
-		return 0, errElsewhere
+		return 0, 0, errElsewhere
 	}
 	r, err := l.reserveHere(ctx, a, ask, false)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -435,7 +452,7 @@
 	}
 	l.lastID++
 	l.remote[l.lastID] = &reserved{Reservation: r, made: time.Now()}
-	return l.lastID, nil
+	return l.lastID, r.tokens, nil
 }
 
 // settleFor ends a reservation of another VM.
