A stream goes on at another runner when its own is gone

Cause, found by TestProcess_Streams: after a stream broke off and nobody listened at its runner any more, the runner counted as alive, so that a route with one endpoint a request did not go on elsewhere.

--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -102,10 +102,12 @@
 			ran = true
 			x.runs++
 		}
-		if outcome == broken && x.mayResume() && x.f.Pool.Reachable(x.ctx, place.Address) {
-			x.resumes++
-			x.f.Log.Debug("request resumed", tag.Request(x.req.ID), tag.Endpoint(place.Endpoint), tag.Error(err))
-			continue
+		if outcome == broken && x.mayResume() {
+			if x.f.Pool.Reachable(x.ctx, place.Address) {
+				x.resumes++
+				continue
+			}
+			err = fmt.Errorf("%w: %w", errEndpointGone, err)
 		}
 		switch outcome {
 		case complete:
