--- a/internal/system/tokenbudget/tokenbudget.go
+++ b/internal/system/tokenbudget/tokenbudget.go
@@ -38,9 +38,6 @@
 	// partitions spreads the rows, since a partition of the table service
 	// takes a bounded number of writes a second.
 	partitions = 32
-	// shareTurns is the number of turns at their most that a home takes from
-	// the row at a time: few writes, and little lost with a VM.
-	shareTurns = 2
 	// maxRounds bounds the attempts to find or take a home while others do.
 	maxRounds = 6
 	// settleWait is how long a turn waits for tokens that running turns may
@@ -50,9 +47,9 @@
 	// leastPart is the divisor of a turn's most tokens that gives what a turn
 	// may begin with while parts of the budget are out of reach.
 	leastPart = 2
-	// borrowPause is the least time between two questions for the parts of
-	// the data centres.
-	borrowPause = 300 * time.Millisecond
+	// borrowPause is the pause after a question for the parts of the data
+	// centres that brought nothing.
+	borrowPause = 100 * time.Millisecond
 	// idleLimit is how long an account without reservations is kept.
 	idleLimit = 90 * time.Second
 	// reservationLimit is how long a reservation of another VM is kept; one
@@ -115,7 +112,7 @@
 	left    int64     // of the shares that this VM has taken
 	lent    int64     // of these, taken from the parts of data centres
 	whole   bool      // all of these were had
-	asked   time.Time // when those were last asked for
+	asked   time.Time // when those were last asked for in vain
 	running int64     // reserved by turns that run
 	used    time.Time
 	started time.Time
@@ -270,10 +267,11 @@
 		recorded := recordedPart(row.Budget)
 		free := recorded - row.Taken
 		if free <= 0 {
-			return l.awaitSettled(ctx, a, ask, l.borrow(ctx, a, ask), until)
+			return l.awaitParts(ctx, a, ask, until)
 		}
 		row.Home = l.VM
-		share := min(free, shareTurns*ask.Turn)
+		// A turn and a step: few writes, and little lost with a VM.
+		share := min(free, ask.Turn+ask.Step)
 		if err := l.swap(ctx, a, ask.Program, row, version, share); err != nil {
 			return nil, err
 		}
@@ -281,43 +279,50 @@
 	return nil, fmt.Errorf("%w: too many conflicts", ErrUnavailable)
 }
 
-// borrow takes what is left of the parts of the data centres, so that the whole
-// budget can be handed out at its home. It reports whether all of them are here
-// or spent.
-func (l *Ledger) borrow(ctx context.Context, a *account, ask Ask) (whole bool) {
+// borrow takes parts of the data centres for a turn, so that the whole budget can
+// be handed out at its home. It reports whether it has asked, which it does only
+// so often, and whether all parts are here or spent.
+func (l *Ledger) borrow(ctx context.Context, a *account, ask Ask) (asked, whole bool) {
 	l.mu.Lock()
-	lately, whole := time.Since(a.asked) < borrowPause, a.whole
-	if !lately {
-		a.asked = time.Now()
+	need := ask.Turn - a.left
+	if a.whole || need <= 0 || time.Since(a.asked) < borrowPause {
+		defer l.mu.Unlock()
+		return a.whole, a.whole
 	}
 	l.mu.Unlock()
-	if lately {
-		return whole
-	}
-	got, whole := l.Allowances.TakeAll(ctx, ask)
+	got, whole := l.Allowances.Borrow(ctx, ask, need)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a.left += got
 	a.lent += got
 	a.whole = whole
-	return whole
+	if got == 0 {
+		a.asked = time.Now()
+	}
+	return true, whole
 }
 
-// awaitSettled waits for tokens that running turns give back: to refuse ends
-// the program. If parts of the budget are out of reach, a turn may begin with less
-// than its most, since few turns need it.
-func (l *Ledger) awaitSettled(ctx context.Context, a *account, ask Ask, whole bool, until time.Time) (*Reservation, error) {
+// awaitParts reserves from what the home has, after its recorded part is taken:
+// it borrows the other parts, and waits for tokens that running turns give back,
+// since to refuse ends the program. If parts are out of reach, a turn may begin
+// with less than its most, as few turns need it.
+func (l *Ledger) awaitParts(ctx context.Context, a *account, ask Ask, until time.Time) (*Reservation, error) {
 	for {
 		if r := l.reserve(a, ask); r != nil {
 			return r, nil
 		}
-		if !whole {
+		asked, whole := l.borrow(ctx, a, ask)
+		if r := l.reserve(a, ask); r != nil {
+			return r, nil
+		}
+		if asked && !whole {
 			if r := l.reserveSome(a, ask); r != nil {
 				return r, nil
 			}
 		}
 		left, running := l.balance(a)
-		if running == 0 || left+running < ask.Turn || !time.Now().Before(until) {
+		hopeless := running == 0 || left+running < ask.Turn
+		if asked && hopeless || !time.Now().Before(until) {
 			l.Log.Info("token budget spent", tag.ForwardedProgram(ask.Program), tag.Budget(ask.Budget),
 				tag.Left(left), tag.Running(running), tag.Whole(whole))
 			return nil, ErrSpent
