--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -133,16 +133,15 @@
 
 // request is an Ask and what became of it.
 type request struct {
-	ask      Ask
-	task     policy.Task
-	pool     *pool
-	at       *endpoint // nil while it waits
-	answer   Answer
-	done     chan struct{} // closed once it is granted or refused
-	seen     time.Duration // when the asking VM was last heard of
-	fetched  bool          // the asking VM has the grant
-	held     int           // prompt tokens that the endpoint was believed to hold
-	refusals int
+	ask     Ask
+	task    policy.Task
+	pool    *pool
+	at      *endpoint // nil while it waits
+	answer  Answer
+	done    chan struct{} // closed once it is granted or refused
+	seen    time.Duration // when the asking VM was last heard of
+	fetched bool          // the asking VM has the grant
+	held    int           // prompt tokens that the endpoint was believed to hold
 }
 
 // NewScheduler returns a scheduler without endpoints. The ticket numbers of
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -40,11 +40,10 @@
 	lateFinish time.Time
 	first      bool
 
-	avoid     []string // endpoints not to use again
-	notRun    int      // endpoints that proved not to have run it
-	runs      int      // endpoints that may have run it
-	resumes   int
-	retryHint time.Duration
+	avoid   []string // endpoints not to use again
+	notRun  int      // endpoints that proved not to have run it
+	runs    int      // endpoints that may have run it
+	resumes int
 
 	reservations []*tokenbudget.Reservation
 
--- a/internal/system/tokenbudget/allowance.go
+++ b/internal/system/tokenbudget/allowance.go
@@ -32,8 +32,10 @@
 	KeeperTable = "keepers"
 	// bucketsPerDC is the number of keepers of a data centre at the most.
 	bucketsPerDC = 16
-	// recordedShare is the divisor of the budget that gives the recorded part.
-	recordedShare = 2
+	// recordedNum / recordedDen is the recorded part of a budget. It should
+	// hold a turn by itself for most budgets, and leave enough to the data
+	// centres for a short program.
+	recordedNum, recordedDen = 3, 5
 	// leaveLimit is how long a process that has left the list of VMs may
 	// still run; above the grace that the platform gives.
 	leaveLimit = 20 * time.Second
@@ -55,7 +57,7 @@
 }
 
 // recordedPart is the part of a budget that is handed out by the program's home.
-func recordedPart(budget int64) int64 { return budget / recordedShare }
+func recordedPart(budget int64) int64 { return budget * recordedNum / recordedDen }
 
 // partPerDC is the part of each data centre, for a program whose turns generate
 // at most turn tokens. All parts together exceed the budget by at most a turn.
--- a/internal/system/tokenbudget/peers.go
+++ b/internal/system/tokenbudget/peers.go
@@ -68,6 +68,7 @@
 	Spent       bool // ErrSpent
 	Unavailable bool // ErrUnavailable
 	Elsewhere   bool // this VM is not the program's home
+	Short       bool // errShort
 }
 
 // Reserve makes a reservation for another VM.
@@ -78,7 +79,8 @@
 	out.ID, out.Tokens = id, tokens
 	out.Spent = errors.Is(err, ErrSpent)
 	out.Elsewhere = errors.Is(err, errElsewhere)
-	out.Unavailable = err != nil && !out.Spent && !out.Elsewhere
+	out.Short = errors.Is(err, errShort)
+	out.Unavailable = err != nil && !out.Spent && !out.Elsewhere && !out.Short
 	return nil
 }
 
@@ -175,6 +177,8 @@
 		return 0, 0, ErrSpent
 	case got.Elsewhere:
 		return 0, 0, errElsewhere
+	case got.Short:
+		return 0, 0, errShort
 	case got.Unavailable:
 		return 0, 0, ErrUnavailable
 	}
--- a/internal/system/tokenbudget/tokenbudget.go
+++ b/internal/system/tokenbudget/tokenbudget.go
@@ -29,6 +29,10 @@
 	ErrUnavailable = errors.New("token budget unavailable")
 )
 
+// errShort means that the home has less than a turn's most, and that other parts
+// of the budget are out of reach.
+var errShort = fmt.Errorf("%w: parts are out of reach", ErrUnavailable)
+
 // errElsewhere means that another VM is the program's home.
 var errElsewhere = errors.New("program has another home")
 
@@ -44,9 +48,6 @@
 	// give back, in steps of settlePause: about the length of a turn.
 	settleWait  = 500 * time.Millisecond
 	settlePause = 20 * time.Millisecond
-	// leastPart is the divisor of a turn's most tokens that gives what a turn
-	// may begin with while parts of the budget are out of reach.
-	leastPart = 2
 	// borrowPause is the pause after a question for the parts of the data
 	// centres that brought nothing.
 	borrowPause = 100 * time.Millisecond
@@ -171,7 +172,9 @@
 	if err == nil {
 		return r, nil
 	}
-	if errors.Is(err, ErrSpent) {
+	// A turn that begins with less than its most may have to be cut, which is
+	// worse than to refuse it while the table service can be reached.
+	if errors.Is(err, ErrSpent) || errors.Is(err, errShort) {
 		return nil, err
 	}
 	r, allowErr := l.reservePart(ctx, ask)
@@ -304,8 +307,7 @@
 
 // awaitParts reserves from what the home has, after its recorded part is taken:
 // it borrows the other parts, and waits for tokens that running turns give back,
-// since to refuse ends the program. If parts are out of reach, a turn may begin
-// with less than its most, as few turns need it.
+// since to refuse ends the program.
 func (l *Ledger) awaitParts(ctx context.Context, a *account, ask Ask, until time.Time) (*Reservation, error) {
 	for {
 		if r := l.reserve(a, ask); r != nil {
@@ -315,16 +317,14 @@
 		if r := l.reserve(a, ask); r != nil {
 			return r, nil
 		}
-		if asked && !whole {
-			if r := l.reserveSome(a, ask); r != nil {
-				return r, nil
-			}
-		}
 		left, running := l.balance(a)
 		hopeless := running == 0 || left+running < ask.Turn
 		if asked && hopeless || !time.Now().Before(until) {
 			l.Log.Info("token budget spent", tag.ForwardedProgram(ask.Program), tag.Budget(ask.Budget),
 				tag.Left(left), tag.Running(running), tag.Whole(whole))
+			if !whole {
+				return nil, errShort
+			}
 			return nil, ErrSpent
 		}
 		if !sleep(ctx, settlePause) {
@@ -346,25 +346,15 @@
 
 // reserve takes a turn's most tokens from what is here, or returns nil.
 func (l *Ledger) reserve(a *account, ask Ask) *Reservation {
-	return l.take(a, ask.Turn, ask.Turn)
-}
-
-// reserveSome takes a good part of a turn's most tokens, or returns nil.
-func (l *Ledger) reserveSome(a *account, ask Ask) *Reservation {
-	return l.take(a, ask.Turn/leastPart, ask.Turn)
-}
-
-func (l *Ledger) take(a *account, least, most int64) *Reservation {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if a.left < max(1, least) {
+	if a.left < ask.Turn {
 		return nil
 	}
-	tokens := min(a.left, most)
-	a.left -= tokens
-	a.running += tokens
+	a.left -= ask.Turn
+	a.running += ask.Turn
 	a.ran = true
-	return &Reservation{ledger: l, account: a, tokens: tokens}
+	return &Reservation{ledger: l, account: a, tokens: ask.Turn}
 }
 
 func (l *Ledger) balance(a *account) (left, running int64) {
