--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -206,6 +206,7 @@
 	var refused *dispatch.RefusedError
 	if errors.As(err, &refused) {
 		retry = refused.RetryAfter
+		x.waited += refused.Waited
 	}
 	late := errors.Is(err, context.DeadlineExceeded)
 	switch {
--- a/internal/system/forwarder/forwarder.go
+++ b/internal/system/forwarder/forwarder.go
@@ -28,7 +28,7 @@
 	maxResumes = 4
 	// silenceLimit is the time without bytes after which an endpoint is
 	// probed over a new connection.
-	silenceLimit = 700 * time.Millisecond
+	silenceLimit = 500 * time.Millisecond
 	// leastUseful is the time below which no endpoint is asked any more.
 	leastUseful = 10 * time.Millisecond
 	// busyRetry is what a caller is told to wait when nothing better is known.
