--- a/internal/system/tokenbudget/allowance.go
+++ b/internal/system/tokenbudget/allowance.go
@@ -459,7 +459,7 @@
 
 func (m *Mesh) allow(ctx context.Context, keeper string, ask Ask, all bool) (uint64, int64, error) {
 	var got Allowed
-	err := m.call(ctx, keeper, serviceName+".Allow", allowLimit, AllowAsk{ask, all}, &got)
+	err := m.call(ctx, keeper, serviceName+".Allow", m.Limits.Allow, AllowAsk{ask, all}, &got)
 	switch {
 	case err != nil:
 		return 0, 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
--- a/internal/system/tokenbudget/peers.go
+++ b/internal/system/tokenbudget/peers.go
@@ -125,10 +125,23 @@
 	return nil
 }
 
+// Limits bound the calls to other VMs.
+type Limits struct {
+	Reserve time.Duration // at a program's home
+	Allow   time.Duration // at a keeper
+	Relay   time.Duration // of a relayed call of the table service
+}
+
+// DefaultLimits returns the limits in use.
+func DefaultLimits() Limits {
+	return Limits{Reserve: reserveLimit, Allow: allowLimit, Relay: relayLimit}
+}
+
 // Mesh reaches the ledgers of other VMs.
 type Mesh struct {
 	Client *mesh.Client
 	Log    *zap.Logger
+	Limits Limits
 	// AddressOf returns the address of a process, "" if it is gone; Others
 	// those of VMs to relay calls.
 	AddressOf func(process string) string
@@ -168,7 +181,7 @@
 // Reserve implements Peers.
 func (m *Mesh) Reserve(ctx context.Context, home string, ask Ask) (id uint64, tokens int64, err error) {
 	var got Reserved
-	err = m.call(ctx, home, serviceName+".Reserve", reserveLimit, ask, &got)
+	err = m.call(ctx, home, serviceName+".Reserve", m.Limits.Reserve, ask, &got)
 	switch {
 	case err != nil:
 		// A reservation that was made all the same counts as used there.
@@ -195,7 +208,7 @@
 func (m *Mesh) settle(process, method string, id uint64, generated int64) {
 	go func() {
 		var ok bool
-		err := m.call(context.Background(), process, method, reserveLimit, Settled{id, generated}, &ok)
+		err := m.call(context.Background(), process, method, m.Limits.Reserve, Settled{id, generated}, &ok)
 		if err != nil {
 			m.Log.Info("reservation not settled", tag.PeerVM(process), tag.Error(err))
 		}
@@ -305,7 +318,7 @@
 			break
 		}
 		var out RelayResult
-		callCtx, cancel := context.WithTimeout(ctx, relayLimit)
+		callCtx, cancel := context.WithTimeout(ctx, r.Mesh.Limits.Relay)
 		callErr := r.Mesh.Client.Call(callCtx, addr, serviceName+".Relay", call, &out)
 		cancel()
 		switch {
