--- a/cmd/ibisstall/forward.go
+++ b/cmd/ibisstall/forward.go
@@ -11,7 +11,7 @@
 		name:     "forward",
 		short:    "run one VM on the users' platform",
 		long:     "Runs one VM that passes the requests of agent programs on to their endpoints, with the settings that the platform provides in the file that " + platform.SettingsVariable + " names. It ends on SIGTERM. The log goes to standard output as JSON lines.",
-		examples: []string{platform.SettingsVariable + "=/etc/ibisstall/boot.json ibisstall forward"},
+		examples: []string{"ibisstall forward --check"},
 		data:     &forwardCommand{},
 	})
 }
--- a/internal/system/journal/drain.go
+++ b/internal/system/journal/drain.go
@@ -41,14 +41,14 @@
 	defer f.mu.Unlock()
 	if f.lost != nil {
 		f.pending = nil
-		f.active = false
+		f.end()
 		return nil, nil, nil
 	}
 	if f.down && !probe {
 		if fresh := f.fresh(); len(fresh) > 0 {
 			return nil, fresh, nil
 		}
-		f.active = false
+		f.end()
 		return nil, nil, nil
 	}
 	if f.pending != nil {
@@ -56,7 +56,7 @@
 	}
 	if len(f.queue) == 0 {
 		f.down = false
-		f.active = false
+		f.end()
 		return nil, nil, nil
 	}
 	txn, err := f.build(false)
--- a/internal/system/journal/family.go
+++ b/internal/system/journal/family.go
@@ -30,8 +30,9 @@
 	records uint64   // number of the last accepted record
 	queue   []*entry // not durable yet, in order; buffered ones first
 	active  bool
-	down    bool  // the platform was unavailable when last tried
-	lost    error // set once ownership is lost
+	idle    *sync.Cond // signalled when active ends
+	down    bool       // the platform was unavailable when last tried
+	lost    error      // set once ownership is lost
 	// pending was sent and its answer lost. Nothing else may be written
 	// before it is settled, and only it may be sent again, unchanged.
 	pending *transaction
@@ -93,6 +94,7 @@
 		intents: make(map[platform.Key]uint64),
 		unsent:  make(map[platform.Key]uint64),
 	}
+	f.idle = sync.NewCond(&f.mu)
 	f.recompute()
 	return f
 }
@@ -285,10 +287,15 @@
 	return true
 }
 
-// beginProbe claims the family if the platform has to be tried again for it.
+// beginProbe claims the family if the platform has to be tried again for it. It
+// waits for a goroutine that still buffers: that one doesn't try the platform,
+// so that to pass the family over would leave it down.
 func (f *family) beginProbe() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	for f.active && f.down && f.lost == nil {
+		f.idle.Wait()
+	}
 	if f.active || !f.down || f.lost != nil {
 		return false
 	}
@@ -296,6 +303,12 @@
 	return true
 }
 
+// end gives the claim of begin or beginProbe back. The caller holds mu.
+func (f *family) end() {
+	f.active = false
+	f.idle.Broadcast()
+}
+
 func (f *family) held() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/system/journal/journal.go
+++ b/internal/system/journal/journal.go
@@ -218,13 +218,15 @@
 	var wait sync.WaitGroup
 	slots := make(chan struct{}, concurrentCommits)
 	for _, f := range j.all() {
-		if ctx.Err() != nil || !f.beginProbe() {
-			continue
+		if ctx.Err() != nil {
+			break
 		}
 		slots <- struct{}{}
 		wait.Go(func() {
 			defer func() { <-slots }()
-			j.drain(f, true)
+			if f.beginProbe() {
+				j.drain(f, true)
+			}
 		})
 	}
 	wait.Wait()
