--- a/internal/system/journal/family_test.go
+++ b/internal/system/journal/family_test.go
@@ -16,11 +16,7 @@
 		is.True(f.begin())
 		f.down = true
 		probed := make(chan bool, 1)
-		go func() {
-			f.mu.Lock() // the goroutine that buffers is in between
-			f.mu.Unlock()
-			probed <- f.beginProbe()
-		}()
+		go func() { probed <- f.beginProbe() }()
 		synctest.Wait()
 		is.Equal(len(probed), 0)
 		_, _, err := f.next(false) // nothing left to buffer
