One wait for a scheduler's answer; drop what nothing calls

The wait for a ticket stood in the net/rpc service and in the client for this VM's own scheduler; both call Scheduler.Await. The length of a prompt was summed in two places. Pool.Forget, Conn.Reused and Scheduler.Waiting had no callers. Behaviour is the same.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -79,7 +79,6 @@
 	reader  *bufio.Reader
 	writing chan error // result of a body that is written beside the reading
 	expires time.Time
-	reused  bool
 
 	// Silence is the time without bytes after which OnSilence is asked
 	// whether to go on reading; 0 for never. Limit ends all reading.
@@ -127,7 +126,6 @@
 			break
 		}
 		if time.Now().Before(c.expires) && c.quiet() {
-			c.reused = true
 			return c, nil
 		}
 		c.Close()
@@ -174,17 +172,6 @@
 	return c
 }
 
-// Forget closes the idle connections to an address.
-func (p *Pool) Forget(addr string) {
-	p.mu.Lock()
-	list := p.idle[addr]
-	delete(p.idle, addr)
-	p.mu.Unlock()
-	for _, c := range list {
-		c.Close()
-	}
-}
-
 // CloseIdle closes connections that have rested longer than they may.
 func (p *Pool) CloseIdle(now time.Time) {
 	var old []*Conn
@@ -210,9 +197,6 @@
 	}
 }
 
-// Reused reports whether the connection has carried an exchange before.
-func (c *Conn) Reused() bool { return c.reused }
-
 // quiet reports whether an idle connection is open and has nothing to read: a
 // byte would belong to no request.
 func (c *Conn) quiet() bool {
--- a/internal/system/dispatch/client.go
+++ b/internal/system/dispatch/client.go
@@ -137,17 +137,11 @@
 	case Ask:
 		*out = c.Local.Ask(v)
 	case uint64:
-		if done := c.Local.Done(v); done != nil {
-			hold := time.NewTimer(holdTime)
-			defer hold.Stop()
-			select {
-			case <-done:
-			case <-hold.C:
-			case <-ctx.Done():
-				return ctx.Err()
-			}
+		answer, err := c.Local.Await(ctx, v, holdTime)
+		if err != nil {
+			return err
 		}
-		*out = c.Local.Fetch(v)
+		*out = answer
 	}
 	return nil
 }
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 package dispatch
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -54,6 +55,15 @@
 	AvoidDCs           []string // data centres whose endpoints not to use
 }
 
+// promptTokens returns the length of the prompt.
+func (a *Ask) promptTokens() int64 {
+	var sum int64
+	for _, n := range a.PartTokens {
+		sum += int64(n)
+	}
+	return sum
+}
+
 // State tells what became of a request for a place.
 type State int
 
@@ -282,6 +292,22 @@
 	return r.answer
 }
 
+// Await returns the answer to a ticket once it is decided, or as it is after
+// hold. Its error is that of ctx.
+func (s *Scheduler) Await(ctx context.Context, ticket uint64, hold time.Duration) (Answer, error) {
+	if done := s.Done(ticket); done != nil {
+		timer := time.NewTimer(hold)
+		defer timer.Stop()
+		select {
+		case <-done:
+		case <-timer.C:
+		case <-ctx.Done():
+			return Answer{}, ctx.Err()
+		}
+	}
+	return s.Fetch(ticket), nil
+}
+
 // Release gives a place back, or takes a waiting request out. An unknown
 // ticket is no error: its time may have run out.
 func (s *Scheduler) Release(rel Release) {
@@ -330,11 +356,7 @@
 	switch rel.Result {
 	case Done:
 		e.rest = 0
-		prompt := 0
-		for _, n := range r.ask.PartTokens {
-			prompt += int(n)
-		}
-		e.observe(prompt-r.held, rel)
+		e.observe(int(r.ask.promptTokens())-r.held, rel)
 	case Full:
 		e.restUntil = max(e.restUntil, now+fullRest)
 	case Unreachable:
@@ -377,14 +399,3 @@
 		s.shed(p, now)
 	}
 }
-
-// Waiting returns the number of waiting requests.
-func (s *Scheduler) Waiting() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	n := 0
-	for _, p := range s.pools {
-		n += len(p.waiting)
-	}
-	return n
-}
--- a/internal/system/dispatch/fill.go
+++ b/internal/system/dispatch/fill.go
@@ -65,10 +65,7 @@
 	if len(candidates) == 0 {
 		return false
 	}
-	call := placement.Call{AnswerTokens: int64(r.ask.AnswerTokens)}
-	for _, n := range r.ask.PartTokens {
-		call.PromptTokens += int64(n)
-	}
+	call := placement.Call{AnswerTokens: int64(r.ask.AnswerTokens), PromptTokens: r.ask.promptTokens()}
 	choice, ok := s.placer.Place(call, candidates)
 	if !ok {
 		return false
--- a/internal/system/dispatch/service.go
+++ b/internal/system/dispatch/service.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"time"
 
 	"ibisstall.example/ibisstall/internal/mesh"
@@ -30,16 +31,9 @@
 // Await returns once a waiting request is decided, or still waiting after
 // holdTime.
 func (v *service) Await(ticket uint64, out *Answer) error {
-	if done := v.scheduler.Done(ticket); done != nil {
-		hold := time.NewTimer(holdTime)
-		defer hold.Stop()
-		select {
-		case <-done:
-		case <-hold.C:
-		}
-	}
-	*out = v.scheduler.Fetch(ticket)
-	return nil
+	var err error
+	*out, err = v.scheduler.Await(context.Background(), ticket, holdTime)
+	return err
 }
 
 // Release gives places back.
