Answers that are overdue count as lost: what may be repeated is sent again

The call waited for its whole 1.2 s and failed, and its program with it. Also after connections fell silent only TCP's probes noticed, seconds later. Ruled out: overload (no wait for a place), the store's outage (same seconds, but the budgets were kept).

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -81,35 +81,50 @@
 	expires time.Time
 
 	// Silence is the time without bytes after which OnSilence is asked
-	// whether to go on reading; 0 for never. Limit ends all reading.
+	// whether to go on reading, again after each further such time; 0 for
+	// never. OnSilence is told the time without bytes. Limit ends all reading.
 	Silence   time.Duration
-	OnSilence func() error
+	OnSilence func(quiet time.Duration) error
 	Limit     time.Time
 }
 
+// lastLook is the time for a last read before a peer counts as silent: a process
+// that was held up finds bytes that came meanwhile.
+const lastLook = time.Millisecond
+
 // Read implements io.Reader. It ends with the error of OnSilence.
 func (c *Conn) Read(b []byte) (int, error) {
+	if c.Silence <= 0 {
+		return c.Conn.Read(b)
+	}
+	start := time.Now()
 	for {
-		if c.Silence > 0 {
-			until := time.Now().Add(c.Silence)
-			if !c.Limit.IsZero() && c.Limit.Before(until) {
-				until = c.Limit
-			}
-			if err := c.SetReadDeadline(until); err != nil {
-				return 0, err
-			}
+		n, err := c.readFor(b, c.Silence)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			n, err = c.readFor(b, lastLook)
 		}
-		n, err := c.Conn.Read(b)
-		silent := n == 0 && c.Silence > 0 && errors.Is(err, os.ErrDeadlineExceeded)
+		silent := n == 0 && errors.Is(err, os.ErrDeadlineExceeded)
 		if !silent || !c.Limit.IsZero() && !time.Now().Before(c.Limit) {
 			return n, err
 		}
-		if err := c.OnSilence(); err != nil {
+		if err := c.OnSilence(time.Since(start)); err != nil {
 			return 0, err
 		}
 	}
 }
 
+// readFor reads with a time-out, at most until Limit.
+func (c *Conn) readFor(b []byte, d time.Duration) (int, error) {
+	until := time.Now().Add(d)
+	if !c.Limit.IsZero() && c.Limit.Before(until) {
+		until = c.Limit
+	}
+	if err := c.SetReadDeadline(until); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(b)
+}
+
 // Opened returns the number of connections opened so far.
 func (p *Pool) Opened() uint64 {
 	p.mu.Lock()
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -230,7 +230,7 @@
 	asked := 0
 	gone := errors.New("gone")
 	c.Silence = 5 * time.Millisecond
-	c.OnSilence = func() error {
+	c.OnSilence = func(time.Duration) error {
 		if asked++; asked == 3 {
 			return gone
 		}
--- a/internal/logging/tag/tag.go
+++ b/internal/logging/tag/tag.go
@@ -110,6 +110,15 @@
 // Attempts is the number of endpoints that a request was sent to.
 func Attempts(n int) zap.Field { return zap.Int("attempts", n) }
 
+// MostTokens is the number of tokens that a turn may generate at the most.
+func MostTokens(n int) zap.Field { return zap.Int("most_tokens", n) }
+
+// Generated is the number of tokens that a turn has generated.
+func Generated(n int) zap.Field { return zap.Int("generated_tokens", n) }
+
+// Resumes is how often a request was sent again after it broke off.
+func Resumes(n int) zap.Field { return zap.Int("resumes", n) }
+
 // Budget is the number of tokens that a program may generate.
 func Budget(tokens int64) zap.Field { return zap.Int64("budget_tokens", tokens) }
 
--- /dev/null
+++ b/internal/policy/stall/stall.go
@@ -0,0 +1,80 @@
+// Package stall decides when an endpoint that has not sent anything for a while
+// is no longer waited for, because its answer is probably lost, and how many
+// requests may be sent again for that reason. It answers endpoints that lose
+// answers, hang on some requests or sit behind a connection that has gone silent.
+// All functions are pure.
+package stall
+
+import "time"
+
+const (
+	// gain and deviationGain are the weights of a new sample in the mean and
+	// in the mean deviation, those of TCP's retransmission timer (RFC 6298).
+	gain          = 1.0 / 8
+	deviationGain = 1.0 / 4
+	// deviations is the number of mean deviations above the mean after which
+	// a sample is overdue, also from RFC 6298.
+	deviations = 4
+	// slowGain is the weight of a sample below the mean, so that a limit that
+	// rose while endpoints were overloaded sinks slowly: an early resend adds
+	// to an overload.
+	slowGain = gain / 4
+)
+
+// Delay estimates how long endpoints take until they send. It is a value:
+// Observe returns the next one.
+type Delay struct {
+	Mean, Deviation time.Duration
+	Samples         int
+}
+
+// Observe takes in a measured delay.
+func (d Delay) Observe(sample time.Duration) Delay {
+	d.Samples++
+	if d.Samples == 1 {
+		return Delay{Mean: sample, Deviation: sample / 2, Samples: 1}
+	}
+	off := sample - d.Mean
+	weight, deviationWeight := gain, deviationGain
+	if off < 0 {
+		weight, deviationWeight = slowGain, slowGain
+	}
+	d.Deviation += time.Duration(deviationWeight * float64(off.Abs()-d.Deviation))
+	d.Mean += time.Duration(weight * float64(off))
+	return d
+}
+
+// Limit returns the time after which an answer is overdue. It is at least floor,
+// the time that is allowed for a good answer.
+func (d Delay) Limit(floor time.Duration) time.Duration {
+	return max(floor, d.Mean+deviations*d.Deviation)
+}
+
+const (
+	// resendShare is the number of resends that each request allows for, and
+	// resendBurst those that may be saved up: a tenth more load is borne by
+	// endpoints that are not overloaded, and answers are lost in bursts.
+	resendShare = 0.1
+	resendBurst = 20.0
+)
+
+// Resends bounds the requests that are sent again since their answers are
+// overdue, so that slow endpoints are not given much more work. It is a value.
+type Resends struct {
+	spent float64 // of resendBurst
+}
+
+// Request notes a request that was sent for the first time.
+func (r Resends) Request() Resends {
+	r.spent = max(0, r.spent-resendShare)
+	return r
+}
+
+// Take returns whether one more may be sent again, and what is left.
+func (r Resends) Take() (Resends, bool) {
+	if r.spent+1 > resendBurst {
+		return r, false
+	}
+	r.spent++
+	return r, true
+}
--- a/internal/system/forwarder/answer.go
+++ b/internal/system/forwarder/answer.go
@@ -9,6 +9,8 @@
 	"net/textproto"
 	"strings"
 	"time"
+
+	"ibisstall.example/ibisstall/internal/httpconn"
 )
 
 // Sizes of answers.
@@ -73,6 +75,8 @@
 	if err != nil {
 		return err
 	}
+	took := time.Since(x.sent)
+	x.f.waits.change(x.flow(), func(d *delays) { d.first = d.first.Observe(took) })
 	x.begin(resp)
 	if _, err := x.w.Write(body); err != nil {
 		return fmt.Errorf("%w: %w", errCaller, err)
@@ -101,7 +105,7 @@
 
 // stream passes on whole events as they come, so that a stream that breaks off
 // in the middle of an event can be resumed after the last whole one.
-func (x *exchange) stream(resp *http.Response) error {
+func (x *exchange) stream(conn *httpconn.Conn, resp *http.Response) error {
 	flusher := http.NewResponseController(x.w)
 	var buf []byte
 	chunk := make([]byte, readSize)
@@ -112,11 +116,10 @@
 			if err := x.mayPass(bytes.Count(buf[:end], eventEnd)); err != nil {
 				return fmt.Errorf("%w: %w", errBudget, err)
 			}
-			if x.events == 0 {
-				x.firstByte = time.Since(x.sent)
-			}
+			x.measure()
 			x.begin(resp)
 			x.note(buf[:end])
+			conn.Silence = min(silenceLimit, x.overdueAfter())
 			if werr := x.pass(flusher, buf[:end]); werr != nil {
 				return werr
 			}
@@ -137,6 +140,23 @@
 	}
 }
 
+// measure takes in the delay of the events that have just come.
+func (x *exchange) measure() {
+	now := time.Now()
+	first := x.events == 0
+	if first {
+		x.firstByte = now.Sub(x.sent)
+	}
+	x.f.waits.change(x.flow(), func(d *delays) {
+		if first {
+			d.first = d.first.Observe(x.firstByte)
+		} else if x.lastCame.After(x.sent) {
+			d.gap = d.gap.Observe(now.Sub(x.lastCame))
+		}
+	})
+	x.lastCame = now
+}
+
 func (x *exchange) pass(flusher *http.ResponseController, b []byte) error {
 	if _, err := x.w.Write(b); err != nil {
 		return fmt.Errorf("%w: %w", errCaller, err)
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -59,6 +59,7 @@
 	waited    time.Duration
 	sent      time.Time     // of the last attempt
 	firstByte time.Duration // from there to the first event of a stream
+	lastCame  time.Time     // when the last events came
 }
 
 // splitKey decides which share of a split route serves a request: all of a
@@ -93,6 +94,7 @@
 func (x *exchange) use(place *dispatch.Place) bool {
 	start := time.Now()
 	ran := false
+	x.f.waits.request()
 	for {
 		outcome, err := x.attempt(place)
 		x.cause = err
@@ -101,7 +103,7 @@
 			ran = true
 			x.runs++
 		}
-		if outcome == broken && x.mayResume() {
+		if outcome == broken && x.mayResume() && !x.betterElsewhere(err) {
 			if x.f.Pool.Reachable(x.ctx, place.Address) {
 				x.resumes++
 				continue
@@ -111,6 +113,9 @@
 		switch outcome {
 		case complete:
 			result.Result = dispatch.Done
+			if ran { // after a loss, which tells of the endpoint's health
+				result.Result = dispatch.Failed
+			}
 		case broken:
 			result.Result = dispatch.Failed
 			if errors.Is(err, errEndpointGone) {
@@ -131,6 +136,12 @@
 	}
 }
 
+// betterElsewhere reports whether a request that broke off goes to another endpoint
+// although its own can be reached: that one may hang.
+func (x *exchange) betterElsewhere(err error) bool {
+	return errors.Is(err, errOverdue) && x.events == 0 && x.runs < x.route.MaxEndpoints
+}
+
 // mayResume reports whether a request that broke off may be sent again.
 func (x *exchange) mayResume() bool {
 	return x.route.Repeatable() && x.resumes < maxResumes && x.ctx.Err() == nil &&
@@ -254,6 +265,15 @@
 	if !x.req.Finish.IsZero() {
 		fields = append(fields, tag.FinishIn(time.Until(x.req.Finish)))
 	}
+	if x.req.IsTurn() {
+		fields = append(fields, tag.Budget(x.req.Budget), tag.MostTokens(x.req.MaxTokens))
+		if x.service != nil {
+			fields = append(fields, tag.Generated(x.events*x.service.TokensPerEvent))
+		}
+	}
+	if x.resumes > 0 {
+		fields = append(fields, tag.Resumes(x.resumes))
+	}
 	if x.reason != "" {
 		fields = append(fields, tag.Reason(x.reason))
 	}
@@ -292,13 +312,8 @@
 	stop := context.AfterFunc(x.ctx, func() { conn.Close() })
 	defer stop()
 	conn.Limit = x.deadline
-	conn.Silence = silenceLimit
-	conn.OnSilence = func() error {
-		if x.ctx.Err() == nil && !x.f.Pool.Reachable(x.ctx, place.Address) {
-			return errEndpointGone
-		}
-		return nil
-	}
+	conn.Silence = min(silenceLimit, x.overdueAfter())
+	conn.OnSilence = func(quiet time.Duration) error { return x.watch(quiet, place.Address) }
 	x.sent = time.Now()
 	err = conn.Send(x.outgoing(place))
 	if err == nil {
@@ -366,7 +381,7 @@
 	}
 	var err error
 	if x.route.Kind == forward.Stream && resp.StatusCode == http.StatusOK {
-		err = x.stream(resp)
+		err = x.stream(conn, resp)
 	} else {
 		err = x.whole(resp)
 	}
--- a/internal/system/forwarder/forwarder.go
+++ b/internal/system/forwarder/forwarder.go
@@ -75,6 +75,7 @@
 
 	running atomic.Int64
 	reach   reach
+	waits   waits
 }
 
 // Running returns the number of requests under way.
--- /dev/null
+++ b/internal/system/forwarder/waits.go
@@ -0,0 +1,101 @@
+package forwarder
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"ibisstall.example/ibisstall/internal/forward"
+	"ibisstall.example/ibisstall/internal/policy/stall"
+)
+
+// errOverdue means that an endpoint has sent nothing for so long that its answer
+// is taken for lost.
+var errOverdue = errors.New("answer overdue")
+
+// flow names what delays are alike: the requests of one kind to one service.
+type flow struct {
+	service string
+	kind    forward.Kind
+}
+
+// delays are those of a flow: until the first byte of an answer, and between two
+// events of a stream.
+type delays struct{ first, gap stall.Delay }
+
+// waits measures how long endpoints take to send, and bounds the requests that are
+// sent again because they took too long. It is safe for concurrent use.
+type waits struct {
+	mu      sync.Mutex
+	flows   map[flow]delays // guarded by mu
+	resends stall.Resends   // guarded by mu
+}
+
+// change updates the delays of a flow.
+func (w *waits) change(f flow, update func(*delays)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.flows == nil {
+		w.flows = make(map[flow]delays)
+	}
+	d := w.flows[f]
+	update(&d)
+	w.flows[f] = d
+}
+
+func (w *waits) of(f flow) delays {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.flows[f]
+}
+
+// request notes a request that is sent for the first time.
+func (w *waits) request() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.resends = w.resends.Request()
+}
+
+// takeResend reports whether a request may be sent again because it is overdue.
+func (w *waits) takeResend() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	next, ok := w.resends.Take()
+	w.resends = next
+	return ok
+}
+
+func (x *exchange) flow() flow { return flow{x.service.Name, x.route.Kind} }
+
+// overdueAfter returns how long the endpoint may send nothing before its answer
+// is taken for lost. What the route calls a good answer is never overdue.
+func (x *exchange) overdueAfter() time.Duration {
+	d := x.f.waits.of(x.flow())
+	if x.events > 0 {
+		return d.gap.Limit(orDefault(x.route.GapTarget))
+	}
+	return d.first.Limit(orDefault(x.route.TargetLatency))
+}
+
+// orDefault is the floor of a limit where a route names none.
+func orDefault(target time.Duration) time.Duration {
+	if target <= 0 {
+		return silenceLimit
+	}
+	return target
+}
+
+// watch is asked when the endpoint has sent nothing for a while. Its error ends
+// the attempt.
+func (x *exchange) watch(quiet time.Duration, address string) error {
+	if x.ctx.Err() != nil {
+		return nil // the end of ctx closes the connection
+	}
+	if quiet >= x.overdueAfter() && x.mayResume() && x.f.waits.takeResend() {
+		return errOverdue
+	}
+	if quiet >= silenceLimit && !x.f.Pool.Reachable(x.ctx, address) && x.ctx.Err() == nil {
+		return errEndpointGone
+	}
+	return nil
+}
