Plain calls go to the least loaded endpoint of their own data centre

Cause: the placer compares seconds, and a call without tokens took 0 of them at each endpoint with a free place, whatever its load, speed or data centre: the first of a map's order won (busiest endpoint 2.1 to 2.5 times the mean; calls across data centres were lost at the zone cut).

--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -48,6 +48,7 @@
 	HasFinish          bool
 	Priority           int
 	First              bool
+	Once               bool     // it may not be sent again if its answer is lost
 	Prefixes           []uint64 // names of the prompt's prefixes
 	PartTokens         []int32  // tokens that each adds
 	AnswerTokens       int
@@ -125,6 +126,7 @@
 	endpoints map[string]*endpoint
 	waiting   []*request
 	run       time.Duration // mean time that a place is held
+	typical   time.Duration // time that a request takes at the typical endpoint
 }
 
 type endpoint struct {
--- a/internal/system/dispatch/fill.go
+++ b/internal/system/dispatch/fill.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -22,6 +23,10 @@
 	// farPenalty multiplies the time at an endpoint of another data centre,
 	// so that equal ones are taken nearby: bytes between data centres cost.
 	farPenalty = 1.03
+	// farOncePenalty does so for requests that may run only once: each under
+	// way across data centres is lost when these are cut off from each other.
+	// It outweighs the difference between an idle and a nearly full endpoint.
+	farOncePenalty = 1 + 1.5*fullness
 )
 
 // maxRanked bounds the waiting requests that are looked at for each place that
@@ -44,6 +49,7 @@
 	for _, e := range p.endpoints {
 		e.awaited = 0
 	}
+	p.typical = p.typicalRun()
 	kept := p.waiting[:0]
 	for i, r := range p.waiting {
 		if i >= maxRanked || !s.place(p, r, now) {
@@ -65,7 +71,8 @@
 	if len(candidates) == 0 {
 		return false
 	}
-	call := placement.Call{AnswerTokens: int64(r.ask.AnswerTokens), PromptTokens: r.ask.promptTokens()}
+	// An answer without tokens takes the time of one run; see candidate.
+	call := placement.Call{AnswerTokens: int64(max(1, r.ask.AnswerTokens)), PromptTokens: r.ask.promptTokens()}
 	choice, ok := s.placer.Place(call, candidates)
 	if !ok {
 		return false
@@ -86,7 +93,9 @@
 		Penalty: 1 + float64(e.running)/float64(max(1, e.Slots))*fullness,
 		Sick:    e.health.Sick(), Probe: e.health.ProbeDue(time.Unix(0, int64(now))),
 	}
-	if r.ask.AnswerTokens > 0 {
+	if r.ask.AnswerTokens == 0 {
+		c.TokenTime = e.runTime(p)
+	} else {
 		c.TokenTime = e.rates.TokenTime
 		if c.TokenTime == 0 {
 			c.TokenTime = startToken
@@ -97,12 +106,48 @@
 	if e.prompts != nil {
 		c.Held = int64(e.prompts.held(r.ask.Prefixes, r.ask.PartTokens))
 	}
-	if e.DC != r.ask.DC {
+	switch {
+	case e.DC == r.ask.DC:
+	case r.ask.Once:
+		c.Penalty *= farOncePenalty
+	default:
 		c.Penalty *= farPenalty
 	}
 	return c
 }
 
+const (
+	// slowFactor is how much longer than at the typical endpoint requests must
+	// take at one for it to count as slow: the times of single requests differ.
+	slowFactor = 2
+	// slowSamples is the number of requests that must have been measured.
+	slowSamples = 10
+)
+
+// typicalRun returns the lower median of the times that the endpoints take for a
+// request, the service's mean if none is measured.
+func (p *pool) typicalRun() time.Duration {
+	times := make([]time.Duration, 0, len(p.endpoints))
+	for _, e := range p.endpoints {
+		if e.rates.Samples >= slowSamples {
+			times = append(times, e.rates.CallTime)
+		}
+	}
+	if len(times) == 0 {
+		return p.run
+	}
+	slices.Sort(times)
+	return times[(len(times)-1)/2]
+}
+
+// runTime is the time that an endpoint without an engine takes for a request.
+func (e *endpoint) runTime(p *pool) time.Duration {
+	if e.rates.Samples >= slowSamples && e.rates.CallTime > slowFactor*p.typical {
+		return e.rates.CallTime
+	}
+	return p.typical
+}
+
 // fullness is the share by which a request takes longer at an endpoint whose
 // places are all taken but one than at an idle one.
 const fullness = 0.1
--- a/internal/system/dispatch/scheduler_test.go
+++ b/internal/system/dispatch/scheduler_test.go
@@ -92,6 +92,52 @@
 	})
 }
 
+func call(once bool) Ask {
+	return Ask{Service: "model", DC: "dc-1", Deadline: time.Second, Once: once}
+}
+
+func TestScheduler_PlacesCallsWithoutTokens(t *testing.T) {
+	t.Run("they spread over the endpoints", func(t *testing.T) {
+		is := is.New(t)
+		s, _ := newTestScheduler(3, 4)
+		used := map[string]int{}
+		for range 6 {
+			used[s.Ask(call(false)).Endpoint]++
+		}
+		is.Equal(used, map[string]int{"a": 2, "b": 2, "c": 2})
+	})
+	t.Run("those that may run once stay in their data centre until it is full", func(t *testing.T) {
+		is := is.New(t)
+		s, _ := newTestScheduler(2, 4)
+		list := engines(2, 4)
+		list[1].DC = "dc-2"
+		s.SetEndpoints(list, nil)
+		for range 3 {
+			is.Equal(s.Ask(call(true)).Endpoint, "a")
+		}
+		is.Equal(s.Ask(call(false)).Endpoint, "b") // one that may run again goes where there is more room
+		is.Equal(s.Ask(call(true)).Endpoint, "a")
+		is.Equal(s.Ask(call(true)).Endpoint, "b")
+	})
+	t.Run("a slow endpoint gets none while another is free much sooner", func(t *testing.T) {
+		is := is.New(t)
+		s, _ := newTestScheduler(2, 2)
+		for range 30 {
+			one, other := s.Ask(call(false)), s.Ask(call(false))
+			for _, a := range []Answer{one, other} {
+				run := 20 * ms
+				if a.Endpoint == "a" {
+					run = 200 * ms
+				}
+				s.Release(Release{Ticket: a.Ticket, Result: Done, Run: run})
+			}
+		}
+		is.Equal(s.Ask(call(false)).Endpoint, "b")
+		is.Equal(s.Ask(call(false)).Endpoint, "b")
+		is.Equal(s.Ask(call(false)).State, Waiting)
+	})
+}
+
 func TestScheduler_EndpointsComeAndGo(t *testing.T) {
 	t.Run("a leaving endpoint gets nothing", func(t *testing.T) {
 		is := is.New(t)
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -186,7 +186,7 @@
 	endpoints, dcs := x.f.reach.avoided(now)
 	a := dispatch.Ask{
 		Service: x.service.Name, Request: req.ID, DC: x.f.DC, Deadline: x.deadline.Sub(now),
-		Priority: x.route.Priority, First: x.first, Prefixes: req.Prefixes(),
+		Priority: x.route.Priority, First: x.first, Once: !x.route.Repeatable(), Prefixes: req.Prefixes(),
 		Avoid: append(endpoints, x.avoid...), AvoidDCs: dcs,
 	}
 	if !req.Finish.IsZero() {
