A keeper that leaves hands its buckets to another VM; a leaving home deposits its shares

A leaving keeper could not write its release, so its buckets had no keeper, and 200 of 430 refused turns named that; the shares of leaving homes were lost as well. Extending turns were cut with less than a step left. Ruled out: the time of the calls (refused within 5 ms), the zone cut (begins later). Shares that can't be given back to their rows are deposited at the keeper.

--- a/internal/system/dispatch/directory.go
+++ b/internal/system/dispatch/directory.go
@@ -119,13 +119,13 @@
 	return slices.DeleteFunc(slices.Clone(d.Order(key)), func(addr string) bool { return addr == "" })
 }
 
-// InDC returns the VMs of this data centre.
-func (d *Directory) InDC() []VM {
+// InDC returns the VMs of a data centre.
+func (d *Directory) InDC(dc string) []VM {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var list []VM
 	for _, vm := range d.vms {
-		if vm.DC == d.Self.DC {
+		if vm.DC == dc {
 			list = append(list, vm)
 		}
 	}
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -46,6 +46,7 @@
 	resumes int
 
 	reservations []*tokenbudget.Reservation
+	reserved     int64 // tokens of all of them
 
 	started   bool   // an answer's header has gone to the caller
 	done      bool   // the answer is complete
--- a/internal/system/forwarder/tokens.go
+++ b/internal/system/forwarder/tokens.go
@@ -11,16 +11,19 @@
 		Program: x.req.Program, Budget: x.req.Budget, Turn: most,
 		Step: min(most, (most/reserveShare+perEvent-1)/perEvent*perEvent),
 	}
+	ask.Least = ask.Step
 	reserve := x.f.Budgets.Reserve
 	if len(x.reservations) > 0 {
 		reserve = x.f.Budgets.Extend
+		ask.Least = perEvent // a turn under way goes on as far as it can
 	}
 	r, err := reserve(x.ctx, ask)
 	if err != nil {
 		return err
 	}
 	x.reservations = append(x.reservations, r)
-	x.maxEvents += int(r.Tokens() / perEvent)
+	x.reserved += r.Tokens()
+	x.maxEvents = int(x.reserved / perEvent)
 	return nil
 }
 
--- a/internal/system/tokenbudget/allowance.go
+++ b/internal/system/tokenbudget/allowance.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -13,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"ibisstall.example/ibisstall/internal/clock"
 	"ibisstall.example/ibisstall/internal/logging/tag"
 	"ibisstall.example/ibisstall/internal/platform"
 )
@@ -25,7 +28,8 @@
 // holds as the parts are disjoint and a bucket never has two keepers that
 // could hand out the same part: a keeper is replaced only if its process is
 // gone, and its successor waits until all programs that it may have served
-// are forgotten, unless it was told what they used.
+// are forgotten, unless it was told what they used. A keeper that leaves hands
+// its buckets over to VMs of its data centre (see handover.go).
 
 const (
 	// KeeperTable is the table of the keepers.
@@ -73,9 +77,10 @@
 	Self  string   // id of this process
 	Store platform.Committer
 	Mesh  *Mesh
-	// Processes returns the present process of each VM of this data centre,
-	// as far as it is known.
-	Processes func() map[string]Process
+	// Processes returns the present process of each VM of a data centre, as
+	// far as it is known.
+	Processes func(dc string) map[string]Process
+	Clock     clock.Clock
 	Log       *zap.Logger
 
 	mu       sync.Mutex
@@ -102,6 +107,32 @@
 type bucket struct {
 	after    time.Time // nothing is handed out before
 	programs map[string]*handed
+	// version is that of the row by which this process keeps the bucket or,
+	// before it is recorded, that of the keeper which handed it over.
+	version uint64
+	// recorded tells that the row names this process. Otherwise the bucket is
+	// kept until expires at the longest.
+	recorded bool
+	expires  time.Duration // of the allowances' clock
+}
+
+func newBucket(used map[string]int64) *bucket {
+	kept := &bucket{programs: make(map[string]*handed, len(used))}
+	for program, tokens := range used {
+		kept.programs[program] = &handed{used: tokens, last: time.Now()}
+	}
+	return kept
+}
+
+// used returns what was handed out by program; what is below 0 was deposited.
+func (k *bucket) used() map[string]int64 {
+	used := make(map[string]int64, len(k.programs))
+	for program, h := range k.programs {
+		if h.used != 0 {
+			used[program] = h.used
+		}
+	}
+	return used
 }
 
 type handed struct {
@@ -140,15 +171,19 @@
 		}
 		a.keepers[name] = k
 	}
+	a.compareKept()
 }
 
-// Claim makes this VM the keeper of buckets that have none. It is called from
-// time to time.
+// Claim makes this VM the keeper of buckets that have none, and records those
+// that were handed over to it. It is called from time to time.
 func (a *Allowances) Claim(ctx context.Context) {
-	processes := a.Processes()
+	processes := a.Processes(a.DC)
+	entry := processes[a.VM].Entry
 	for b := range bucketsPerDC {
-		if old, ok := a.vacant(b, processes); ok {
-			a.claim(ctx, b, old, processes[a.VM].Entry)
+		if version, ok := a.unrecorded(b); ok {
+			a.record(ctx, b, version, entry)
+		} else if old, ok := a.vacant(b, processes); ok && !a.takenOver(ctx, b, old, processes) {
+			a.claim(ctx, b, old, entry)
 		}
 	}
 }
@@ -158,7 +193,7 @@
 func (a *Allowances) vacant(b int, processes map[string]Process) (keeperRow, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.keepers == nil || a.leaving || a.preferred(b, processes) != a.VM {
+	if a.keepers == nil || a.leaving || a.kept[b] != nil || ranked(rowName(a.DC, b), processes)[0] != a.VM {
 		return keeperRow{}, false
 	}
 	name := rowName(a.DC, b)
@@ -167,7 +202,7 @@
 		return old, true
 	}
 	if old.Process == a.Self {
-		return old, a.kept[b] == nil // the answer to the claim was lost
+		return old, true // the answer to the claim was lost
 	}
 	return old, a.gone(name, old, processes)
 }
@@ -192,80 +227,106 @@
 	return time.Since(since) > leaveLimit
 }
 
-// preferred returns the VM that should keep a bucket, by rendezvous hashing.
-func (a *Allowances) preferred(b int, processes map[string]Process) string {
-	best, bestScore := "", uint64(0)
-	for vm := range processes {
-		score := xxhash.Sum64String(rowName(a.DC, b) + "\x00" + vm)
-		if best == "" || cmp.Or(cmp.Compare(score, bestScore), cmp.Compare(vm, best)) > 0 {
-			best, bestScore = vm, score
-		}
+// ranked returns the VMs in the order in which they should keep a bucket, by
+// rendezvous hashing. It returns at least one name, which is "" for no VM.
+func ranked(row string, processes map[string]Process) []string {
+	if len(processes) == 0 {
+		return []string{""}
 	}
-	return best
+	score := func(vm string) uint64 { return xxhash.Sum64String(row + "\x00" + vm) }
+	return slices.SortedFunc(maps.Keys(processes), func(x, y string) int {
+		return cmp.Or(cmp.Compare(score(y), score(x)), cmp.Compare(x, y))
+	})
 }
 
 func (a *Allowances) claim(ctx context.Context, b int, old keeperRow, entry uint64) {
-	keeper := Keeper{VM: a.VM, Process: a.Self, Entry: entry}
-	value, err := json.Marshal(keeper)
-	if err != nil {
-		a.Log.Error("keeper not written", tag.Error(err))
-		return
-	}
-	key := platform.Key{Table: KeeperTable, ID: "/" + rowName(a.DC, b)}
-	version, err := a.Store.CommitAt(ctx, []platform.Write{{Key: key, IfVersion: old.version, Value: value}})
+	version, err := a.write(ctx, b, old.version, entry)
 	if err != nil {
 		// After a lost answer the feed tells who is the keeper; this process
 		// then doesn't know what was handed out before and keeps nothing.
 		a.Log.Info("bucket not claimed", tag.Count(b), tag.Error(err))
 		return
 	}
-	kept := &bucket{programs: make(map[string]*handed)}
+	kept := newBucket(old.Used)
+	kept.version, kept.recorded = version, true
 	if old.version != 0 && !old.Released {
 		kept.after = time.Now().Add(memoryOfPrograms)
 	}
-	for program, used := range old.Used {
-		kept.programs[program] = &handed{used: used, last: time.Now()}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.keep(b, kept)
+	a.Log.Info("bucket claimed", tag.Count(b), tag.Duration(max(0, time.Until(kept.after))))
+}
+
+// write makes this process the keeper of a bucket in its row.
+func (a *Allowances) write(ctx context.Context, b int, ifVersion, entry uint64) (uint64, error) {
+	keeper := Keeper{VM: a.VM, Process: a.Self, Entry: entry}
+	value, err := json.Marshal(keeper)
+	if err != nil {
+		return 0, err
+	}
+	name := rowName(a.DC, b)
+	key := platform.Key{Table: KeeperTable, ID: "/" + name}
+	version, err := a.Store.CommitAt(ctx, []platform.Write{{Key: key, IfVersion: ifVersion, Value: value}})
+	if err != nil {
+		return 0, err
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.keepers[name] = keeperRow{keeper, version}
+	return version, nil
+}
+
+// keep notes a bucket; mu is held.
+func (a *Allowances) keep(b int, kept *bucket) {
 	if a.kept == nil {
 		a.kept = make(map[int]*bucket)
 	}
 	a.kept[b] = kept
-	a.keepers[rowName(a.DC, b)] = keeperRow{keeper, version}
-	a.Log.Info("bucket claimed", tag.Count(b), tag.Duration(max(0, time.Until(kept.after))))
 }
 
-// keeperOf returns the process that keeps a program's bucket in a data centre.
-func (a *Allowances) keeperOf(program, dc string) string {
+// maxKeepers is the number of VMs that are asked as the keeper of a bucket: the
+// one in its row, and those to which it may have been handed over.
+const maxKeepers = 3
+
+// keepersOf returns the processes that may keep a program's bucket in a data
+// centre, the likeliest first.
+func (a *Allowances) keepersOf(program, dc string) []string {
+	name := rowName(dc, bucketOf(program))
+	processes := a.Processes(dc)
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	k, ok := a.keepers[rowName(dc, bucketOf(program))]
-	if !ok || k.Released {
-		return ""
+	row := a.keepers[name]
+	a.mu.Unlock()
+	var list []string
+	if row.Process != "" && !row.Released {
+		list = append(list, row.Process)
 	}
-	return k.Process
+	for _, vm := range ranked(name, processes) {
+		if id := processes[vm].ID; len(list) < maxKeepers && id != "" && id != row.Process {
+			list = append(list, id)
+		}
+	}
+	return list
 }
 
 // Reserve takes a step's tokens of the parts of the data centres, this one's
-// first, at their keepers. It returns the keeper and the id of the grant there.
-// Errors wrap ErrSpent, if all parts are spent, and ErrUnavailable.
-func (a *Allowances) Reserve(ctx context.Context, ask Ask) (keeper string, id uint64, err error) {
+// first, at their keepers. It returns the keeper and the grant. Errors wrap
+// ErrSpent, if all parts are spent, and ErrUnavailable.
+func (a *Allowances) Reserve(ctx context.Context, ask Ask) (Grant, error) {
 	spent := true
 	var reasons []error
 	for _, dc := range a.nearFirst() {
-		keeper = a.keeperOf(ask.Program, dc)
-		id, _, err = a.allow(ctx, keeper, ask, false)
+		g, err := a.allowIn(ctx, dc, ask, false)
 		if err == nil {
-			return keeper, id, nil
+			return g, nil
 		}
 		spent = spent && errors.Is(err, ErrSpent)
 		reasons = append(reasons, fmt.Errorf("%s: %v", dc, err))
 	}
 	if spent {
-		return "", 0, ErrSpent
+		return Grant{}, ErrSpent
 	}
-	return "", 0, fmt.Errorf("%w: keepers: %w", ErrUnavailable, errors.Join(reasons...))
+	return Grant{}, fmt.Errorf("%w: keepers: %w", ErrUnavailable, errors.Join(reasons...))
 }
 
 // Borrow takes the parts of data centres, the nearest first, until it has need
@@ -276,10 +337,10 @@
 		if sum >= need {
 			return sum, false
 		}
-		_, tokens, err := a.allow(ctx, a.keeperOf(ask.Program, dc), ask, true)
+		g, err := a.allowIn(ctx, dc, ask, true)
 		switch {
 		case err == nil:
-			sum += tokens
+			sum += g.Tokens
 		case !errors.Is(err, ErrSpent):
 			whole = false
 		}
@@ -287,16 +348,34 @@
 	return sum, whole
 }
 
-// allow asks a keeper, this VM itself without a call.
-func (a *Allowances) allow(ctx context.Context, keeper string, ask Ask, all bool) (uint64, int64, error) {
-	switch keeper {
-	case "":
-		return 0, 0, fmt.Errorf("%w: no keeper", ErrUnavailable)
-	case a.Self:
-		return a.hand(ask, all)
-	default:
-		return a.Mesh.allow(ctx, keeper, ask, all)
+// Grant is what a keeper has handed out.
+type Grant struct {
+	Keeper string // its process
+	ID     uint64
+	Tokens int64
+}
+
+// allowIn asks the keeper of a data centre. All of another data centre are asked
+// within the time of one call, since it may be cut off.
+func (a *Allowances) allowIn(ctx context.Context, dc string, ask Ask, all bool) (Grant, error) {
+	if dc != a.DC {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, a.Mesh.Limits.Allow)
+		defer cancel()
+	}
+	err := fmt.Errorf("%w: no keeper", ErrUnavailable)
+	for _, keeper := range a.keepersOf(ask.Program, dc) {
+		var g Grant
+		if keeper == a.Self {
+			g, err = a.hand(ask, all)
+		} else {
+			g, err = a.Mesh.allow(ctx, keeper, ask, all)
+		}
+		if err == nil || errors.Is(err, ErrSpent) {
+			return g, err
+		}
 	}
+	return Grant{}, err
 }
 
 // nearFirst returns the data centres, this one first.
@@ -313,40 +392,46 @@
 
 // hand takes tokens from a part that this VM keeps: a step's, or with all
 // whatever is left, for good.
-func (a *Allowances) hand(ask Ask, all bool) (uint64, int64, error) {
+func (a *Allowances) hand(ask Ask, all bool) (Grant, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	b := bucketOf(ask.Program)
-	kept := a.kept[b]
+	kept := a.keeps(b)
 	if kept == nil {
-		return 0, 0, fmt.Errorf("%w: bucket not kept here", ErrUnavailable)
+		return Grant{}, fmt.Errorf("%w: bucket not kept here", ErrUnavailable)
 	}
 	if time.Now().Before(kept.after) {
 		// The keeper before may have handed out all of it.
-		return 0, 0, fmt.Errorf("%w: the part counts as used since its keeper died", ErrSpent)
+		return Grant{}, fmt.Errorf("%w: the part counts as used since its keeper died", ErrSpent)
 	}
-	h := kept.programs[ask.Program]
-	if h == nil {
-		h = &handed{}
-		kept.programs[ask.Program] = h
-	}
-	h.last = time.Now()
-	part := partPerDC(ask.Budget, ask.Turn, len(a.DCs))
-	left := part - h.used
+	h := kept.program(ask.Program)
+	left := partPerDC(ask.Budget, ask.Turn, len(a.DCs)) - h.used
 	if all && left > 0 {
 		h.used += left
-		return 0, left, nil
+		return Grant{Keeper: a.Self, Tokens: left}, nil
 	}
-	if left < max(1, ask.Step) {
-		return 0, 0, ErrSpent
+	if left < max(1, ask.Least) {
+		return Grant{}, ErrSpent
 	}
-	h.used += ask.Step
+	tokens := min(left, ask.Step)
+	h.used += tokens
 	if a.grants == nil {
 		a.grants = make(map[uint64]*grant)
 	}
 	a.lastID++
-	a.grants[a.lastID] = &grant{ask.Program, b, ask.Step, h.last}
-	return a.lastID, ask.Step, nil
+	a.grants[a.lastID] = &grant{ask.Program, b, tokens, h.last}
+	return Grant{a.Self, a.lastID, tokens}, nil
+}
+
+// program returns what is remembered of a program that asks now.
+func (k *bucket) program(id string) *handed {
+	h := k.programs[id]
+	if h == nil {
+		h = &handed{}
+		k.programs[id] = h
+	}
+	h.last = time.Now()
+	return h
 }
 
 // settle ends a grant of which a number of tokens was generated. A grant that
@@ -391,41 +476,6 @@
 	}
 }
 
-// Release gives up all buckets and tells the successors what was handed out,
-// grants that are not settled counted whole. It hands out nothing more.
-func (a *Allowances) Release(ctx context.Context) {
-	a.mu.Lock()
-	a.leaving = true
-	var writes []platform.Write
-	for b, kept := range a.kept {
-		used := make(map[string]int64, len(kept.programs))
-		for program, h := range kept.programs {
-			if h.used > 0 {
-				used[program] = h.used
-			}
-		}
-		name := rowName(a.DC, b)
-		keeper := a.keepers[name].Keeper
-		keeper.Released, keeper.Used = time.Now().After(kept.after), used
-		value, err := json.Marshal(keeper)
-		if err != nil {
-			a.Log.Error("keeper not written", tag.Error(err))
-			continue
-		}
-		writes = append(writes, platform.Write{
-			Key: platform.Key{Table: KeeperTable, ID: "/" + name}, IfVersion: a.keepers[name].version, Value: value,
-		})
-	}
-	a.kept = nil
-	a.mu.Unlock()
-	if len(writes) == 0 {
-		return
-	}
-	if _, err := a.Store.CommitAt(ctx, writes); err != nil {
-		a.Log.Warn("buckets not released", tag.Count(len(writes)), tag.Error(err))
-	}
-}
-
 // Allowed is the answer of a keeper.
 type Allowed struct {
 	ID, Tokens         int64
@@ -441,8 +491,8 @@
 
 // Allow hands out tokens to another VM.
 func (s *service) Allow(ask AllowAsk, out *Allowed) error {
-	id, tokens, err := s.allowances.hand(ask.Ask, ask.All)
-	out.ID, out.Tokens = int64(id), tokens
+	g, err := s.allowances.hand(ask.Ask, ask.All)
+	out.ID, out.Tokens = int64(g.ID), g.Tokens
 	out.Spent = errors.Is(err, ErrSpent)
 	out.Unavailable = err != nil && !out.Spent
 	if err != nil {
@@ -457,18 +507,18 @@
 	return nil
 }
 
-func (m *Mesh) allow(ctx context.Context, keeper string, ask Ask, all bool) (uint64, int64, error) {
+func (m *Mesh) allow(ctx context.Context, keeper string, ask Ask, all bool) (Grant, error) {
 	var got Allowed
 	err := m.call(ctx, keeper, serviceName+".Allow", m.Limits.Allow, AllowAsk{ask, all}, &got)
 	switch {
 	case err != nil:
-		return 0, 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return Grant{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	case got.Spent:
-		return 0, 0, ErrSpent
+		return Grant{}, ErrSpent
 	case got.Unavailable:
-		return 0, 0, fmt.Errorf("%w: at %s: %s", ErrUnavailable, keeper, got.Reason)
+		return Grant{}, fmt.Errorf("%w: at %s: %s", ErrUnavailable, keeper, got.Reason)
 	}
-	return uint64(got.ID), got.Tokens, nil
+	return Grant{keeper, uint64(got.ID), got.Tokens}, nil
 }
 
 func (m *Mesh) settleAllowance(keeper string, id uint64, generated int64) {
--- a/internal/system/tokenbudget/fixture_test.go
+++ b/internal/system/tokenbudget/fixture_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"ibisstall.example/ibisstall/internal/clock"
 	"ibisstall.example/ibisstall/internal/mesh"
 	"ibisstall.example/ibisstall/internal/platform"
 )
@@ -155,7 +156,7 @@
 	vm.store = &Relayed{Own: f.store, Mesh: peers, Limit: time.Minute, Log: zap.NewNop()}
 	vm.allowances = &Allowances{
 		DC: dc, DCs: f.dcs, VM: name, Self: vm.process, Store: f.store, Mesh: peers,
-		Processes: func() map[string]Process { return f.processes(dc) }, Log: zap.NewNop(),
+		Processes: f.processes, Clock: clock.System{}, Log: zap.NewNop(),
 	}
 	vm.ledger = &Ledger{VM: vm.process, Store: vm.store, Peers: peers, Allowances: vm.allowances, Log: zap.NewNop()}
 	is.NoErr(Register(l, vm.ledger, vm.store))
@@ -225,7 +226,7 @@
 )
 
 func ask(program string, budget int64) Ask {
-	return Ask{Program: program, Budget: budget, Turn: turnMost, Step: turnStep}
+	return Ask{Program: program, Budget: budget, Turn: turnMost, Step: turnStep, Least: turnStep}
 }
 
 // run runs a turn to its end and returns its tokens, or 0 if it is refused.
--- a/internal/system/tokenbudget/tokenbudget.go
+++ b/internal/system/tokenbudget/tokenbudget.go
@@ -84,6 +84,8 @@
 	// Step is what a turn reserves at a time while the budget's home can't be
 	// reached: all of a turn's most would use up the small part that is left.
 	Step int64
+	// Least is the smallest reservation that is of use there.
+	Least int64
 }
 
 // Ledger holds the accounts of one VM. It is safe for concurrent use.
@@ -201,14 +203,14 @@
 
 // reservePart sets aside a step's tokens of the parts of the data centres.
 func (l *Ledger) reservePart(ctx context.Context, ask Ask) (*Reservation, error) {
-	keeper, id, err := l.Allowances.Reserve(ctx, ask)
+	g, err := l.Allowances.Reserve(ctx, ask)
 	if err != nil {
 		return nil, err
 	}
 	l.mu.Lock()
 	l.account(ask.Program, time.Now()).ran = true
 	l.mu.Unlock()
-	return &Reservation{ledger: l, keeper: keeper, id: id, tokens: ask.Step}, nil
+	return &Reservation{ledger: l, keeper: g.Keeper, id: g.ID, tokens: g.Tokens}, nil
 }
 
 // reserveRecorded reserves from the recorded part of a budget, at its home.
@@ -342,19 +344,25 @@
 	a.claim.Lock()
 	defer a.claim.Unlock()
 	l.mu.Lock()
-	left := max(0, a.left-a.lent) // the lent part is not the row's
-	a.left -= left
+	left := max(0, a.left)
+	own := max(0, left-a.lent) // the lent part is not the row's
+	a.left = min(0, a.left)
 	row, version := a.row, a.version
 	l.mu.Unlock()
 	row.Home = ""
-	// After a conflict the share stays taken, which is safe.
-	if err := l.swap(ctx, a, program, row, version, -left); err != nil {
-		l.Log.Info("share of a budget not given back", tag.ForwardedProgram(program), tag.Error(err))
-	}
+	err := l.swap(ctx, a, program, row, version, -own)
 	l.mu.Lock()
 	a.left = min(0, a.left)
 	a.stale = true
 	l.mu.Unlock()
+	if err == nil {
+		left -= own
+	} else if errors.Is(err, platform.ErrUnknown) {
+		left -= own // the row may have them
+	}
+	if left > 0 && !l.Allowances.Deposit(ctx, program, left) {
+		l.Log.Info("share of a budget lost", tag.ForwardedProgram(program), tag.Left(left), tag.Error(err))
+	}
 }
 
 // rowKey names the row of a program: partition and id.
--- a/internal/system/tokenbudget/tokenbudget_test.go
+++ b/internal/system/tokenbudget/tokenbudget_test.go
@@ -247,7 +247,7 @@
 		again := f.start("a", "dc-1")
 		f.settleKeepers()
 		is.Equal(len(again.allowances.kept), bucketsPerDC)
-		_, _, err := again.allowances.Reserve(context.Background(), ask("p", 1300))
+		_, err := again.allowances.Reserve(context.Background(), ask("p", 1300))
 		is.True(errors.Is(err, ErrSpent)) // what may have been handed out counts as used
 	})
 	t.Run("the successor of one that has left knows what was used", func(t *testing.T) {
@@ -259,15 +259,15 @@
 		_, err := a.run("p", 1300, 90)
 		is.NoErr(err)
 		f.store.setDown(false)
-		a.allowances.Release(context.Background())
-		_, _, err = a.allowances.Reserve(context.Background(), ask("p", 1300))
+		a.allowances.Leave(context.Background()) // to nobody
+		_, err = a.allowances.Reserve(context.Background(), ask("p", 1300))
 		is.True(errors.Is(err, ErrUnavailable)) // nothing after the release
 		f.kill(a)
 		again := f.start("a", "dc-1")
 		f.settleKeepers()
-		_, tokens, err := again.allowances.hand(ask("p", 1300), true)
+		g, err := again.allowances.hand(ask("p", 1300), true)
 		is.NoErr(err)
-		is.Equal(tokens, partPerDC(1300, turnMost, 1)-90)
+		is.Equal(g.Tokens, partPerDC(1300, turnMost, 1)-90)
 	})
 }
 
@@ -292,18 +292,23 @@
 		f.settleKeepers()
 		programs := map[string]int64{"p": 576, "q": 1300, "r": 3000}
 		used := make(map[string]int64)
-		for range 60 {
-			switch random.IntN(10) {
-			case 0:
+		for range 90 {
+			switch random.IntN(11) {
+			case 0, 1:
 				n := names[random.IntN(len(names))]
+				if random.IntN(2) == 0 { // it leaves in order
+					vms[n].allowances.Leave(context.Background())
+					vms[n].ledger.GiveBack(context.Background(), time.Time{})
+				}
 				f.kill(vms[n])
 				vms[n] = f.start(n, dcOf[n])
 				f.settleKeepers()
-			case 1:
-				f.store.setDown(true)
 			case 2:
-				f.store.setDown(false)
+				f.store.setDown(true)
 			case 3:
+				f.store.setDown(false)
+				f.settleKeepers()
+			case 4:
 				f.store.mu.Lock()
 				f.store.loseNext = 1
 				f.store.mu.Unlock()
