A request that has run stays at its endpoint though that is full

Change: endpoints that live and may have run the request are counted apart; once the route's number is reached only the same endpoint is asked again, after a short pause. Test: TestProcess_OverdueAnswers, failed before.

--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"ibisstall.example/ibisstall/internal/clock"
 	"ibisstall.example/ibisstall/internal/forward"
 	"ibisstall.example/ibisstall/internal/httpconn"
 	"ibisstall.example/ibisstall/internal/logging/tag"
@@ -43,6 +44,7 @@
 	avoid   []string // endpoints not to use again
 	notRun  int      // endpoints that proved not to have run it
 	runs    int      // endpoints that may have run it
+	bound   int      // of these, the ones that live: the route bounds their number
 	resumes int
 
 	reservations []*tokenbudget.Reservation
@@ -98,45 +100,67 @@
 	x.f.waits.request()
 	for {
 		outcome, err := x.attempt(place)
-		x.cause = err
-		result := dispatch.Release{Run: time.Since(start), First: x.firstByte, Tokens: x.events * x.service.TokensPerEvent}
 		if outcome == broken && !ran {
 			ran = true
 			x.runs++
 		}
-		if outcome == broken && x.mayResume() && !x.betterElsewhere(err) {
-			if x.f.Pool.Reachable(x.ctx, place.Address) {
-				x.resumes++
-				continue
-			}
-			err = fmt.Errorf("%w: %w", errEndpointGone, err)
+		again, err := x.sameEndpoint(outcome, err, ran, place)
+		x.cause = err
+		if again {
+			continue
+		}
+		gone := errors.Is(err, errEndpointGone)
+		if ran && !gone && outcome != unreachable && outcome != elsewhere {
+			x.bound++
 		}
-		switch outcome {
-		case complete:
-			result.Result = dispatch.Done
-			if ran { // after a loss, which tells of the endpoint's health
-				result.Result = dispatch.Failed
-			}
-		case broken:
-			result.Result = dispatch.Failed
-			if errors.Is(err, errEndpointGone) {
-				result.Result = dispatch.Unreachable
-			}
-		case full:
-			result.Result = dispatch.Full
-		case unreachable:
-			result.Result = dispatch.Unreachable
+		result := x.resultOf(outcome, ran, gone)
+		if outcome == unreachable {
 			x.f.reach.failed(place.Endpoint, place.DC, time.Now())
-		case elsewhere:
-			result.Result = dispatch.Unreachable
-		case abandoned:
-			result.Result = dispatch.Abandoned
 		}
-		place.Release(result)
+		place.Release(dispatch.Release{
+			Result: result, Run: time.Since(start), First: x.firstByte, Tokens: x.events * x.service.TokensPerEvent,
+		})
 		return x.again(outcome, place.Endpoint, err)
 	}
 }
 
+// resultOf tells the scheduler how the use of an endpoint ended.
+func (x *exchange) resultOf(o outcome, ran, gone bool) dispatch.Result {
+	switch {
+	case o == complete && ran, o == broken && !gone: // a loss tells of the endpoint's health
+		return dispatch.Failed
+	case o == complete:
+		return dispatch.Done
+	case o == full:
+		return dispatch.Full
+	case o == abandoned:
+		return dispatch.Abandoned
+	default: // broken by its end, unreachable, elsewhere
+		return dispatch.Unreachable
+	}
+}
+
+// sameEndpoint reports whether the same endpoint is asked once more after an
+// attempt: while it lives and the answer broke off, or it is full and the request
+// may go nowhere else. The error tells more exactly what became of the attempt.
+func (x *exchange) sameEndpoint(o outcome, err error, ran bool, place *dispatch.Place) (bool, error) {
+	switch {
+	case o == broken && x.mayResume() && !x.betterElsewhere(err):
+		if x.f.Pool.Reachable(x.ctx, place.Address) {
+			x.resumes++
+			return true, err
+		}
+		return false, fmt.Errorf("%w: %w", errEndpointGone, err)
+	case o == full && ran && x.bound+1 >= x.maxEndpoints() && x.notRun < maxNotRun:
+		x.notRun++
+		return clock.Sleep(x.ctx, fullPause), err
+	}
+	return false, err
+}
+
+// maxEndpoints is the number of endpoints that the request may run on.
+func (x *exchange) maxEndpoints() int { return max(1, x.route.MaxEndpoints) }
+
 // betterElsewhere reports whether a request that broke off goes to another endpoint
 // although its own can be reached: that one may hang.
 func (x *exchange) betterElsewhere(err error) bool {
@@ -162,16 +186,14 @@
 	case full, unreachable, elsewhere:
 		x.notRun++
 		x.avoid = append(x.avoid, endpoint)
-		if x.notRun >= maxNotRun {
+		if x.notRun >= maxNotRun || x.bound >= x.maxEndpoints() {
 			x.giveUp(err)
 			return false
 		}
 		return true
 	default: // broken
 		x.avoid = append(x.avoid, endpoint)
-		// An endpoint that has ended doesn't count among those that the
-		// request may run on; one that lives does.
-		if !x.mayResume() || !errors.Is(err, errEndpointGone) && x.runs >= max(1, x.route.MaxEndpoints) {
+		if !x.mayResume() || x.bound >= x.maxEndpoints() {
 			x.giveUp(err)
 			return false
 		}
--- a/internal/system/forwarder/forwarder.go
+++ b/internal/system/forwarder/forwarder.go
@@ -29,6 +29,9 @@
 	// silenceLimit is the time without bytes after which an endpoint is
 	// probed over a new connection.
 	silenceLimit = 500 * time.Millisecond
+	// fullPause is the wait before a full endpoint is asked again by a request
+	// that may go nowhere else: a few steps of a batch.
+	fullPause = 60 * time.Millisecond
 	// leastUseful is the time below which no endpoint is asked any more.
 	leastUseful = 10 * time.Millisecond
 	// busyRetry is what a caller is told to wait when nothing better is known.
