One view of VMs that don't answer; a store that is away is probed beside the requests

Change: mesh.Suspects is the one view of VMs that don't answer, with probes beside the requests, for schedulers, homes, keepers and relays; calls of a table service that is out fail at once, and a goroutine probes it.

--- a/internal/system/dispatch/client.go
+++ b/internal/system/dispatch/client.go
@@ -7,9 +7,6 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
-	"ibisstall.example/ibisstall/internal/logging/tag"
 	"ibisstall.example/ibisstall/internal/mesh"
 )
 
@@ -18,10 +15,6 @@
 	// answerLimit is the wait for an answer after which the scheduling VM is
 	// taken for dead or frozen; far above a round trip within a region.
 	answerLimit = 120 * time.Millisecond
-	// probeAfter is the first pause before a VM that did not answer is asked
-	// again, beside the requests; it doubles up to probeMost.
-	probeAfter = 500 * time.Millisecond
-	probeMost  = 8 * time.Second
 	// maxRemote is the number of VMs that are asked before this VM decides
 	// by itself.
 	maxRemote = 2
@@ -46,23 +39,16 @@
 // Client gets places from the VM that schedules a service. It is safe for
 // concurrent use.
 type Client struct {
-	Mesh  *mesh.Client
-	Local *Scheduler
-	Fleet Fleet
-	Log   *zap.Logger
+	Mesh     *mesh.Client
+	Suspects *mesh.Suspects
+	Local    *Scheduler
+	Fleet    Fleet
 
 	mu       sync.Mutex
-	suspects map[string]*suspect  // guarded by mu, by address
 	pending  map[string][]Release // guarded by mu, by address
 	flushing map[string]bool      // guarded by mu
 }
 
-type suspect struct {
-	pause   time.Duration
-	next    time.Time
-	probing bool
-}
-
 // Place is a place at an endpoint. It must be given back once.
 type Place struct {
 	Endpoint, Address string
@@ -82,7 +68,7 @@
 		if addr == "" || remote >= maxRemote {
 			break
 		}
-		if c.suspected(addr) {
+		if c.Suspects.Suspected(addr) {
 			continue
 		}
 		remote++
@@ -91,7 +77,7 @@
 		if err == nil || errors.As(err, &refused) || ctx.Err() != nil {
 			return place, err
 		}
-		c.suspect(addr, err)
+		c.Suspects.Suspect(addr, err)
 		spent := time.Since(start)
 		start = time.Now()
 		ask.Deadline -= spent
@@ -189,56 +175,7 @@
 		cancel()
 		if err != nil {
 			// The places come free there when their deadlines have passed.
-			c.suspect(addr, err)
+			c.Suspects.Suspect(addr, err)
 		}
 	}
 }
-
-// suspected reports whether a VM is left out, and probes it when that is due.
-func (c *Client) suspected(addr string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s := c.suspects[addr]
-	if s == nil {
-		return false
-	}
-	if !s.probing && time.Now().After(s.next) {
-		s.probing = true
-		go c.probe(addr)
-	}
-	return true
-}
-
-func (c *Client) suspect(addr string, cause error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.suspects == nil {
-		c.suspects = make(map[string]*suspect)
-	}
-	if c.suspects[addr] != nil {
-		return
-	}
-	c.suspects[addr] = &suspect{pause: probeAfter, next: time.Now().Add(probeAfter)}
-	c.Log.Warn("scheduler lost", tag.Address(addr), tag.Error(cause))
-}
-
-func (c *Client) probe(addr string) {
-	ctx, cancel := context.WithTimeout(context.Background(), answerLimit)
-	defer cancel()
-	var ok bool
-	err := c.Mesh.Call(ctx, addr, serviceName+".Release", []Release{}, &ok)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s := c.suspects[addr]
-	if s == nil {
-		return
-	}
-	if err == nil {
-		delete(c.suspects, addr)
-		c.Log.Info("scheduler back", tag.Address(addr))
-		return
-	}
-	s.probing = false
-	s.pause = min(2*s.pause, probeMost)
-	s.next = time.Now().Add(s.pause)
-}
--- a/internal/system/follow/follow.go
+++ b/internal/system/follow/follow.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"ibisstall.example/ibisstall/internal/clock"
 	"ibisstall.example/ibisstall/internal/logging/tag"
 	"ibisstall.example/ibisstall/internal/platform"
 )
@@ -54,7 +55,7 @@
 		case err == nil:
 			cursor, known, pause = next, true, firstPause
 			f.regained()
-			sleep(ctx, f.Gather)
+			clock.Sleep(ctx, f.Gather)
 			continue
 		case errors.Is(err, platform.ErrHistoryGone):
 			f.Log.Info("history gone, reading anew", tag.Target(f.Table))
@@ -62,7 +63,7 @@
 			continue
 		}
 		f.failed(ctx, err)
-		sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 		pause = min(2*pause, longestPause)
 	}
 }
@@ -113,15 +114,3 @@
 		f.Regained()
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/system/follow/follow_test.go
+++ b/internal/system/follow/follow_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"ibisstall.example/ibisstall/internal/clock"
 	"ibisstall.example/ibisstall/internal/platform"
 )
 
@@ -58,7 +59,7 @@
 		return nil, 0, err
 	}
 	if len(rows) == 0 {
-		sleep(ctx, wait)
+		clock.Sleep(ctx, wait)
 	}
 	return rows, after + 1, ctx.Err()
 }
--- a/internal/system/tokenbudget/fixture_test.go
+++ b/internal/system/tokenbudget/fixture_test.go
@@ -91,6 +91,12 @@
 	s.down = down
 }
 
+func (s *memoryStore) countCalls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 func (s *memoryStore) applyDelayed() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -150,7 +156,7 @@
 	// A busy machine must not change what a test sees.
 	limits := Limits{Reserve: time.Minute, Allow: time.Minute, Relay: time.Minute}
 	peers := &Mesh{
-		Client: vm.client, Log: zap.NewNop(), Limits: limits, AddressOf: f.addressOf,
+		Client: vm.client, Suspects: &mesh.Suspects{Client: vm.client, Log: zap.NewNop()}, Log: zap.NewNop(), Limits: limits, AddressOf: f.addressOf,
 		Others: func(string) []string { return nil },
 	}
 	vm.store = &Relayed{Own: f.store, Mesh: peers, Limit: time.Minute, Log: zap.NewNop()}
@@ -239,3 +245,12 @@
 	r.Settle(generated)
 	return generated, nil
 }
+
+// awaitStore waits until the VM has found the table service again.
+func (vm *testVM) awaitStore() {
+	for down := true; down; time.Sleep(time.Millisecond) {
+		vm.store.mu.Lock()
+		down = vm.store.down
+		vm.store.mu.Unlock()
+	}
+}
--- a/internal/system/tokenbudget/handover_test.go
+++ b/internal/system/tokenbudget/handover_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"ibisstall.example/ibisstall/internal/clock"
+	"ibisstall.example/ibisstall/internal/platform"
 )
 
 // steppedClock is a clock that a test moves.
@@ -171,3 +172,22 @@
 	is.NoErr(err)
 	is.Equal(g.Tokens, part%turnStep)
 }
+
+func TestRelayed_CallsFailAtOnceWhileThePathIsOut(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, "dc-1")
+	a := f.start("a", "dc-1")
+	f.store.setDown(true)
+	_, err := a.store.Get(context.Background(), []platform.Key{{Table: Table, ID: "0/p"}})
+	is.True(errors.Is(err, platform.ErrUnavailable))
+	before := f.store.countCalls()
+	for range 1000 {
+		_, err = a.store.Get(context.Background(), []platform.Key{{Table: Table, ID: "0/p"}})
+		is.True(errors.Is(err, platform.ErrUnavailable))
+	}
+	is.True(f.store.countCalls()-before < 1000) // probes only
+	f.store.setDown(false)
+	a.awaitStore()
+	_, err = a.store.Get(context.Background(), []platform.Key{{Table: Table, ID: "0/p"}})
+	is.NoErr(err)
+}
--- a/internal/system/tokenbudget/home.go
+++ b/internal/system/tokenbudget/home.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"ibisstall.example/ibisstall/internal/clock"
 	"ibisstall.example/ibisstall/internal/logging/tag"
 	"ibisstall.example/ibisstall/internal/platform"
 )
@@ -99,23 +100,12 @@
 			}
 			return nil, ErrSpent
 		}
-		if !sleep(ctx, settlePause) {
+		if !clock.Sleep(ctx, settlePause) {
 			return nil, fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // reserve takes a turn's most tokens from what is here, or returns nil.
 func (l *Ledger) reserve(a *account, ask Ask) *Reservation {
 	l.mu.Lock()
--- a/internal/system/tokenbudget/peers.go
+++ b/internal/system/tokenbudget/peers.go
@@ -23,11 +23,9 @@
 	reserveLimit = settleWait + 400*time.Millisecond
 	// allowLimit bounds a question to a keeper, which answers at once.
 	allowLimit = 150 * time.Millisecond
-	// silentRest is how long a VM that did not answer is left alone.
-	silentRest = time.Second
 	// relayLimit bounds one relayed call.
 	relayLimit = 400 * time.Millisecond
-	// tryAgain is the pause before a path that is out is tried again.
+	// tryAgain is the pause before a path that is out is probed.
 	tryAgain = 150 * time.Millisecond
 	// maxRelays is the number of VMs that are asked to make a call.
 	maxRelays = 2
@@ -139,41 +137,35 @@
 
 // Mesh reaches the ledgers of other VMs.
 type Mesh struct {
-	Client *mesh.Client
-	Log    *zap.Logger
-	Limits Limits
+	Client   *mesh.Client
+	Suspects *mesh.Suspects
+	Log      *zap.Logger
+	Limits   Limits
 	// AddressOf returns the address of a process, "" if it is gone; Others
 	// those of VMs to relay calls.
 	AddressOf func(process string) string
 	Others    func(key string) []string
-
-	mu     sync.Mutex
-	silent map[string]time.Time // guarded by mu; address to the end of its rest
 }
 
-// call calls another VM. One that did not answer is left alone for a while, so
-// that requests don't wait for it one after the other.
+// call calls a process.
 func (m *Mesh) call(ctx context.Context, process, method string, limit time.Duration, args, reply any) error {
 	addr := m.AddressOf(process)
 	if addr == "" {
 		return fmt.Errorf("%w: %s is not listed", mesh.ErrNotSent, process)
 	}
-	m.mu.Lock()
-	resting := time.Now().Before(m.silent[addr])
-	m.mu.Unlock()
-	if resting {
-		return fmt.Errorf("%w: %s did not answer lately", mesh.ErrNotSent, process)
+	return m.callAt(ctx, addr, method, limit, args, reply)
+}
+
+// callAt calls a VM. One that did not answer is left alone until it does.
+func (m *Mesh) callAt(ctx context.Context, addr, method string, limit time.Duration, args, reply any) error {
+	if m.Suspects.Suspected(addr) {
+		return fmt.Errorf("%w: %s did not answer lately", mesh.ErrNotSent, addr)
 	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	callCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	err := m.Client.Call(ctx, addr, method, args, reply)
-	if err != nil && !errors.Is(ctx.Err(), context.Canceled) {
-		m.mu.Lock()
-		if m.silent == nil {
-			m.silent = make(map[string]time.Time)
-		}
-		m.silent[addr] = time.Now().Add(silentRest)
-		m.mu.Unlock()
+	err := m.Client.Call(callCtx, addr, method, args, reply)
+	if err != nil && ctx.Err() == nil {
+		m.Suspects.Suspect(addr, err)
 	}
 	return err
 }
@@ -225,8 +217,7 @@
 	Log   *zap.Logger
 
 	mu   sync.Mutex
-	down bool      // guarded by mu; the own path is out
-	next time.Time // guarded by mu; when it is tried again
+	down bool // guarded by mu; the own path is out
 }
 
 var _ platform.Committer = (*Relayed)(nil)
@@ -260,53 +251,60 @@
 	return out.Version, err
 }
 
-// own makes a call on the own path. While that is out, one call at a time is
-// let through to try it, and the others fail at once.
+// own makes a call on the own path. While that is out calls fail at once, and the
+// path is probed beside them.
 func (r *Relayed) own(ctx context.Context, call func(context.Context) error) error {
-	if !r.admit(time.Now()) {
+	r.mu.Lock()
+	down := r.down
+	r.mu.Unlock()
+	if down {
 		return platform.ErrUnavailable
 	}
 	callCtx, cancel := context.WithTimeout(ctx, r.Limit)
 	defer cancel()
 	err := call(callCtx)
-	if ctx.Err() == nil {
-		r.note(err)
+	if ctx.Err() == nil && out(err) {
+		r.lost(err)
 	}
 	return err
 }
 
-func (r *Relayed) admit(now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.down {
-		return true
-	}
-	if now.Before(r.next) {
-		return false
-	}
-	r.next = now.Add(r.Limit + tryAgain)
-	return true
+// out reports whether an error means that a path is out. A conflict is an answer.
+func out(err error) bool {
+	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknown)
 }
 
-// note takes in how a call on the own path ended. A conflict is an answer.
-func (r *Relayed) note(err error) {
-	out := errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknown)
+func (r *Relayed) lost(err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if out {
-		r.next = time.Now().Add(tryAgain)
-	}
-	if out == r.down {
+	if r.down {
 		return
 	}
-	r.down = out
-	if out {
-		r.Log.Warn("table service lost", tag.Error(err))
-	} else {
-		r.Log.Info("table service regained")
+	r.down = true
+	r.Log.Warn("table service lost", tag.Error(err))
+	go r.regain()
+}
+
+// regain probes the own path until it answers.
+func (r *Relayed) regain() {
+	for {
+		time.Sleep(tryAgain)
+		ctx, cancel := context.WithTimeout(context.Background(), r.Limit)
+		_, err := r.Own.Get(ctx, []platform.Key{probeKey})
+		cancel()
+		if !out(err) {
+			break
+		}
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down = false
+	r.Log.Info("table service regained")
 }
 
+// probeKey is the row that probes read; it never exists.
+var probeKey = platform.Key{Table: Table, ID: "0/probe"}
+
 // relay asks other VMs until one has made the call.
 func (r *Relayed) relay(ctx context.Context, call RelayCall, err error) (RelayResult, error) {
 	key := "relay"
@@ -318,9 +316,7 @@
 			break
 		}
 		var out RelayResult
-		callCtx, cancel := context.WithTimeout(ctx, r.Mesh.Limits.Relay)
-		callErr := r.Mesh.Client.Call(callCtx, addr, serviceName+".Relay", call, &out)
-		cancel()
+		callErr := r.Mesh.callAt(ctx, addr, serviceName+".Relay", r.Mesh.Limits.Relay, call, &out)
 		switch {
 		case errors.Is(callErr, mesh.ErrNotSent):
 			continue
--- a/internal/system/tokenbudget/tokenbudget_test.go
+++ b/internal/system/tokenbudget/tokenbudget_test.go
@@ -148,7 +148,9 @@
 		drain()
 		is.True(sum > 0)
 		f.store.setDown(false)
-		time.Sleep(tryAgain) // the path is tried again after this pause
+		for _, vm := range vms {
+			vm.awaitStore()
+		}
 		drain()
 		is.True(sum <= budget+turnMost)
 	})
@@ -162,7 +164,7 @@
 		f.store.loseNext = 1
 		_, err := a.run("p", 1300, 73)
 		is.True(errors.Is(err, ErrUnavailable))
-		time.Sleep(tryAgain) // the path is tried again after this pause
+		a.awaitStore()
 		_, err = a.run("p", 1300, 73)
 		is.NoErr(err)
 		is.True(a.ledger.accounts["p"].left > 0)
@@ -174,7 +176,7 @@
 		f.store.delay = true
 		_, err := a.run("p", 2*turnMost, turnMost)
 		is.True(errors.Is(err, ErrUnavailable))
-		time.Sleep(tryAgain) // the path is tried again after this pause
+		a.awaitStore()
 		var sum int64
 		for range 10 {
 			n, _ := a.run("p", 2*turnMost, turnMost)
