Strong VMs schedule services; a single VM's lack of contact condemns no endpoint

A slow VM took a connection that needed more than 120 ms for the end of its endpoint and went on at another one. Change: VMs tell their capacity; one below half of the strongest schedules only if no stronger one can.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -164,15 +164,15 @@
 	return c, nil
 }
 
-// Reachable opens and closes a connection to tell whether anybody listens at
-// an address.
-func (p *Pool) Reachable(ctx context.Context, addr string) bool {
+// Reach opens and closes a connection to tell whether anybody listens at an
+// address. Its error is that of the dialer.
+func (p *Pool) Reach(ctx context.Context, addr string) error {
 	dialer := net.Dialer{Timeout: p.Timeout}
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return false
+		return err
 	}
-	return conn.Close() == nil
+	return conn.Close()
 }
 
 func (p *Pool) take(addr string) *Conn {
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -250,7 +251,7 @@
 	is.NoErr(l.Close())
 	_, err = (&Pool{}).Get(context.Background(), addr, false)
 	is.True(errors.Is(err, ErrNotSent))
-	is.True(!(&Pool{}).Reachable(context.Background(), addr))
+	is.True(errors.Is((&Pool{}).Reach(context.Background(), addr), syscall.ECONNREFUSED))
 }
 
 func TestIdleTime_FollowsThePeer(t *testing.T) {
--- a/internal/system/dispatch/directory.go
+++ b/internal/system/dispatch/directory.go
@@ -16,8 +16,14 @@
 	DC      string
 	Entry   uint64 // version of its entry in the list of VMs
 	Leaving bool   // schedules nothing any more
+	// Capacity is its processor time in cores, 0 if unknown.
+	Capacity float64
 }
 
+// weakShare is the share of the strongest VM's capacity below which a VM schedules
+// a service only if no stronger one can: all requests of the service wait for it.
+const weakShare = 0.5
+
 // Directory lists the VMs of the system. It is safe for concurrent use.
 type Directory struct {
 	Self VM
@@ -65,27 +71,11 @@
 	if order, ok := d.orders[service]; ok {
 		return order
 	}
-	type scored struct {
-		vm    VM
-		score uint64
-	}
-	list := make([]scored, 0, len(d.vms)+1)
-	for _, vm := range d.vms {
-		if vm.Name != d.Self.Name && !vm.Leaving {
-			list = append(list, scored{vm, xxhash.Sum64String(service + "\x00" + vm.Name)})
-		}
-	}
-	list = append(list, scored{d.Self, xxhash.Sum64String(service + "\x00" + d.Self.Name)})
-	slices.SortFunc(list, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.vm.Name, b.vm.Name))
-	})
-	slices.SortStableFunc(list[1:], func(a, b scored) int {
-		return cmp.Compare(distance(a.vm.DC, d.Self.DC), distance(b.vm.DC, d.Self.DC))
-	})
+	list := d.ranked(service)
 	order := make([]string, len(list))
-	for i, s := range list {
-		if s.vm.Name != d.Self.Name {
-			order[i] = s.vm.Address
+	for i, vm := range list {
+		if vm.Name != d.Self.Name {
+			order[i] = vm.Address
 		}
 	}
 	if d.orders == nil {
@@ -95,6 +85,33 @@
 	return order
 }
 
+// ranked returns the VMs in the order of Order; mu is held.
+func (d *Directory) ranked(service string) []VM {
+	list := make([]VM, 1, len(d.vms)+1)
+	list[0] = d.Self
+	strongest := d.Self.Capacity
+	for _, vm := range d.vms {
+		if vm.Name != d.Self.Name && !vm.Leaving {
+			list = append(list, vm)
+			strongest = max(strongest, vm.Capacity)
+		}
+	}
+	weak := func(vm VM) int {
+		if vm.Capacity < weakShare*strongest {
+			return 1
+		}
+		return 0
+	}
+	score := func(vm VM) uint64 { return xxhash.Sum64String(service + "\x00" + vm.Name) }
+	slices.SortFunc(list, func(a, b VM) int {
+		return cmp.Or(cmp.Compare(weak(a), weak(b)), cmp.Compare(score(b), score(a)), cmp.Compare(a.Name, b.Name))
+	})
+	slices.SortStableFunc(list[1:], func(a, b VM) int {
+		return cmp.Compare(distance(a.DC, d.Self.DC), distance(b.DC, d.Self.DC))
+	})
+	return list
+}
+
 func distance(dc, own string) int {
 	if dc == own {
 		return 0
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -23,6 +23,10 @@
 	// alone; it doubles up to longestRest.
 	firstRest   = 500 * time.Millisecond
 	longestRest = 4 * time.Second
+	// missedVMs is the number of VMs that must have no contact with an endpoint
+	// within missedMemory before it is left alone by all.
+	missedVMs    = 2
+	missedMemory = time.Second
 	// fullRest is how long an endpoint that was full is left alone: requests
 	// that this VM doesn't know of hold its places.
 	fullRest = 40 * time.Millisecond
@@ -40,7 +44,7 @@
 type Ask struct {
 	Service  string
 	Request  string // for the log
-	DC       string // of the VM that asks
+	VM, DC   string // that ask
 	Deadline time.Duration
 	// Finish and LateFinish may be negative; HasFinish tells whether they
 	// are known.
@@ -95,7 +99,8 @@
 	Done        Result = iota
 	Failed             // the endpoint broke the request off
 	Full               // it had no room
-	Unreachable        // it could not be connected to
+	Unreachable        // nobody listens at its address
+	NoContact          // connecting took too long: it or the asking VM is cut off, or slow
 	Abandoned          // the caller left
 )
 
@@ -138,7 +143,8 @@
 	// prefillRate is the fastest that the endpoint was seen to read prompts,
 	// in tokens a second, slowly forgotten: most samples hold other work too.
 	prefillRate float64
-	awaited     int // waiting requests that are best off here
+	awaited     int                      // waiting requests that are best off here
+	missed      map[string]time.Duration // when VMs last got no contact, by VM
 	health      estimate.Health
 	prompts     *promptCache
 }
@@ -361,6 +367,11 @@
 		e.observe(int(r.ask.promptTokens())-r.held, rel)
 	case Full:
 		e.restUntil = max(e.restUntil, now+fullRest)
+	case NoContact:
+		if !e.outOfContact(r.ask.VM, now) {
+			break
+		}
+		fallthrough
 	case Unreachable:
 		e.rest = min(max(firstRest, 2*e.rest), longestRest)
 		e.restUntil = now + e.rest
@@ -373,6 +384,21 @@
 	}
 }
 
+// outOfContact notes that a VM got no contact with the endpoint, and reports whether
+// others did not either: one alone may be cut off or slow itself.
+func (e *endpoint) outOfContact(vm string, now time.Duration) bool {
+	if e.missed == nil {
+		e.missed = make(map[string]time.Duration)
+	}
+	e.missed[vm] = now
+	for other, at := range e.missed {
+		if now-at > missedMemory {
+			delete(e.missed, other)
+		}
+	}
+	return len(e.missed) >= missedVMs
+}
+
 // observe takes in the times of a request that read a number of prompt tokens.
 func (e *endpoint) observe(prefilled int, rel Release) {
 	e.rates = e.rates.Observe(estimate.Call{
--- a/internal/system/dispatch/scheduler_test.go
+++ b/internal/system/dispatch/scheduler_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -161,6 +162,24 @@
 		c.now += firstRest
 		is.Equal(s.Ask(turn(9, 100)).Endpoint, a.Endpoint) // the empty one again
 	})
+	t.Run("one that a single VM has no contact with goes on serving others", func(t *testing.T) {
+		is := is.New(t)
+		s, _ := newTestScheduler(1, 4)
+		ask := func(vm string) Answer {
+			a := turn(1, 100)
+			a.VM = vm
+			return s.Ask(a)
+		}
+		for range 3 { // a VM that is cut off or slow itself
+			a := ask("one")
+			is.Equal(a.State, Granted)
+			s.Release(Release{Ticket: a.Ticket, Result: NoContact})
+		}
+		a := ask("other")
+		is.Equal(a.State, Granted)
+		s.Release(Release{Ticket: a.Ticket, Result: NoContact})
+		is.Equal(ask("third").State, Refused) // two VMs can't be wrong
+	})
 	t.Run("a data centre out of reach of the asking VM is left out", func(t *testing.T) {
 		is := is.New(t)
 		s, _ := newTestScheduler(2, 4)
@@ -225,3 +244,20 @@
 		is.Equal(s.Ask(turn(2, 100)).State, Granted)
 	})
 }
+
+func TestDirectory_WeakVMsScheduleOnlyWithoutStrongerOnes(t *testing.T) {
+	is := is.New(t)
+	d := Directory{Self: VM{Name: "self", DC: "dc-1", Capacity: 0.1}}
+	var list []VM
+	for i := range 20 {
+		list = append(list, VM{Name: fmt.Sprint("weak", i), Address: fmt.Sprint("weak", i), DC: "dc-1", Capacity: 0.134})
+	}
+	strong := []VM{{Name: "s1", Address: "s1", DC: "dc-2", Capacity: 0.8}, {Name: "s2", Address: "s2", DC: "dc-1", Capacity: 0.8}}
+	d.Replace(append(list, strong...))
+	for _, service := range []string{"a", "b", "c", "d"} {
+		first := d.Order(service)[0]
+		is.True(first == "s1" || first == "s2")
+	}
+	d.Replace(list) // the strong ones are gone
+	is.Equal(len(d.Order("a")), 21)
+}
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -114,6 +115,9 @@
 			x.bound++
 		}
 		result := x.resultOf(outcome, ran, gone)
+		if outcome == unreachable && !errors.Is(err, syscall.ECONNREFUSED) {
+			result = dispatch.NoContact
+		}
 		if outcome == unreachable {
 			x.f.reach.failed(place.Endpoint, place.DC, time.Now())
 		}
@@ -146,11 +150,11 @@
 func (x *exchange) sameEndpoint(o outcome, err error, ran bool, place *dispatch.Place) (bool, error) {
 	switch {
 	case o == broken && x.mayResume() && !x.betterElsewhere(err):
-		if x.f.Pool.Reachable(x.ctx, place.Address) {
-			x.resumes++
-			return true, err
+		if gone := x.gone(place.Address); gone != nil {
+			return false, fmt.Errorf("%w: %w", gone, err)
 		}
-		return false, fmt.Errorf("%w: %w", errEndpointGone, err)
+		x.resumes++
+		return true, err
 	case o == full && ran && x.bound+1 >= x.maxEndpoints() && x.notRun < maxNotRun:
 		x.notRun++
 		return clock.Sleep(x.ctx, fullPause), err
@@ -208,7 +212,7 @@
 	req := x.req
 	endpoints, dcs := x.f.reach.avoided(now)
 	a := dispatch.Ask{
-		Service: x.service.Name, Request: req.ID, DC: x.f.DC, Deadline: x.deadline.Sub(now),
+		Service: x.service.Name, Request: req.ID, VM: x.f.VM, DC: x.f.DC, Deadline: x.deadline.Sub(now),
 		Priority: x.route.Priority, First: x.first, Once: !x.route.Repeatable(), Prefixes: req.Prefixes(),
 		Avoid: append(endpoints, x.avoid...), AvoidDCs: dcs,
 	}
--- a/internal/system/forwarder/forwarder.go
+++ b/internal/system/forwarder/forwarder.go
@@ -67,7 +67,7 @@
 
 // Forwarder serves requests. It is safe for concurrent use.
 type Forwarder struct {
-	DC      string
+	VM, DC  string
 	Dialect Dialect
 	Config  func() *forward.Config // nil before one is known
 	Places  Places
--- a/internal/system/forwarder/waits.go
+++ b/internal/system/forwarder/waits.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"ibisstall.example/ibisstall/internal/forward"
@@ -13,6 +14,21 @@
 // is taken for lost.
 var errOverdue = errors.New("answer overdue")
 
+const (
+	// reachTries is the number of attempts to connect, of connectLimit each,
+	// before an endpoint that doesn't answer counts as cut off.
+	reachTries = 3
+	// lagMemory is what is kept of the lag with each tick of 25 ms, so that
+	// a second ago counts a fifth.
+	lagMemory = 0.96
+	// leastLag is the lag from which a VM counts as late: timers are a few
+	// milliseconds late at any time.
+	leastLag = 15 * time.Millisecond
+	// lagFactor is the number of times that a lag may hold up one exchange:
+	// sending, each read and the wait for a processor before both.
+	lagFactor = 4
+)
+
 // flow names what delays are alike: the requests of one kind to one service.
 type flow struct {
 	service string
@@ -29,6 +45,7 @@
 	mu      sync.Mutex
 	flows   map[flow]delays // guarded by mu
 	resends stall.Resends   // guarded by mu
+	lag     time.Duration   // guarded by mu; by which timers of this VM are late
 }
 
 // change updates the delays of a flow.
@@ -71,10 +88,11 @@
 // is taken for lost. What the route calls a good answer is never overdue.
 func (x *exchange) overdueAfter() time.Duration {
 	d := x.f.waits.of(x.flow())
+	own := lagFactor * x.f.waits.late()
 	if x.events > 0 {
-		return d.gap.Limit(orDefault(x.route.GapTarget))
+		return d.gap.Limit(orDefault(x.route.GapTarget)) + own
 	}
-	return d.first.Limit(orDefault(x.route.TargetLatency))
+	return d.first.Limit(orDefault(x.route.TargetLatency)) + own
 }
 
 // orDefault is the floor of a limit where a route names none.
@@ -94,8 +112,45 @@
 	if quiet >= x.overdueAfter() && x.mayResume() && x.f.waits.takeResend() {
 		return errOverdue
 	}
-	if quiet >= silenceLimit && !x.f.Pool.Reachable(x.ctx, address) && x.ctx.Err() == nil {
-		return errEndpointGone
+	if quiet >= silenceLimit {
+		return x.gone(address)
 	}
 	return nil
 }
+
+// gone returns errEndpointGone if an endpoint has ended or is cut off: nobody
+// listens, or several attempts to connect take too long and this VM is not late
+// itself.
+func (x *exchange) gone(address string) error {
+	for range reachTries {
+		err := x.f.Pool.Reach(x.ctx, address)
+		switch {
+		case err == nil || x.ctx.Err() != nil:
+			return nil
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return errEndpointGone
+		case x.f.waits.late() > 0:
+			return nil
+		}
+	}
+	return errEndpointGone
+}
+
+// NoteLag takes in how late a timer of this VM fired.
+func (f *Forwarder) NoteLag(lag time.Duration) { f.waits.noteLag(lag) }
+
+func (w *waits) noteLag(lag time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lag = max(lag, time.Duration(float64(w.lag)*lagMemory))
+}
+
+// late returns how late this VM is itself, 0 if it is in time.
+func (w *waits) late() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.lag < leastLag {
+		return 0
+	}
+	return w.lag
+}
