A VM that is late itself gives others more time

Change: clock.Lag follows by how much the process's own timers are late; waits for VMs, connections and overdue answers grow with it.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"ibisstall.example/ibisstall/internal/clock"
 )
 
 // Sizes and times of connections.
@@ -65,6 +67,8 @@
 type Pool struct {
 	// Timeout bounds connecting, 0 for no bound but the context's.
 	Timeout time.Duration
+	// Lag is that of this VM; connecting may take longer by it. It may be nil.
+	Lag *clock.Lag
 
 	mu     sync.Mutex
 	idle   map[string][]*Conn // guarded by mu; the last one was used last
@@ -146,7 +150,7 @@
 		c.Close()
 	}
 	dialer := net.Dialer{
-		Timeout: p.Timeout,
+		Timeout: p.timeout(),
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
@@ -167,7 +171,7 @@
 // Reach opens and closes a connection to tell whether anybody listens at an
 // address. Its error is that of the dialer.
 func (p *Pool) Reach(ctx context.Context, addr string) error {
-	dialer := net.Dialer{Timeout: p.Timeout}
+	dialer := net.Dialer{Timeout: p.timeout()}
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return err
@@ -175,6 +179,13 @@
 	return conn.Close()
 }
 
+func (p *Pool) timeout() time.Duration {
+	if p.Timeout <= 0 {
+		return 0
+	}
+	return p.Timeout + p.Lag.Allow()
+}
+
 func (p *Pool) take(addr string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/mesh/suspects.go
+++ b/internal/mesh/suspects.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"ibisstall.example/ibisstall/internal/clock"
 	"ibisstall.example/ibisstall/internal/logging/tag"
 )
 
@@ -26,6 +27,7 @@
 // use them. It is safe for concurrent use.
 type Suspects struct {
 	Client *Client
+	Lag    *clock.Lag // of this VM, which may be why others seem not to answer
 	Log    *zap.Logger
 
 	mu   sync.Mutex
@@ -69,7 +71,7 @@
 }
 
 func (s *Suspects) probe(addr string) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeLimit)
+	ctx, cancel := context.WithTimeout(context.Background(), probeLimit+s.Lag.Allow())
 	defer cancel()
 	var number uint64
 	err := s.Client.Call(ctx, addr, heartbeatName+".Ping", uint64(0), &number)
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -212,7 +212,7 @@
 	req := x.req
 	endpoints, dcs := x.f.reach.avoided(now)
 	a := dispatch.Ask{
-		Service: x.service.Name, Request: req.ID, VM: x.f.VM, DC: x.f.DC, Deadline: x.deadline.Sub(now),
+		Service: x.service.Name, Request: req.ID, Program: req.Program, VM: x.f.VM, DC: x.f.DC, Deadline: x.deadline.Sub(now),
 		Priority: x.route.Priority, First: x.first, Once: !x.route.Repeatable(), Prefixes: req.Prefixes(),
 		Avoid: append(endpoints, x.avoid...), AvoidDCs: dcs,
 	}
--- a/internal/system/forwarder/forwarder.go
+++ b/internal/system/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"ibisstall.example/ibisstall/internal/clock"
 	"ibisstall.example/ibisstall/internal/forward"
 	"ibisstall.example/ibisstall/internal/httpconn"
 	"ibisstall.example/ibisstall/internal/system/dispatch"
@@ -73,6 +74,7 @@
 	Places  Places
 	Budgets Budgets
 	Pool    *httpconn.Pool
+	Lag     *clock.Lag // of this VM
 	Log     *zap.Logger
 	Meters  *Meters
 
--- a/internal/system/forwarder/waits.go
+++ b/internal/system/forwarder/waits.go
@@ -14,20 +14,9 @@
 // is taken for lost.
 var errOverdue = errors.New("answer overdue")
 
-const (
-	// reachTries is the number of attempts to connect, of connectLimit each,
-	// before an endpoint that doesn't answer counts as cut off.
-	reachTries = 3
-	// lagMemory is what is kept of the lag with each tick of 25 ms, so that
-	// a second ago counts a fifth.
-	lagMemory = 0.96
-	// leastLag is the lag from which a VM counts as late: timers are a few
-	// milliseconds late at any time.
-	leastLag = 15 * time.Millisecond
-	// lagFactor is the number of times that a lag may hold up one exchange:
-	// sending, each read and the wait for a processor before both.
-	lagFactor = 4
-)
+// reachTries is the number of attempts to connect before an endpoint that doesn't
+// answer counts as cut off.
+const reachTries = 3
 
 // flow names what delays are alike: the requests of one kind to one service.
 type flow struct {
@@ -45,7 +34,6 @@
 	mu      sync.Mutex
 	flows   map[flow]delays // guarded by mu
 	resends stall.Resends   // guarded by mu
-	lag     time.Duration   // guarded by mu; by which timers of this VM are late
 }
 
 // change updates the delays of a flow.
@@ -88,7 +76,7 @@
 // is taken for lost. What the route calls a good answer is never overdue.
 func (x *exchange) overdueAfter() time.Duration {
 	d := x.f.waits.of(x.flow())
-	own := lagFactor * x.f.waits.late()
+	own := x.f.Lag.Allow()
 	if x.events > 0 {
 		return d.gap.Limit(orDefault(x.route.GapTarget)) + own
 	}
@@ -129,28 +117,9 @@
 			return nil
 		case errors.Is(err, syscall.ECONNREFUSED):
 			return errEndpointGone
-		case x.f.waits.late() > 0:
+		case x.f.Lag.Late() > 0:
 			return nil
 		}
 	}
 	return errEndpointGone
 }
-
-// NoteLag takes in how late a timer of this VM fired.
-func (f *Forwarder) NoteLag(lag time.Duration) { f.waits.noteLag(lag) }
-
-func (w *waits) noteLag(lag time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.lag = max(lag, time.Duration(float64(w.lag)*lagMemory))
-}
-
-// late returns how late this VM is itself, 0 if it is in time.
-func (w *waits) late() time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.lag < leastLag {
-		return 0
-	}
-	return w.lag
-}
--- a/internal/system/tokenbudget/peers.go
+++ b/internal/system/tokenbudget/peers.go
@@ -161,7 +161,7 @@
 	if m.Suspects.Suspected(addr) {
 		return fmt.Errorf("%w: %s did not answer lately", mesh.ErrNotSent, addr)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, limit)
+	callCtx, cancel := context.WithTimeout(ctx, limit+m.Suspects.Lag.Allow())
 	defer cancel()
 	err := m.Client.Call(callCtx, addr, method, args, reply)
 	if err != nil && ctx.Err() == nil {
