New programs begin only while there is room; scheduling costs less under load

Ruled out: the engines (a full batch slows a turn by a third only). Change: policy Flow counts programs under way, pausing ones by how fast turns end, and tells how many may begin and when refused ones should come back; among new ones those that have lost least time begin first, and none waits over 100 ms. Limit follows queues at endpoints that others cause. Free places are given out together while many wait. A process without a list of endpoints refuses nothing.

--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -48,7 +48,8 @@
 // Before reports whether task a gets the next free place rather than b. Tasks
 // whose programs can end on time come first. Among these, programs under way
 // come before new ones, since the work done on them is lost if they end late
-// while a new one can still be refused cheaply; then the earlier objective.
+// while a new one can still be refused cheaply. Among new ones those come first
+// that have lost least of their time; otherwise the earlier objective.
 func Before(a, b *Task, now, run time.Duration) bool {
 	pa, pb := ProspectOf(a, now, run), ProspectOf(b, now, run)
 	if pa != pb {
@@ -57,12 +58,27 @@
 	if a.First != b.First {
 		return b.First
 	}
+	if a.First {
+		if la, lb := lost(a, now), lost(b, now); la != lb {
+			return la < lb
+		}
+	}
 	if fa, fb := objective(a), objective(b); fa != fb {
 		return fa < fb
 	}
 	return a.Arrived < b.Arrived
 }
 
+// lost returns the share of its time that a program has spent before it began: one
+// that was refused before is less likely to end on time than a fresh one.
+func lost(t *Task, now time.Duration) float64 {
+	whole := t.LateFinish - t.Finish // a late end has some use for as long again
+	if whole <= 0 {
+		return 0
+	}
+	return 1 - float64(t.Finish-now)/float64(whole)
+}
+
 func objective(t *Task) time.Duration {
 	if t.Finish == 0 {
 		return t.Deadline
@@ -83,7 +99,7 @@
 // callers' time-outs of one to three seconds, of which a third is honoured.
 func DefaultConfig() Config {
 	return Config{
-		MaxWaitFirst: 400 * time.Millisecond,
+		MaxWaitFirst: 100 * time.Millisecond,
 		MinRetry:     50 * time.Millisecond,
 		MaxRetry:     time.Second,
 	}
@@ -104,7 +120,7 @@
 	}
 	left := latest - now
 	if t.First {
-		left = min(left, cfg.MaxWaitFirst)
+		left = min(left, t.Arrived+cfg.MaxWaitFirst-now)
 	}
 	return left
 }
--- a/internal/policy/dispatch/dispatch_test.go
+++ b/internal/policy/dispatch/dispatch_test.go
@@ -42,7 +42,8 @@
 	}{
 		{"until a late end has no use", Task{Finish: 2000 * ms, LateFinish: 3000 * ms, Deadline: 9000 * ms}, 1800 * ms},
 		{"not beyond the deadline", Task{Finish: 2000 * ms, LateFinish: 3000 * ms, Deadline: 1500 * ms}, 300 * ms},
-		{"new programs are refused while they can still come back", Task{Finish: 4000 * ms, LateFinish: 5000 * ms, Deadline: 9000 * ms, First: true}, cfg.MaxWaitFirst},
+		{"new programs are refused while they can still come back", Task{Arrived: now, Finish: 4000 * ms, LateFinish: 5000 * ms, Deadline: 9000 * ms, First: true}, cfg.MaxWaitFirst},
+		{"the wait of a new program counts from its arrival", Task{Arrived: now - 60*ms, Finish: 4000 * ms, LateFinish: 5000 * ms, Deadline: 9000 * ms, First: true}, cfg.MaxWaitFirst - 60*ms},
 		{"a late program waits for a late end", Task{Finish: 900 * ms, LateFinish: 1900 * ms, Deadline: 9000 * ms}, 700 * ms},
 		{"what can't be done before its deadline isn't held", Task{Deadline: 1100 * ms}, -100 * ms},
 	}
--- a/internal/system/dispatch/burst_test.go
+++ b/internal/system/dispatch/burst_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"sort"
 	"testing"
@@ -41,7 +42,8 @@
 	program *simProgram
 	left    int // tokens still to generate
 	begun   time.Duration
-	ticket  uint64
+	first   time.Duration // of its tokens
+	ticket  uint64        // 0 for one that the scheduler doesn't know of
 }
 
 type simEngine struct {
@@ -93,6 +95,9 @@
 	}
 	kept := e.running[:0]
 	for _, r := range e.running {
+		if r.first == 0 {
+			r.first = now
+		}
 		if r.left--; r.left <= 0 {
 			ended(r)
 			continue
@@ -151,8 +156,11 @@
 }
 
 // playScheduled lets the scheduler place, order and refuse. A refused program
-// comes back after the time that it is told, twice at the most.
-func playScheduled(programs []*simProgram, length time.Duration) (onTime, all int) {
+// comes back after the time that it is told, twice at the most. A share of the
+// programs goes to any engine by itself, as from VMs that are cut off from the
+// scheduler.
+func playScheduled(programs []*simProgram, length time.Duration, unknown float64) (onTime, all int) {
+	random := rand.New(rand.NewPCG(3, 3))
 	c := &manualClock{}
 	s := NewScheduler(c, policy.DefaultConfig())
 	s.SetEndpoints(engineList(), map[string]int{"model": simCacheSize})
@@ -175,14 +183,19 @@
 	}
 	return play(programs, length, func(p *simProgram, now time.Duration, engines []*simEngine) {
 		c.now = now
+		if float64(p.line%100) < 100*unknown {
+			e := engines[random.IntN(len(engines))]
+			e.queue = append(e.queue, &simRun{program: p, left: simAnswer})
+			return
+		}
 		take(p, s.Ask(Ask{
-			Service: "model", DC: "dc-1", Deadline: 3 * time.Second, HasFinish: true, Finish: p.finish - now,
+			Service: "model", Program: fmt.Sprint(p.line), DC: "dc-1", Deadline: 3 * time.Second, HasFinish: true, Finish: p.finish - now,
 			LateFinish: 2*p.finish - p.start - now, First: p.done == 0, AnswerTokens: simAnswer,
 			Prefixes: []uint64{p.line}, PartTokens: []int32{p.prompt},
 		}), now, engines)
 	}, func(r *simRun, now time.Duration) {
 		c.now = now
-		s.Release(Release{Ticket: r.ticket, Result: Done, Run: now - r.begun, Tokens: simAnswer})
+		s.Release(Release{Ticket: r.ticket, Result: Done, Run: now - r.begun, First: r.first - r.begun, Tokens: simAnswer})
 	}, func(now time.Duration, engines []*simEngine) {
 		c.now = now
 		if now%tickOfTest == 0 {
@@ -203,11 +216,15 @@
 	tests := []struct {
 		name      string
 		perSecond float64
-		calm      bool // the engines can serve all of it
+		unknown   float64 // share of the programs that the scheduler doesn't know of
+		calm      bool    // the engines can serve all of it
 	}{
-		{"a calm time is served whole", 15, true},
-		{"a burst near what the engines can do", 60, false},
-		{"a burst far beyond it", 110, false},
+		{"a calm time is served whole", 15, 0, true},
+		{"a calm time during a cut is served whole", 15, 0.35, true},
+		{"a burst near what the engines can do", 60, 0, false},
+		{"a burst far beyond it", 110, 0, false},
+		{"a burst near what the engines can do, during a cut", 60, 0.35, false},
+		{"a burst far beyond it, during a cut", 110, 0.35, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -215,7 +232,7 @@
 			const burst, length = 3 * time.Second, 9 * time.Second
 			var ours, plain, all int
 			for seed := range uint64(2) {
-				n, a := playScheduled(arrivals(seed, tt.perSecond, burst), length)
+				n, a := playScheduled(arrivals(seed, tt.perSecond, burst), length, tt.unknown)
 				ours, all = ours+n, all+a
 				n, _ = playPlain(arrivals(seed, tt.perSecond, burst), length)
 				plain += n
@@ -229,3 +246,23 @@
 		})
 	}
 }
+
+// More load must not mean fewer programs on time: what is beyond the engines is
+// turned away before it takes places from programs under way.
+func TestScheduler_ServesNoFewerProgramsOnTimeUnderMoreLoad(t *testing.T) {
+	is := is.New(t)
+	const burst, length = 3 * time.Second, 9 * time.Second
+	served := func(perSecond float64) (sum int) {
+		for seed := range uint64(3) {
+			n, _ := playScheduled(arrivals(seed, perSecond, burst), length, 0)
+			sum += n
+		}
+		return sum
+	}
+	near := served(60)
+	for _, perSecond := range []float64{80, 110, 160} {
+		beyond := served(perSecond)
+		t.Logf("%v a second: turns of programs on time %d, near the engines' limit %d", perSecond, beyond, near)
+		is.True(float64(beyond) > 0.8*float64(near)) // the order of arrivals differs
+	}
+}
--- a/internal/system/dispatch/client.go
+++ b/internal/system/dispatch/client.go
@@ -15,6 +15,9 @@
 	// answerLimit is the wait for an answer after which the scheduling VM is
 	// taken for dead or frozen; far above a round trip within a region.
 	answerLimit = 120 * time.Millisecond
+	// notReadyRetry is what callers are told while no VM in reach knows the
+	// endpoints: a process that has just started reads them within that time.
+	notReadyRetry = 200 * time.Millisecond
 	// maxRemote is the number of VMs that are asked before this VM decides
 	// by itself.
 	maxRemote = 2
@@ -77,16 +80,25 @@
 		if err == nil || errors.As(err, &refused) || ctx.Err() != nil {
 			return place, err
 		}
-		c.Suspects.Suspect(addr, err)
+		if !errors.Is(err, errNotReady) {
+			c.Suspects.Suspect(addr, err)
+		}
 		spent := time.Since(start)
 		start = time.Now()
 		ask.Deadline -= spent
 		ask.Finish -= spent
 		ask.LateFinish -= spent
 	}
-	return c.acquireFrom(ctx, "", ask)
+	place, err := c.acquireFrom(ctx, "", ask)
+	if errors.Is(err, errNotReady) {
+		return nil, &RefusedError{Reason: err.Error(), RetryAfter: notReadyRetry}
+	}
+	return place, err
 }
 
+// errNotReady means that a VM doesn't know the endpoints yet.
+var errNotReady = errors.New("endpoints not known yet")
+
 // acquireFrom gets a place from one VM.
 func (c *Client) acquireFrom(ctx context.Context, addr string, ask Ask) (*Place, error) {
 	var a Answer
@@ -100,6 +112,9 @@
 			return nil, err
 		}
 	}
+	if a.State == NotReady {
+		return nil, errNotReady
+	}
 	if a.State == Refused {
 		return nil, &RefusedError{Reason: a.Reason, RetryAfter: a.RetryAfter, Waited: a.Waited}
 	}
@@ -111,7 +126,7 @@
 // call calls a scheduler, this VM's own without a connection.
 func (c *Client) call(ctx context.Context, addr, method string, args any, out *Answer) error {
 	if addr != "" {
-		limit := answerLimit
+		limit := answerLimit + c.Suspects.Lag.Allow()
 		if method == "Await" {
 			limit += holdTime
 		}
@@ -169,7 +184,7 @@
 			return
 		}
 		c.mu.Unlock()
-		ctx, cancel := context.WithTimeout(context.Background(), answerLimit)
+		ctx, cancel := context.WithTimeout(context.Background(), answerLimit+c.Suspects.Lag.Allow())
 		var ok bool
 		err := c.Mesh.Call(ctx, addr, serviceName+".Release", list, &ok)
 		cancel()
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -6,7 +6,9 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,6 +38,9 @@
 	// permitSlack is how long beyond its deadline a permit that was not given
 	// back is counted.
 	permitSlack = 500 * time.Millisecond
+	// programMemory is how long a program without turns counts as under way:
+	// longer than tools take.
+	programMemory = 5 * time.Second
 	// startRun is assumed of a request before one was measured.
 	startRun = 100 * time.Millisecond
 )
@@ -44,6 +49,7 @@
 type Ask struct {
 	Service  string
 	Request  string // for the log
+	Program  string // "" outside programs
 	VM, DC   string // that ask
 	Deadline time.Duration
 	// Finish and LateFinish may be negative; HasFinish tells whether they
@@ -77,6 +83,9 @@
 	Waiting State = iota
 	Granted
 	Refused
+	// NotReady means that the VM doesn't know the endpoints yet: another one
+	// may.
+	NotReady
 )
 
 // Answer is the state of an Ask.
@@ -124,14 +133,22 @@
 	pools  map[string]*pool    // by service
 	places map[uint64]*request // by ticket
 	ticket uint64
+	ready  bool // a list of endpoints was set
+	// candidates and at are the buffers of place.
+	candidates []placement.Candidate
+	at         []*endpoint
 }
 
 // pool is a service.
 type pool struct {
 	endpoints map[string]*endpoint
+	list      []*endpoint // in the order of their ids
 	waiting   []*request
+	filled    time.Duration // when free places were last given out
 	run       time.Duration // mean time that a place is held
 	typical   time.Duration // time that a request takes at the typical endpoint
+	flow      policy.Flow
+	programs  map[string]time.Duration // when the last turn of a program ended or began
 }
 
 type endpoint struct {
@@ -146,6 +163,7 @@
 	awaited     int                      // waiting requests that are best off here
 	missed      map[string]time.Duration // when VMs last got no contact, by VM
 	health      estimate.Health
+	limit       policy.Limit
 	prompts     *promptCache
 }
 
@@ -181,6 +199,7 @@
 func (s *Scheduler) SetEndpoints(list []forward.Endpoint, kvTokens map[string]int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.ready = true
 	listed := make(map[string]bool, len(list))
 	for _, e := range list {
 		listed[e.ID] = true
@@ -194,6 +213,7 @@
 		}
 	}
 	for _, p := range s.pools {
+		p.list = slices.SortedFunc(maps.Values(p.endpoints), func(a, b *endpoint) int { return strings.Compare(a.ID, b.ID) })
 		s.fill(p)
 	}
 }
@@ -214,7 +234,7 @@
 func (s *Scheduler) pool(service string) *pool {
 	p := s.pools[service]
 	if p == nil {
-		p = &pool{endpoints: make(map[string]*endpoint), run: startRun}
+		p = &pool{endpoints: make(map[string]*endpoint), run: startRun, programs: make(map[string]time.Duration)}
 		s.pools[service] = p
 	}
 	return p
@@ -224,6 +244,9 @@
 func (s *Scheduler) Ask(a Ask) Answer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.ready {
+		return Answer{State: NotReady}
+	}
 	now := s.clock.Now()
 	p := s.pool(a.Service)
 	s.ticket++
@@ -232,6 +255,9 @@
 	r.task = policy.Task{
 		Arrived: now, Deadline: now + a.Deadline, Priority: a.Priority, First: a.First,
 	}
+	if _, known := p.programs[a.Program]; known {
+		r.task.First = false // its first turn came through another VM
+	}
 	if a.HasFinish {
 		r.task.Finish, r.task.LateFinish = now+a.Finish, now+a.LateFinish
 	}
@@ -255,7 +281,7 @@
 // hopeless tells why a request can't be served at all.
 func (s *Scheduler) hopeless(p *pool, r *request, now time.Duration) string {
 	usable := 0
-	for _, e := range p.endpoints {
+	for _, e := range p.list {
 		if e.usable(&r.ask, now) {
 			usable++
 		}
@@ -329,6 +355,7 @@
 	s.drop(r)
 	if r.at != nil {
 		r.at.ended(r, rel, now)
+		r.pool.turnEnded(r, now)
 		if rel.Result == Done && rel.Run > 0 {
 			r.pool.run = blend(r.pool.run, rel.Run)
 		}
@@ -336,6 +363,36 @@
 	s.fill(r.pool)
 }
 
+// turnBegan and turnEnded follow the programs of a service of engines.
+func (p *pool) turnBegan(r *request, now time.Duration) {
+	if r.ask.Program == "" || r.ask.AnswerTokens == 0 {
+		return
+	}
+	var gap time.Duration
+	if ended, known := p.programs[r.ask.Program]; known {
+		gap = r.task.Arrived - ended
+	}
+	p.flow = p.flow.Began(r.task.First, max(0, gap))
+	p.programs[r.ask.Program] = now
+}
+
+func (p *pool) turnEnded(r *request, now time.Duration) {
+	if r.ask.Program == "" || r.ask.AnswerTokens == 0 {
+		return
+	}
+	p.flow = p.flow.Ended(now)
+	p.programs[r.ask.Program] = now
+}
+
+// forget drops programs that have not come back for long.
+func (p *pool) forget(now time.Duration) {
+	for program, at := range p.programs {
+		if now-at > programMemory {
+			delete(p.programs, program)
+		}
+	}
+}
+
 // blendWeight is the weight of a new sample in the mean run time of a service.
 const blendWeight = 0.05
 
@@ -365,6 +422,9 @@
 	case Done:
 		e.rest = 0
 		e.observe(int(r.ask.promptTokens())-r.held, rel)
+		if r.ask.AnswerTokens > 0 && rel.First > 0 {
+			e.limit = e.limit.Observe(rel.First-e.readTime(int(r.ask.promptTokens())-r.held), r.pool.run, e.Slots)
+		}
 	case Full:
 		e.restUntil = max(e.restUntil, now+fullRest)
 	case NoContact:
@@ -399,6 +459,14 @@
 	return len(e.missed) >= missedVMs
 }
 
+// places is the number of requests that this scheduler runs there at a time.
+func (e *endpoint) places() int { return e.limit.Places(e.Slots) }
+
+// readTime is the time in which the endpoint reads prompt tokens at its fastest.
+func (e *endpoint) readTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / e.prefillRate * float64(time.Second))
+}
+
 // observe takes in the times of a request that read a number of prompt tokens.
 func (e *endpoint) observe(prefilled int, rel Release) {
 	e.rates = e.rates.Observe(estimate.Call{
@@ -423,6 +491,7 @@
 		}
 	}
 	for _, p := range s.pools {
+		p.forget(now)
 		s.fill(p)
 		s.shed(p, now)
 	}
--- a/internal/system/dispatch/fill.go
+++ b/internal/system/dispatch/fill.go
@@ -29,45 +29,97 @@
 	farOncePenalty = 1 + 1.5*fullness
 )
 
-// maxRanked bounds the waiting requests that are looked at for each place that
-// comes free, the best ranked first: it bounds the work while many wait.
-const maxRanked = 48
+const (
+	// maxRanked bounds the waiting requests that are looked at for the places
+	// that come free, the best ranked first: it bounds the work while many wait.
+	maxRanked = 16
+	// crowd is the number of waiting requests from which places that come free
+	// are given out together, once in fillEvery: the work for each request grows
+	// with the queue, and a scheduler that is late costs more than a place that
+	// is free for a moment.
+	crowd     = 8
+	fillEvery = 2 * time.Millisecond
+)
 
 // fill gives free places to the waiting requests, the best ranked first. A
 // request whose best endpoint is full waits for it where that costs less than
 // to compute its prompt anew elsewhere.
 func (s *Scheduler) fill(p *pool) {
-	if len(p.waiting) == 0 {
+	now := s.clock.Now()
+	if len(p.waiting) == 0 || len(p.waiting) >= crowd && now-p.filled < fillEvery {
+		return
+	}
+	p.filled = now
+	free := p.free(now)
+	if free == 0 {
 		return
 	}
-	now := s.clock.Now()
 	if len(p.waiting) > 1 {
 		sort.SliceStable(p.waiting, func(i, j int) bool {
 			return policy.Before(&p.waiting[i].task, &p.waiting[j].task, now, p.run)
 		})
 	}
-	for _, e := range p.endpoints {
+	for _, e := range p.list {
 		e.awaited = 0
 	}
 	p.typical = p.typicalRun()
+	room := p.room(now)
 	kept := p.waiting[:0]
-	for i, r := range p.waiting {
-		if i >= maxRanked || !s.place(p, r, now) {
+	ranked := 0
+	for _, r := range p.waiting {
+		isNew := r.task.First && r.ask.AnswerTokens > 0
+		if ranked >= maxRanked || free == 0 || isNew && room <= 0 {
+			kept = append(kept, r)
+			continue
+		}
+		ranked++
+		if !s.place(p, r, now) {
 			kept = append(kept, r)
+			continue
+		}
+		free--
+		if isNew {
+			room--
 		}
 	}
 	clear(p.waiting[len(kept):])
 	p.waiting = kept
 }
 
+// free returns the number of places that nobody uses.
+func (p *pool) free(now time.Duration) int {
+	sum := 0
+	for _, e := range p.list {
+		if e.restUntil <= now && !e.Leaving {
+			sum += max(0, e.places()-e.running)
+		}
+	}
+	return sum
+}
+
+// room returns how many new programs may begin.
+func (p *pool) room(now time.Duration) int {
+	busy := 0
+	for _, e := range p.list {
+		busy += e.running
+	}
+	for _, r := range p.waiting {
+		if !r.task.First && policy.ProspectOf(&r.task, now, p.run) == policy.OnTime {
+			busy++
+		}
+	}
+	return p.flow.Room(p.capacity(now), busy, now)
+}
+
 // place gives a request a place at its best endpoint, if that has a free one.
 func (s *Scheduler) place(p *pool, r *request, now time.Duration) bool {
-	candidates := make([]placement.Candidate, 0, len(p.endpoints))
-	for _, e := range p.endpoints {
+	candidates, at := s.candidates[:0], s.at[:0]
+	for _, e := range p.list {
 		if e.restUntil <= now && e.usable(&r.ask, now) {
-			candidates = append(candidates, e.candidate(p, r, now))
+			candidates, at = append(candidates, e.candidate(p, r, now)), append(at, e)
 		}
 	}
+	s.candidates, s.at = candidates, at
 	if len(candidates) == 0 {
 		return false
 	}
@@ -77,8 +129,8 @@
 	if !ok {
 		return false
 	}
-	best := p.endpoints[candidates[choice.Index].Name]
-	if best.running >= best.Slots {
+	best := at[choice.Index]
+	if best.running >= best.places() {
 		best.awaited++
 		return false
 	}
@@ -89,7 +141,7 @@
 // candidate describes an endpoint to the placer.
 func (e *endpoint) candidate(p *pool, r *request, now time.Duration) placement.Candidate {
 	c := placement.Candidate{
-		Name: e.ID, Running: e.running, Waiting: e.awaited, Permits: e.Slots, CallTime: p.run,
+		Name: e.ID, Running: e.running, Waiting: e.awaited, Permits: e.places(), CallTime: p.run,
 		Penalty: 1 + float64(e.running)/float64(max(1, e.Slots))*fullness,
 		Sick:    e.health.Sick(), Probe: e.health.ProbeDue(time.Unix(0, int64(now))),
 	}
@@ -127,8 +179,8 @@
 // typicalRun returns the lower median of the times that the endpoints take for a
 // request, the service's mean if none is measured.
 func (p *pool) typicalRun() time.Duration {
-	times := make([]time.Duration, 0, len(p.endpoints))
-	for _, e := range p.endpoints {
+	times := make([]time.Duration, 0, len(p.list))
+	for _, e := range p.list {
 		if e.rates.Samples >= slowSamples {
 			times = append(times, e.rates.CallTime)
 		}
@@ -166,6 +218,7 @@
 	r.answer.Endpoint, r.answer.Address, r.answer.DC = e.ID, e.Address, e.DC
 	r.answer.Waited = now - r.task.Arrived
 	r.seen = now
+	r.pool.turnBegan(r, now)
 	close(r.done)
 }
 
@@ -174,8 +227,13 @@
 func (s *Scheduler) shed(p *pool, now time.Duration) {
 	capacity := p.capacity(now)
 	kept := p.waiting[:0]
+	ahead := 0 // new programs
 	for _, r := range p.waiting {
 		waits := capacity.WaitBehind(len(kept))
+		if r.task.First && r.ask.AnswerTokens > 0 {
+			waits = p.flow.WaitOfNew(capacity, ahead)
+			ahead++
+		}
 		if waits <= policy.Patience(s.cfg, &r.task, now, p.run) {
 			kept = append(kept, r)
 			continue
@@ -188,9 +246,9 @@
 
 func (p *pool) capacity(now time.Duration) policy.Capacity {
 	c := policy.Capacity{Run: p.run}
-	for _, e := range p.endpoints {
+	for _, e := range p.list {
 		if e.usable(&Ask{}, now) && !e.health.Sick() {
-			c.Places += e.Slots
+			c.Places += e.places()
 		}
 	}
 	return c
@@ -200,6 +258,11 @@
 	r.answer.State = Refused
 	r.answer.Reason = reason
 	r.answer.Waited = now - r.task.Arrived
-	r.answer.RetryAfter = policy.RetryAfter(s.cfg, r.pool.capacity(now), len(r.pool.waiting))
+	p, capacity := r.pool, r.pool.capacity(now)
+	r.answer.RetryAfter = policy.RetryAfter(s.cfg, capacity, len(p.waiting))
+	if r.task.First && r.ask.AnswerTokens > 0 {
+		r.answer.RetryAfter = p.flow.RetryNew(s.cfg, capacity, now)
+		p.flow = p.flow.Refused(now)
+	}
 	close(r.done)
 }
--- a/internal/system/dispatch/scheduler_test.go
+++ b/internal/system/dispatch/scheduler_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -140,6 +141,18 @@
 }
 
 func TestScheduler_EndpointsComeAndGo(t *testing.T) {
+	t.Run("a process that doesn't know the endpoints yet refuses nothing", func(t *testing.T) {
+		is := is.New(t)
+		s := NewScheduler(&manualClock{}, policy.DefaultConfig())
+		is.Equal(s.Ask(turn(1, 100)).State, NotReady) // another VM may know them
+		c := &Client{Local: s, Fleet: func(string) []string { return nil }}
+		_, err := c.Acquire(t.Context(), turn(1, 100))
+		var refused *RefusedError
+		is.True(errors.As(err, &refused))
+		is.True(refused.RetryAfter > 0)
+		s.SetEndpoints(engines(1, 1), nil)
+		is.Equal(s.Ask(turn(1, 100)).State, Granted)
+	})
 	t.Run("a leaving endpoint gets nothing", func(t *testing.T) {
 		is := is.New(t)
 		s, _ := newTestScheduler(1, 4)
