--- a/internal/forward/config.go
+++ b/internal/forward/config.go
@@ -44,10 +44,7 @@
 	Shares             []Share
 	MaxEndpoints       int // endpoints that one request may run on
 	Resumable          bool
-	// Retention is the time for which the budget of a program is kept after
-	// its last turn; 0 on routes that carry no turns.
-	Retention time.Duration
-	GapTarget time.Duration // longest pause between events that is on time
+	GapTarget          time.Duration // longest pause between events that is on time
 }
 
 // Repeatable reports whether a request whose outcome is unknown may be sent
@@ -59,7 +56,6 @@
 // Service is a group of endpoints that run the same software.
 type Service struct {
 	Name           string
-	MaxConns       int // connections that one endpoint accepts
 	Slots          int // requests that an engine batches; 0 for a plain service
 	KVTokens       int // prompt cache of an engine, in tokens
 	TokensPerEvent int // tokens that one event of a stream holds
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -22,19 +22,17 @@
 	Arrived              time.Time
 	Deadline             time.Time // the caller waits no longer
 
-	Program, Session string // "" outside programs
+	Program string // "" outside programs
 	// Finish is when the program should be done; zero if the caller doesn't
 	// say.
 	Finish time.Time
 	// Budget is the number of tokens that all turns of the program may
 	// generate; 0 if the request carries none.
-	Budget       int64
-	PromptTokens int
-	MaxTokens    int // most tokens that the request may generate
-	LengthHint   int // the caller's guess of the tokens generated; 0 if none
-	Prompt       []Part
-	Affinity     string // requests on the same object carry the same value
-	LastEvent    string // resume after this event; "" from the start
+	Budget     int64
+	MaxTokens  int // most tokens that the request may generate
+	LengthHint int // the caller's guess of the tokens generated; 0 if none
+	Prompt     []Part
+	LastEvent  string // resume after this event; "" from the start
 }
 
 // IsTurn reports whether the request draws on a budget.
