--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -363,7 +363,7 @@
 	s.fill(r.pool)
 }
 
-// turnBegan and turnEnded follow the programs of a service of engines.
+// turnBegan notes that a program's turn got a place.
 func (p *pool) turnBegan(r *request, now time.Duration) {
 	if r.ask.Program == "" || r.ask.AnswerTokens == 0 {
 		return
@@ -376,6 +376,7 @@
 	p.programs[r.ask.Program] = now
 }
 
+// turnEnded notes that a program's turn gave its place back.
 func (p *pool) turnEnded(r *request, now time.Duration) {
 	if r.ask.Program == "" || r.ask.AnswerTokens == 0 {
 		return
--- a/internal/system/forwarder/answer.go
+++ b/internal/system/forwarder/answer.go
@@ -76,7 +76,7 @@
 		return err
 	}
 	took := time.Since(x.sent)
-	x.f.waits.change(x.flow(), func(d *delays) { d.first = d.first.Observe(took) })
+	x.f.waits.change(x.class(), func(d *delays) { d.first = d.first.Observe(took) })
 	x.begin(resp)
 	if _, err := x.w.Write(body); err != nil {
 		return fmt.Errorf("%w: %w", errCaller, err)
@@ -147,7 +147,7 @@
 	if first {
 		x.firstByte = now.Sub(x.sent)
 	}
-	x.f.waits.change(x.flow(), func(d *delays) {
+	x.f.waits.change(x.class(), func(d *delays) {
 		if first {
 			d.first = d.first.Observe(x.firstByte)
 		} else if x.lastCame.After(x.sent) {
--- a/internal/system/forwarder/waits.go
+++ b/internal/system/forwarder/waits.go
@@ -18,13 +18,13 @@
 // answer counts as cut off.
 const reachTries = 3
 
-// flow names what delays are alike: the requests of one kind to one service.
-type flow struct {
+// class names requests whose delays are alike: those of one kind to one service.
+type class struct {
 	service string
 	kind    forward.Kind
 }
 
-// delays are those of a flow: until the first byte of an answer, and between two
+// delays are those of a class: until the first byte of an answer, and between two
 // events of a stream.
 type delays struct{ first, gap stall.Delay }
 
@@ -32,26 +32,26 @@
 // sent again because they took too long. It is safe for concurrent use.
 type waits struct {
 	mu      sync.Mutex
-	flows   map[flow]delays // guarded by mu
-	resends stall.Resends   // guarded by mu
+	classes map[class]delays // guarded by mu
+	resends stall.Resends    // guarded by mu
 }
 
-// change updates the delays of a flow.
-func (w *waits) change(f flow, update func(*delays)) {
+// change updates the delays of a class.
+func (w *waits) change(c class, update func(*delays)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.flows == nil {
-		w.flows = make(map[flow]delays)
+	if w.classes == nil {
+		w.classes = make(map[class]delays)
 	}
-	d := w.flows[f]
+	d := w.classes[c]
 	update(&d)
-	w.flows[f] = d
+	w.classes[c] = d
 }
 
-func (w *waits) of(f flow) delays {
+func (w *waits) of(c class) delays {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.flows[f]
+	return w.classes[c]
 }
 
 // request notes a request that is sent for the first time.
@@ -70,12 +70,12 @@
 	return ok
 }
 
-func (x *exchange) flow() flow { return flow{x.service.Name, x.route.Kind} }
+func (x *exchange) class() class { return class{x.service.Name, x.route.Kind} }
 
 // overdueAfter returns how long the endpoint may send nothing before its answer
 // is taken for lost. What the route calls a good answer is never overdue.
 func (x *exchange) overdueAfter() time.Duration {
-	d := x.f.waits.of(x.flow())
+	d := x.f.waits.of(x.class())
 	own := x.f.Lag.Allow()
 	if x.events > 0 {
 		return d.gap.Limit(orDefault(x.route.GapTarget)) + own
