One piece of code for what stood twice: retry budget, rendezvous score, sleep, keepers' rows

No change of behaviour. stall.Resends was limits.RetryBudget again; the score of rendezvous hashing stood in ownership, dispatch and tokenbudget; clock.Sleep also in queue and platformsvc. Whether a request begins a program is asked in one place, and refusals of one pass share one count of the places.

--- a/internal/policy/ownership/ownership.go
+++ b/internal/policy/ownership/ownership.go
@@ -11,9 +11,9 @@
 	"ibisstall.example/ibisstall/internal/entity"
 )
 
-// score is the weight of a VM for a key in rendezvous hashing: the VM with the
+// Score is the weight of a VM for a key in rendezvous hashing: the VM with the
 // highest wins, so that a VM that joins or goes moves only its own keys.
-func score(vm, key string) uint64 {
+func Score(vm, key string) uint64 {
 	const maxStack = 256
 	var buf [maxStack]byte
 	b := append(buf[:0], key...)
@@ -31,7 +31,7 @@
 		if !eligible(&view[i]) {
 			continue
 		}
-		s := score(view[i].ID, key)
+		s := Score(view[i].ID, key)
 		if best < 0 || s > bestScore || s == bestScore && view[i].ID < view[best].ID {
 			best, bestScore = i, s
 		}
--- a/internal/policy/stall/stall.go
+++ b/internal/policy/stall/stall.go
@@ -5,7 +5,11 @@
 // All functions are pure.
 package stall
 
-import "time"
+import (
+	"time"
+
+	"ibisstall.example/ibisstall/internal/policy/limits"
+)
 
 const (
 	// gain and deviationGain are the weights of a new sample in the mean and
@@ -58,23 +62,6 @@
 	resendBurst = 20.0
 )
 
-// Resends bounds the requests that are sent again since their answers are
-// overdue, so that slow endpoints are not given much more work. It is a value.
-type Resends struct {
-	spent float64 // of resendBurst
-}
-
-// Request notes a request that was sent for the first time.
-func (r Resends) Request() Resends {
-	r.spent = max(0, r.spent-resendShare)
-	return r
-}
-
-// Take returns whether one more may be sent again, and what is left.
-func (r Resends) Take() (Resends, bool) {
-	if r.spent+1 > resendBurst {
-		return r, false
-	}
-	r.spent++
-	return r, true
-}
+// NewResends returns the budget of the requests that are sent again since their
+// answers are overdue, so that slow endpoints are not given much more work.
+func NewResends() limits.RetryBudget { return limits.NewRetryBudget(resendShare, resendBurst) }
--- a/internal/policy/stall/stall_test.go
+++ b/internal/policy/stall/stall_test.go
@@ -54,12 +54,12 @@
 
 func TestResends_AreBoundedToAShareOfTheRequests(t *testing.T) {
 	is := is.New(t)
-	var r Resends
+	r := NewResends()
 	sent := 0
 	for range 1000 {
-		r = r.Request()
+		r = r.Call()
 		var ok bool
-		if r, ok = r.Take(); ok {
+		if r, ok = r.Retry(); ok {
 			sent++
 		}
 	}
--- a/internal/standin/platformsvc/server.go
+++ b/internal/standin/platformsvc/server.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"ibisstall.example/ibisstall/internal/clock"
 	"ibisstall.example/ibisstall/internal/platform"
 	"ibisstall.example/ibisstall/internal/platform/wire"
 )
@@ -105,14 +106,7 @@
 		time.Sleep(v.delay)
 		return true
 	}
-	timer := time.NewTimer(v.delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, v.delay)
 }
 
 func reply(w http.ResponseWriter, status int, answer any) {
--- a/internal/system/dispatch/directory.go
+++ b/internal/system/dispatch/directory.go
@@ -5,7 +5,7 @@
 	"slices"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
+	"ibisstall.example/ibisstall/internal/policy/ownership"
 )
 
 // VM is another VM of the system, or this one.
@@ -102,7 +102,7 @@
 		}
 		return 0
 	}
-	score := func(vm VM) uint64 { return xxhash.Sum64String(service + "\x00" + vm.Name) }
+	score := func(vm VM) uint64 { return ownership.Score(vm.Name, service) }
 	slices.SortFunc(list, func(a, b VM) int {
 		return cmp.Or(cmp.Compare(weak(a), weak(b)), cmp.Compare(score(b), score(a)), cmp.Compare(a.Name, b.Name))
 	})
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -180,6 +180,12 @@
 	held    int           // prompt tokens that the endpoint was believed to hold
 }
 
+// isNew reports whether a request begins a program at a service of engines.
+func (r *request) isNew() bool { return r.task.First && r.ask.AnswerTokens > 0 }
+
+// isTurn reports whether a request is a program's turn at a service of engines.
+func (r *request) isTurn() bool { return r.ask.Program != "" && r.ask.AnswerTokens > 0 }
+
 // NewScheduler returns a scheduler without endpoints. The ticket numbers of
 // two processes differ by their start.
 func NewScheduler(c clock.Clock, cfg policy.Config) *Scheduler {
@@ -262,7 +268,7 @@
 		r.task.Finish, r.task.LateFinish = now+a.Finish, now+a.LateFinish
 	}
 	if reason := s.hopeless(p, r, now); reason != "" {
-		s.refuse(r, now, reason)
+		s.refuse(r, p.capacity(now), now, reason)
 		return r.answer
 	}
 	s.places[r.answer.Ticket] = r
@@ -365,7 +371,7 @@
 
 // turnBegan notes that a program's turn got a place.
 func (p *pool) turnBegan(r *request, now time.Duration) {
-	if r.ask.Program == "" || r.ask.AnswerTokens == 0 {
+	if !r.isTurn() {
 		return
 	}
 	var gap time.Duration
@@ -378,7 +384,7 @@
 
 // turnEnded notes that a program's turn gave its place back.
 func (p *pool) turnEnded(r *request, now time.Duration) {
-	if r.ask.Program == "" || r.ask.AnswerTokens == 0 {
+	if !r.isTurn() {
 		return
 	}
 	p.flow = p.flow.Ended(now)
--- a/internal/system/dispatch/fill.go
+++ b/internal/system/dispatch/fill.go
@@ -67,8 +67,7 @@
 	kept := p.waiting[:0]
 	ranked := 0
 	for _, r := range p.waiting {
-		isNew := r.task.First && r.ask.AnswerTokens > 0
-		if ranked >= maxRanked || free == 0 || isNew && room <= 0 {
+		if ranked >= maxRanked || free == 0 || r.isNew() && room <= 0 {
 			kept = append(kept, r)
 			continue
 		}
@@ -78,7 +77,7 @@
 			continue
 		}
 		free--
-		if isNew {
+		if r.isNew() {
 			room--
 		}
 	}
@@ -230,7 +229,7 @@
 	ahead := 0 // new programs
 	for _, r := range p.waiting {
 		waits := capacity.WaitBehind(len(kept))
-		if r.task.First && r.ask.AnswerTokens > 0 {
+		if r.isNew() {
 			waits = p.flow.WaitOfNew(capacity, ahead)
 			ahead++
 		}
@@ -238,7 +237,7 @@
 			kept = append(kept, r)
 			continue
 		}
-		s.refuse(r, now, "overloaded")
+		s.refuse(r, capacity, now, "overloaded")
 	}
 	clear(p.waiting[len(kept):])
 	p.waiting = kept
@@ -254,13 +253,13 @@
 	return c
 }
 
-func (s *Scheduler) refuse(r *request, now time.Duration, reason string) {
+func (s *Scheduler) refuse(r *request, capacity policy.Capacity, now time.Duration, reason string) {
 	r.answer.State = Refused
 	r.answer.Reason = reason
 	r.answer.Waited = now - r.task.Arrived
-	p, capacity := r.pool, r.pool.capacity(now)
+	p := r.pool
 	r.answer.RetryAfter = policy.RetryAfter(s.cfg, capacity, len(p.waiting))
-	if r.task.First && r.ask.AnswerTokens > 0 {
+	if r.isNew() {
 		r.answer.RetryAfter = p.flow.RetryNew(s.cfg, capacity, now)
 		p.flow = p.flow.Refused(now)
 	}
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -110,28 +110,24 @@
 		if again {
 			continue
 		}
-		gone := errors.Is(err, errEndpointGone)
-		if ran && !gone && outcome != unreachable && outcome != elsewhere {
+		if ran && !errors.Is(err, errEndpointGone) && outcome != unreachable && outcome != elsewhere {
 			x.bound++
 		}
-		result := x.resultOf(outcome, ran, gone)
-		if outcome == unreachable && !errors.Is(err, syscall.ECONNREFUSED) {
-			result = dispatch.NoContact
-		}
 		if outcome == unreachable {
 			x.f.reach.failed(place.Endpoint, place.DC, time.Now())
 		}
 		place.Release(dispatch.Release{
-			Result: result, Run: time.Since(start), First: x.firstByte, Tokens: x.events * x.service.TokensPerEvent,
+			Result: resultOf(outcome, ran, err), Run: time.Since(start), First: x.firstByte, Tokens: x.events * x.service.TokensPerEvent,
 		})
 		return x.again(outcome, place.Endpoint, err)
 	}
 }
 
-// resultOf tells the scheduler how the use of an endpoint ended.
-func (x *exchange) resultOf(o outcome, ran, gone bool) dispatch.Result {
+// resultOf tells the scheduler how the use of an endpoint ended: by the outcome and
+// error of the last attempt, and whether an earlier answer was lost.
+func resultOf(o outcome, ran bool, err error) dispatch.Result {
 	switch {
-	case o == complete && ran, o == broken && !gone: // a loss tells of the endpoint's health
+	case o == complete && ran, o == broken && !errors.Is(err, errEndpointGone): // a loss tells of the endpoint's health
 		return dispatch.Failed
 	case o == complete:
 		return dispatch.Done
@@ -139,7 +135,9 @@
 		return dispatch.Full
 	case o == abandoned:
 		return dispatch.Abandoned
-	default: // broken by its end, unreachable, elsewhere
+	case o == unreachable && !errors.Is(err, syscall.ECONNREFUSED):
+		return dispatch.NoContact
+	default: // broken by its end, nobody listens, elsewhere
 		return dispatch.Unreachable
 	}
 }
--- a/internal/system/forwarder/forwarder_test.go
+++ b/internal/system/forwarder/forwarder_test.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"context"
+	"syscall"
 	"testing"
 	"time"
 
@@ -53,23 +55,25 @@
 
 func TestExchange_ResultsForTheScheduler(t *testing.T) {
 	tests := []struct {
-		name      string
-		o         outcome
-		ran, gone bool
-		want      dispatch.Result
+		name string
+		o    outcome
+		ran  bool
+		err  error
+		want dispatch.Result
 	}{
-		{"an answer at the first attempt", complete, false, false, dispatch.Done},
-		{"an answer after a loss tells of the endpoint's health", complete, true, false, dispatch.Failed},
-		{"a loss at an endpoint that lives", broken, true, false, dispatch.Failed},
-		{"a loss by the end of the endpoint", broken, true, true, dispatch.Unreachable},
-		{"no room", full, false, false, dispatch.Full},
-		{"nobody listens", unreachable, false, false, dispatch.Unreachable},
-		{"another endpoint has the address", elsewhere, false, false, dispatch.Unreachable},
-		{"the caller left", abandoned, false, false, dispatch.Abandoned},
+		{"an answer at the first attempt", complete, false, nil, dispatch.Done},
+		{"an answer after a loss tells of the endpoint's health", complete, true, nil, dispatch.Failed},
+		{"a loss at an endpoint that lives", broken, true, errOverdue, dispatch.Failed},
+		{"a loss by the end of the endpoint", broken, true, errEndpointGone, dispatch.Unreachable},
+		{"no room", full, false, nil, dispatch.Full},
+		{"nobody listens", unreachable, false, syscall.ECONNREFUSED, dispatch.Unreachable},
+		{"connecting took too long", unreachable, false, context.DeadlineExceeded, dispatch.NoContact},
+		{"another endpoint has the address", elsewhere, false, nil, dispatch.Unreachable},
+		{"the caller left", abandoned, false, nil, dispatch.Abandoned},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			is.New(t).Equal((&exchange{}).resultOf(tt.o, tt.ran, tt.gone), tt.want)
+			is.New(t).Equal(resultOf(tt.o, tt.ran, tt.err), tt.want)
 		})
 	}
 }
--- a/internal/system/forwarder/waits.go
+++ b/internal/system/forwarder/waits.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ibisstall.example/ibisstall/internal/forward"
+	"ibisstall.example/ibisstall/internal/policy/limits"
 	"ibisstall.example/ibisstall/internal/policy/stall"
 )
 
@@ -32,8 +33,8 @@
 // sent again because they took too long. It is safe for concurrent use.
 type waits struct {
 	mu      sync.Mutex
-	classes map[class]delays // guarded by mu
-	resends stall.Resends    // guarded by mu
+	classes map[class]delays   // guarded by mu
+	resends limits.RetryBudget // guarded by mu; see budget
 }
 
 // change updates the delays of a class.
@@ -54,18 +55,26 @@
 	return w.classes[c]
 }
 
+// budget returns the resends that are left; mu is held.
+func (w *waits) budget() limits.RetryBudget {
+	if w.resends == (limits.RetryBudget{}) {
+		w.resends = stall.NewResends()
+	}
+	return w.resends
+}
+
 // request notes a request that is sent for the first time.
 func (w *waits) request() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.resends = w.resends.Request()
+	w.resends = w.budget().Call()
 }
 
 // takeResend reports whether a request may be sent again because it is overdue.
 func (w *waits) takeResend() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	next, ok := w.resends.Take()
+	next, ok := w.budget().Retry()
 	w.resends = next
 	return ok
 }
--- a/internal/system/queue/wait.go
+++ b/internal/system/queue/wait.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"ibisstall.example/ibisstall/internal/clock"
 	"ibisstall.example/ibisstall/internal/system/placement"
 )
 
@@ -31,7 +32,7 @@
 			return time.Time{}, ctx.Err()
 		case err != nil:
 			avoid = d.avoid(avoid, h)
-			if !pause(ctx, unreachablePause) {
+			if !clock.Sleep(ctx, unreachablePause) {
 				d.abandon(h)
 				return time.Time{}, ctx.Err()
 			}
@@ -45,7 +46,7 @@
 		case reply.State == AcquireSentAway:
 			avoid = d.avoid(avoid, h)
 			err = d.replace(h, avoid)
-			if err == nil && !pause(ctx, unreachablePause) {
+			if err == nil && !clock.Sleep(ctx, unreachablePause) {
 				err = ctx.Err()
 			}
 		default:
@@ -136,14 +137,3 @@
 	h.item.Expected = to.Run
 	d.sys.Sent(h.endpoint, h.call, now)
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/system/tokenbudget/allowance.go
+++ b/internal/system/tokenbudget/allowance.go
@@ -1,13 +1,9 @@
 package tokenbudget
 
 import (
-	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -16,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"ibisstall.example/ibisstall/internal/clock"
-	"ibisstall.example/ibisstall/internal/logging/tag"
 	"ibisstall.example/ibisstall/internal/platform"
 )
 
@@ -47,19 +42,6 @@
 	memoryOfPrograms = 90 * time.Second
 )
 
-// Keeper is the row of a bucket.
-type Keeper struct {
-	VM      string `json:"vm"`
-	Process string `json:"p"`
-	// Entry is the version of the VM's entry in the list of VMs as that
-	// process made it.
-	Entry uint64 `json:"e"`
-	// Released tells that the keeper has left and that Used is what it handed
-	// out to programs that may come back.
-	Released bool             `json:"r,omitempty"`
-	Used     map[string]int64 `json:"u,omitempty"`
-}
-
 // recordedPart is the part of a budget that is handed out by the program's home.
 func recordedPart(budget int64) int64 { return budget * recordedNum / recordedDen }
 
@@ -151,164 +133,6 @@
 
 func rowName(dc string, bucket int) string { return dc + "." + strconv.Itoa(bucket) }
 
-// Take takes in rows of the table of keepers; with whole they are all of them.
-func (a *Allowances) Take(rows []platform.Row, whole bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.keepers == nil || whole {
-		a.keepers = make(map[string]keeperRow, len(rows))
-	}
-	for _, row := range rows {
-		name := row.Key.ID[1:] // the partition has no name
-		if row.Version == 0 {
-			delete(a.keepers, name)
-			continue
-		}
-		k := keeperRow{version: row.Version}
-		if err := json.Unmarshal(row.Value, &k.Keeper); err != nil {
-			a.Log.Warn("row of a keeper unreadable", tag.Target(name), tag.Error(err))
-			continue
-		}
-		a.keepers[name] = k
-	}
-	a.compareKept()
-}
-
-// Claim makes this VM the keeper of buckets that have none, and records those
-// that were handed over to it. It is called from time to time.
-func (a *Allowances) Claim(ctx context.Context) {
-	processes := a.Processes(a.DC)
-	entry := processes[a.VM].Entry
-	for b := range bucketsPerDC {
-		if version, ok := a.unrecorded(b); ok {
-			a.record(ctx, b, version, entry)
-		} else if old, ok := a.vacant(b, processes); ok && !a.takenOver(ctx, b, old, processes) {
-			a.claim(ctx, b, old, entry)
-		}
-	}
-}
-
-// vacant reports whether this VM should become the keeper of a bucket, and
-// returns the row as it is now.
-func (a *Allowances) vacant(b int, processes map[string]Process) (keeperRow, bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.keepers == nil || a.leaving || a.kept[b] != nil || ranked(rowName(a.DC, b), processes)[0] != a.VM {
-		return keeperRow{}, false
-	}
-	name := rowName(a.DC, b)
-	old, exists := a.keepers[name]
-	if !exists || old.Released {
-		return old, true
-	}
-	if old.Process == a.Self {
-		return old, true // the answer to the claim was lost
-	}
-	return old, a.gone(name, old, processes)
-}
-
-// gone reports whether the process of a keeper has surely ended: a later one of
-// its VM has entered itself, or it has left the list for longer than a process
-// takes to end. Invariant: a keeper that may still hand out is never replaced.
-func (a *Allowances) gone(name string, old keeperRow, processes map[string]Process) bool {
-	p, listed := processes[old.VM]
-	if listed {
-		delete(a.unlisted, name)
-		return p.ID != old.Process && p.Entry > old.Entry
-	}
-	if a.unlisted == nil {
-		a.unlisted = make(map[string]time.Time)
-	}
-	since, noted := a.unlisted[name]
-	if !noted {
-		a.unlisted[name] = time.Now()
-		return false
-	}
-	return time.Since(since) > leaveLimit
-}
-
-// ranked returns the VMs in the order in which they should keep a bucket, by
-// rendezvous hashing. It returns at least one name, which is "" for no VM.
-func ranked(row string, processes map[string]Process) []string {
-	if len(processes) == 0 {
-		return []string{""}
-	}
-	score := func(vm string) uint64 { return xxhash.Sum64String(row + "\x00" + vm) }
-	return slices.SortedFunc(maps.Keys(processes), func(x, y string) int {
-		return cmp.Or(cmp.Compare(score(y), score(x)), cmp.Compare(x, y))
-	})
-}
-
-func (a *Allowances) claim(ctx context.Context, b int, old keeperRow, entry uint64) {
-	version, err := a.write(ctx, b, old.version, entry)
-	if err != nil {
-		// After a lost answer the feed tells who is the keeper; this process
-		// then doesn't know what was handed out before and keeps nothing.
-		a.Log.Info("bucket not claimed", tag.Count(b), tag.Error(err))
-		return
-	}
-	kept := newBucket(old.Used)
-	kept.version, kept.recorded = version, true
-	if old.version != 0 && !old.Released {
-		kept.after = time.Now().Add(memoryOfPrograms)
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.keep(b, kept)
-	a.Log.Info("bucket claimed", tag.Count(b), tag.Duration(max(0, time.Until(kept.after))))
-}
-
-// write makes this process the keeper of a bucket in its row.
-func (a *Allowances) write(ctx context.Context, b int, ifVersion, entry uint64) (uint64, error) {
-	keeper := Keeper{VM: a.VM, Process: a.Self, Entry: entry}
-	value, err := json.Marshal(keeper)
-	if err != nil {
-		return 0, err
-	}
-	name := rowName(a.DC, b)
-	key := platform.Key{Table: KeeperTable, ID: "/" + name}
-	version, err := a.Store.CommitAt(ctx, []platform.Write{{Key: key, IfVersion: ifVersion, Value: value}})
-	if err != nil {
-		return 0, err
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.keepers[name] = keeperRow{keeper, version}
-	return version, nil
-}
-
-// keep notes a bucket; mu is held.
-func (a *Allowances) keep(b int, kept *bucket) {
-	if a.kept == nil {
-		a.kept = make(map[int]*bucket)
-	}
-	a.kept[b] = kept
-}
-
-// maxKeepers is the number of VMs that are asked as the keeper of a bucket: the
-// one in its row, and those to which it may have been handed over.
-const maxKeepers = 3
-
-// keepersOf returns the processes that may keep a program's bucket in a data
-// centre, the likeliest first.
-func (a *Allowances) keepersOf(program, dc string) []string {
-	name := rowName(dc, bucketOf(program))
-	processes := a.Processes(dc)
-	a.mu.Lock()
-	row := a.keepers[name]
-	a.mu.Unlock()
-	var list []string
-	if row.Process != "" && !row.Released {
-		list = append(list, row.Process)
-	}
-	for _, vm := range ranked(name, processes) {
-		if id := processes[vm].ID; len(list) < maxKeepers && id != "" && id != row.Process {
-			list = append(list, id)
-		}
-	}
-	return list
-}
-
 // Reserve takes a step's tokens of the parts of the data centres, this one's
 // first, at their keepers. It returns the keeper and the grant. Errors wrap
 // ErrSpent, if all parts are spent, and ErrUnavailable.
--- a/internal/system/tokenbudget/handover.go
+++ b/internal/system/tokenbudget/handover.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
 
 	"ibisstall.example/ibisstall/internal/logging/tag"
 	"ibisstall.example/ibisstall/internal/mesh"
-	"ibisstall.example/ibisstall/internal/platform"
 )
 
 // A keeper that leaves hands each bucket to another VM of its data centre, with
@@ -59,16 +57,7 @@
 // handOver offers a bucket to the VMs that are preferred as its keepers. It
 // reports whether one has taken it or may have.
 func (a *Allowances) handOver(ctx context.Context, b int, kept *bucket) bool {
-	processes := a.Processes(a.DC)
-	offered := 0
-	for _, vm := range ranked(rowName(a.DC, b), processes) {
-		id := processes[vm].ID
-		if id == a.Self || id == "" {
-			continue
-		}
-		if offered++; offered > maxKeepers {
-			break
-		}
+	for _, id := range appendRanked(nil, rowName(a.DC, b), a.Processes(a.DC), a.Self) {
 		err := a.Mesh.handOver(ctx, id, a.handover(b, kept))
 		switch {
 		case err == nil:
@@ -154,15 +143,7 @@
 	if old.version == 0 || old.Released {
 		return false
 	}
-	asked := 0
-	for _, vm := range ranked(rowName(a.DC, b), processes) {
-		id := processes[vm].ID
-		if id == a.Self || id == "" {
-			continue
-		}
-		if asked++; asked > maxKeepers {
-			break
-		}
+	for _, id := range appendRanked(nil, rowName(a.DC, b), processes, a.Self) {
 		if a.Mesh.offer(ctx, id, serviceName+".Keeps", b) == nil {
 			a.Log.Info("bucket was taken over", tag.Count(b), tag.PeerVM(id))
 			return true
@@ -189,17 +170,11 @@
 // release tells in the row of a bucket what was handed out, grants that are not
 // settled counted whole, so that whoever claims it can go on at once.
 func (a *Allowances) release(ctx context.Context, b int, kept *bucket) {
-	name := rowName(a.DC, b)
 	keeper := Keeper{
 		VM: a.VM, Process: a.Self, Entry: a.Processes(a.DC)[a.VM].Entry,
 		Released: time.Now().After(kept.after), Used: kept.used(),
 	}
-	value, err := json.Marshal(keeper)
-	if err == nil {
-		key := platform.Key{Table: KeeperTable, ID: "/" + name}
-		_, err = a.Store.CommitAt(ctx, []platform.Write{{Key: key, IfVersion: kept.version, Value: value}})
-	}
-	if err != nil {
+	if _, err := a.commit(ctx, b, kept.version, keeper); err != nil {
 		a.Log.Warn("bucket not released", tag.Count(b), tag.Error(err))
 	}
 }
