forwarder: log and count interrupted responses, and how each response ends

The cause of an interruption that was resumed was not logged at all.

The request line now has framing (length, chunks or close) and, for streams, events and unfinished_bytes, the bytes after the last complete event. Each interrupted attempt has a line "response interrupted" with its error, and counts in ibisstall_forwarded_interruptions_total by framing. No decision changes.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -326,6 +326,30 @@
 	return append(b, "\r\n"...)
 }
 
+// Framing is how a response marks the end of its body.
+type Framing string
+
+// Framings of responses.
+const (
+	FramedByLength Framing = "length" // also responses that have no body
+	FramedByChunks Framing = "chunks"
+	// FramedByClose is a body that ends with its connection. An orderly close by a
+	// failing peer looks like the end of the body.
+	FramedByClose Framing = "close"
+)
+
+// FramingOf returns the framing of a response that Receive has returned.
+func FramingOf(resp *http.Response) Framing {
+	switch {
+	case len(resp.TransferEncoding) > 0:
+		return FramedByChunks
+	case resp.ContentLength >= 0 || resp.Body == http.NoBody:
+		return FramedByLength
+	default:
+		return FramedByClose
+	}
+}
+
 // Receive reads responses until accept returns true for one, and returns it.
 // Other responses belong to an earlier request and are skipped. Errors wrap
 // ErrBroken. The body must be read to its end before Release.
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -204,6 +204,28 @@
 	}
 }
 
+func TestFramingOf_TellsHowTheBodyEnds(t *testing.T) {
+	tests := []struct {
+		name, method, answer string
+		want                 Framing
+	}{
+		{"a length", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", FramedByLength},
+		{"chunks", "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", FramedByChunks},
+		{"neither", "GET", "HTTP/1.1 200 OK\r\n\r\nok", FramedByClose},
+		{"neither, from an HTTP/1.0 server", "GET", "HTTP/1.0 200 OK\r\n\r\nok", FramedByClose},
+		{"a status without a body", "GET", "HTTP/1.1 204 No Content\r\n\r\n", FramedByLength},
+		{"a method without a body in the response", "HEAD", "HTTP/1.1 200 OK\r\n\r\n", FramedByLength},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(tt.answer)), &http.Request{Method: tt.method})
+			is.NoErr(err)
+			is.Equal(FramingOf(resp), tt.want)
+		})
+	}
+}
+
 func TestConn_IsNotReusedAfterAnEarlyResponse(t *testing.T) {
 	is := is.New(t)
 	addr := serve(t, func(c net.Conn) {
--- a/internal/logging/tag/tag.go
+++ b/internal/logging/tag/tag.go
@@ -121,6 +121,17 @@
 // was interrupted.
 func Resumes(n int) zap.Field { return zap.Int("resumes", n) }
 
+// Framing is how an endpoint's response marks the end of its body: by its length,
+// by chunks or by closing the connection.
+func Framing(name string) zap.Field { return zap.String("framing", name) }
+
+// Events is the number of events of a stream that were forwarded.
+func Events(n int) zap.Field { return zap.Int("events", n) }
+
+// UnfinishedBytes is the number of bytes that a stream has sent after its last
+// complete event.
+func UnfinishedBytes(n int) zap.Field { return zap.Int("unfinished_bytes", n) }
+
 // Budget is the number of tokens that a program may generate.
 func Budget(tokens int64) zap.Field { return zap.Int64("budget_tokens", tokens) }
 
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -64,6 +64,10 @@
 	sentAt           time.Time     // start of the last attempt
 	timeToFirstEvent time.Duration // of a stream, from sentAt
 	lastEventsAt     time.Time     // arrival of the last events
+
+	// Of the last attempt's response, for the log.
+	framing         httpconn.Framing // empty without a response
+	unfinishedBytes int              // received after the last complete event of a stream
 }
 
 // splitKey returns the key that selects a service of a split route. All requests
@@ -102,9 +106,12 @@
 	x.f.delays.recordRequest()
 	for {
 		outcome, err := x.attempt(slot)
-		if outcome == interrupted && !mayHaveRun {
-			mayHaveRun = true
-			x.possibleRuns++
+		if outcome == interrupted {
+			x.recordInterruption(slot.Endpoint, err)
+			if !mayHaveRun {
+				mayHaveRun = true
+				x.possibleRuns++
+			}
 		}
 		resend, err := x.resendToSameEndpoint(outcome, err, mayHaveRun, slot)
 		x.cause = err
@@ -300,6 +307,7 @@
 			fields = append(fields, tag.Generated(x.events*x.service.TokensPerEvent))
 		}
 	}
+	fields = append(fields, x.responseFields()...)
 	if x.resends > 0 {
 		fields = append(fields, tag.Resumes(x.resends))
 	}
@@ -315,6 +323,26 @@
 	}
 }
 
+// responseFields returns the log fields that say how the last attempt's response
+// marks its end and where it ended.
+func (x *exchange) responseFields() []zap.Field {
+	if x.framing == "" {
+		return nil
+	}
+	fields := []zap.Field{tag.Framing(string(x.framing))}
+	if x.events > 0 || x.unfinishedBytes > 0 {
+		fields = append(fields, tag.Events(x.events), tag.UnfinishedBytes(x.unfinishedBytes))
+	}
+	return fields
+}
+
+// recordInterruption logs and counts an attempt with the outcome interrupted.
+func (x *exchange) recordInterruption(endpoint string, err error) {
+	x.f.Metrics.observeInterruption(x.framing)
+	fields := []zap.Field{tag.Request(x.request.ID), tag.Endpoint(endpoint), tag.Target(x.route.Name), tag.Error(err)}
+	x.f.Log.Info("response interrupted", append(fields, x.responseFields()...)...)
+}
+
 // outcome is how an attempt at one endpoint ended.
 type outcome int
 
@@ -345,10 +373,12 @@
 	conn.InactivityTimeout = min(probeAfterSilence, x.overdueAfter())
 	conn.OnInactive = func(silence time.Duration) error { return x.checkSilence(silence, slot.Address) }
 	x.sentAt = time.Now()
+	x.framing, x.unfinishedBytes = "", 0
 	err = conn.Send(x.endpointRequest(slot))
 	if err == nil {
 		var resp *http.Response
 		if resp, err = conn.Receive(x.request.Method, x.matchesRequest); err == nil {
+			x.framing = httpconn.FramingOf(resp)
 			return x.forwardResponse(conn, resp)
 		}
 	}
--- a/internal/system/forwarder/metrics.go
+++ b/internal/system/forwarder/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"ibisstall.example/ibisstall/internal/httpconn"
 	"ibisstall.example/ibisstall/internal/metric"
 )
 
@@ -12,6 +13,7 @@
 const (
 	maxRoutes   = 64
 	maxStatuses = 40
+	maxFramings = 4
 )
 
 // Metrics counts and times forwarded requests.
@@ -21,19 +23,35 @@
 	queueWaits *metrics.Histogram
 	resends    *metrics.Counter
 	truncated  *metrics.Counter
+	// interruptions counts attempts that may have run the request and whose
+	// response is missing or incomplete, by the framing of the response.
+	interruptions *metric.CounterVec
 }
 
 // NewMetrics registers the metrics.
 func NewMetrics(r *metric.Registry) *Metrics {
 	return &Metrics{
-		requests:   r.CounterVec("ibisstall_forwarded_requests_total", "status", maxStatuses),
-		latency:    r.HistogramVec("ibisstall_forwarded_request_seconds", "route", maxRoutes),
-		queueWaits: r.Histogram("ibisstall_place_wait_seconds"),
-		resends:    r.Counter("ibisstall_forwarded_resumes_total"),
-		truncated:  r.Counter("ibisstall_forwarded_broken_total"),
+		requests:      r.CounterVec("ibisstall_forwarded_requests_total", "status", maxStatuses),
+		latency:       r.HistogramVec("ibisstall_forwarded_request_seconds", "route", maxRoutes),
+		queueWaits:    r.Histogram("ibisstall_place_wait_seconds"),
+		resends:       r.Counter("ibisstall_forwarded_resumes_total"),
+		truncated:     r.Counter("ibisstall_forwarded_broken_total"),
+		interruptions: r.CounterVec("ibisstall_forwarded_interruptions_total", "framing", maxFramings),
 	}
 }
 
+// noResponse is the framing label of attempts without a response.
+const noResponse = "none"
+
+// observeInterruption records an attempt with the outcome interrupted.
+func (m *Metrics) observeInterruption(framing httpconn.Framing) {
+	label := string(framing)
+	if label == "" {
+		label = noResponse
+	}
+	m.interruptions.With(label).Inc()
+}
+
 // statusLabels holds the response statuses that have label values of their own.
 var statusLabels = func() map[int]string {
 	m := make(map[int]string)
--- a/internal/system/forwarder/response.go
+++ b/internal/system/forwarder/response.go
@@ -126,6 +126,7 @@
 			}
 			buf = append(buf[:0], buf[end:]...)
 		}
+		x.unfinishedBytes = len(buf)
 		switch {
 		case errors.Is(err, io.EOF):
 			x.sendHeader(resp)
