forwarder: recognise events whose lines end with CR LF or CR

Callers of an endpoint that ends the lines of its events with CR LF, as the server-sent events standard allows, got the whole stream at its end only, and its events did not count against the program's token budget: the forwarder knew only LF LF as the end of an event.

Events are now split at blank lines with any of the three line endings, also when a CR LF arrives in two parts.

--- a/internal/system/forwarder/response.go
+++ b/internal/system/forwarder/response.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -113,18 +112,18 @@
 	for {
 		n, err := resp.Body.Read(chunk)
 		buf = append(buf, chunk[:n]...)
-		if end := completeEventsLen(buf); end > 0 {
-			if err := x.reserveEvents(bytes.Count(buf[:end], eventSeparator)); err != nil {
+		if block := completeEvents(buf); block.length > 0 {
+			if err := x.reserveEvents(block.events); err != nil {
 				return fmt.Errorf("%w: %w", errBudgetSpent, err)
 			}
 			x.observeDelay()
 			x.sendHeader(resp)
-			x.recordEvents(buf[:end])
+			x.recordEvents(block)
 			conn.InactivityTimeout = min(probeAfterSilence, x.overdueAfter())
-			if werr := x.writeAndFlush(flusher, buf[:end]); werr != nil {
+			if werr := x.writeAndFlush(flusher, buf[:block.length]); werr != nil {
 				return werr
 			}
-			buf = append(buf[:0], buf[end:]...)
+			buf = append(buf[:0], buf[block.length:]...)
 		}
 		x.unfinishedBytes = len(buf)
 		switch {
@@ -159,6 +158,14 @@
 	x.lastEventsAt = now
 }
 
+// recordEvents counts forwarded events and records the id of the last one.
+func (x *exchange) recordEvents(block eventBlock) {
+	x.events += block.events
+	if block.lastID != "" {
+		x.lastEventID = block.lastID
+	}
+}
+
 func (x *exchange) writeAndFlush(flusher *http.ResponseController, b []byte) error {
 	if _, err := x.w.Write(b); err != nil {
 		return fmt.Errorf("%w: %w", errCallerGone, err)
@@ -168,29 +175,3 @@
 	}
 	return nil
 }
-
-// eventSeparator terminates an event of a stream.
-var eventSeparator = []byte("\n\n")
-
-// completeEventsLen returns the length of the complete events at the start of b.
-func completeEventsLen(b []byte) int {
-	i := bytes.LastIndex(b, eventSeparator)
-	if i < 0 {
-		return 0
-	}
-	return i + len(eventSeparator)
-}
-
-// recordEvents counts forwarded events and records the id of the last one.
-func (x *exchange) recordEvents(events []byte) {
-	for len(events) > 0 {
-		event, rest, _ := bytes.Cut(events, eventSeparator)
-		events = rest
-		x.events++
-		for line := range bytes.Lines(event) {
-			if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-				x.lastEventID = string(bytes.TrimSpace(id))
-			}
-		}
-	}
-}
