forwarder: a stream that ends inside an event has been broken off

Cause: forwardStream took io.EOF of the response's body for the end of the stream. With a length or chunks that is so, since a shorter body ends with io.ErrUnexpectedEOF. A body that ends with its connection ends with io.EOF also when the endpoint fails and its kernel closes the connection in order. What was left in the buffer, the started event, was then written to the caller, and the forwarder completed its own chunked answer.

Ruled out: an interruption that was noticed but ended as complete.

Change: bytes after the last complete event at the end of a stream, however it is framed, make it interrupted: it is resumed after the last complete event or, where the route does not allow that, the caller's connection is closed before the end of the answer. So is a stream that ends with its connection before any event. The length that an endpoint states for its stream is no longer passed on: after a resume it would be the length of another response, and the caller saw the resumed stream cut off.

--- a/internal/system/forwarder/response.go
+++ b/internal/system/forwarder/response.go
@@ -51,13 +51,17 @@
 	return out
 }
 
-// sendHeader sends the response header to the caller, once.
-func (x *exchange) sendHeader(resp *http.Response) {
+// streamFraming holds the headers that a stream doesn't take over from its first
+// response, since the rest may come from other responses.
+var streamFraming = map[string]bool{"Content-Length": true}
+
+// sendHeader sends the response header without those in drop to the caller, once.
+func (x *exchange) sendHeader(resp *http.Response, drop map[string]bool) {
 	if x.headerSent {
 		return // resumed: the header was sent by an earlier attempt
 	}
 	h := x.w.Header()
-	for name, values := range EndToEndHeaders(resp.Header, nil) {
+	for name, values := range EndToEndHeaders(resp.Header, drop) {
 		h[name] = values
 	}
 	if _, dated := resp.Header["Date"]; !dated {
@@ -77,7 +81,7 @@
 	}
 	took := time.Since(x.sentAt)
 	x.f.delays.update(x.requestClass(), func(d *classDelays) { d.firstData = d.firstData.Observe(took) })
-	x.sendHeader(resp)
+	x.sendHeader(resp, nil)
 	if _, err := x.w.Write(body); err != nil {
 		return fmt.Errorf("%w: %w", errCallerGone, err)
 	}
@@ -103,10 +107,17 @@
 	}
 }
 
+// errInsideEvent means that a stream ended in the middle of an event.
+var errInsideEvent = errors.New("stream ended inside an event")
+
+// errNoEvents means that a stream without a framing ended before its first event.
+var errNoEvents = errors.New("stream ended with its connection before an event")
+
 // forwardStream forwards complete events as they arrive, so that a stream that is
 // interrupted in the middle of an event can be resumed after the last complete one.
 func (x *exchange) forwardStream(conn *httpconn.Conn, resp *http.Response) error {
 	flusher := http.NewResponseController(x.w)
+	eventsBefore := x.events
 	var buf []byte
 	chunk := make([]byte, readBufferSize)
 	for {
@@ -117,7 +128,7 @@
 				return fmt.Errorf("%w: %w", errBudgetSpent, err)
 			}
 			x.observeDelay()
-			x.sendHeader(resp)
+			x.sendHeader(resp, streamFraming)
 			x.recordEvents(block)
 			conn.InactivityTimeout = min(probeAfterSilence, x.overdueAfter())
 			if werr := x.writeAndFlush(flusher, buf[:block.length]); werr != nil {
@@ -127,11 +138,12 @@
 		}
 		x.unfinishedBytes = len(buf)
 		switch {
+		case errors.Is(err, io.EOF) && len(buf) > 0:
+			return errInsideEvent
+		case errors.Is(err, io.EOF) && x.framing == httpconn.FramedByClose && x.events == eventsBefore:
+			return errNoEvents
 		case errors.Is(err, io.EOF):
-			x.sendHeader(resp)
-			if len(buf) > 0 {
-				return x.writeAndFlush(flusher, buf)
-			}
+			x.sendHeader(resp, streamFraming)
 			return nil
 		case err != nil:
 			return err
