forwarder: a response that has begun is continued only by its own stream

Callers got parts of two answers, framed as one complete answer, when an endpoint broke an answer off after its first bytes had been passed on: an idempotent request whose body was larger than the 64 KiB that are buffered was sent again and the second body was written after the part of the first; a stream whose events have no ids was started again after its first events; and a stream could be continued by a body that is no stream.

Cause: whether a request may be sent again was decided by its route alone, not by what its caller had already received.

Change: once the response has begun, only a stream on a resumable route is resumed, after an event with an id, and only by another stream. Everything else ends the caller's connection before the end of the answer. A success is a stream by its content type; on a streaming route a missing type counts as one. So a stream on a route for other requests that ends inside an event is noticed too.

--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"syscall"
@@ -52,6 +53,7 @@
 	reservedTokens int64 // sum over reservations
 
 	headerSent       bool          // a response header was sent to the caller
+	streaming        bool          // the response that headerSent refers to is a stream of events
 	complete         bool          // the response to the caller is complete
 	lastEventID      string        // id of the last event forwarded
 	events           int           // events forwarded
@@ -182,10 +184,19 @@
 
 // mayResend reports whether an interrupted request may be resent.
 func (x *exchange) mayResend() bool {
-	return x.route.Retryable() && x.resends < maxResends && x.ctx.Err() == nil &&
+	return x.route.Retryable() && x.continuable() && x.resends < maxResends && x.ctx.Err() == nil &&
 		time.Until(x.deadline) >= minAttemptTime
 }
 
+// continuable reports whether another response can continue what was sent to the
+// caller so far: only a stream can be resumed, after an event with an id.
+func (x *exchange) continuable() bool {
+	if !x.headerSent {
+		return true
+	}
+	return x.streaming && x.route.Kind == forward.Stream && (x.events == 0 || x.lastEventID != "")
+}
+
 // tryAnotherEndpoint evaluates an attempt's outcome. It completes or fails the
 // exchange, or reports true to try another endpoint.
 func (x *exchange) tryAnotherEndpoint(o outcome, endpoint string, err error) bool {
@@ -436,12 +447,13 @@
 		conn.Close()
 		return interrupted, fmt.Errorf("endpoint responded with status %d without proof that the request has not run", resp.StatusCode)
 	}
-	if x.headerSent && resp.StatusCode != http.StatusOK {
+	isStream := x.isEventStream(resp)
+	if x.headerSent && !isStream {
 		conn.Close()
-		return interrupted, fmt.Errorf("endpoint responded to the resumed request with status %d", resp.StatusCode)
+		return interrupted, fmt.Errorf("endpoint responded to the resumed request with status %d and no stream", resp.StatusCode)
 	}
 	var err error
-	if x.route.Kind == forward.Stream && resp.StatusCode == http.StatusOK {
+	if isStream {
 		err = x.forwardStream(conn, resp)
 	} else {
 		err = x.forwardBody(resp)
@@ -461,6 +473,20 @@
 	return interrupted, err
 }
 
+// isEventStream reports whether a response is a stream of events: a success whose
+// content type says so or, on a route for streams, is absent.
+func (x *exchange) isEventStream(resp *http.Response) bool {
+	if resp.StatusCode != http.StatusOK || x.request.Method == http.MethodHead {
+		return false
+	}
+	contentType := resp.Header.Get("Content-Type")
+	if contentType == "" {
+		return x.route.Kind == forward.Stream
+	}
+	mediaType, _, _ := mime.ParseMediaType(contentType) // empty if it is invalid
+	return mediaType == "text/event-stream"
+}
+
 // impliesNotRun reports whether callers interpret a status as "not run".
 func impliesNotRun(status int) bool {
 	switch status {
--- a/internal/system/forwarder/response.go
+++ b/internal/system/forwarder/response.go
@@ -72,6 +72,12 @@
 	x.w.WriteHeader(resp.StatusCode)
 }
 
+// sendStreamHeader sends the response header of a stream to the caller, once.
+func (x *exchange) sendStreamHeader(resp *http.Response) {
+	x.streaming = true
+	x.sendHeader(resp, streamFraming)
+}
+
 // forwardBody forwards a response that isn't a stream. It buffers up to
 // maxBufferedBody before it writes to the caller.
 func (x *exchange) forwardBody(resp *http.Response) error {
@@ -128,7 +134,7 @@
 				return fmt.Errorf("%w: %w", errBudgetSpent, err)
 			}
 			x.observeDelay()
-			x.sendHeader(resp, streamFraming)
+			x.sendStreamHeader(resp)
 			x.recordEvents(block)
 			conn.InactivityTimeout = min(probeAfterSilence, x.overdueAfter())
 			if werr := x.writeAndFlush(flusher, buf[:block.length]); werr != nil {
@@ -143,7 +149,7 @@
 		case errors.Is(err, io.EOF) && x.framing == httpconn.FramedByClose && x.events == eventsBefore:
 			return errNoEvents
 		case errors.Is(err, io.EOF):
-			x.sendHeader(resp, streamFraming)
+			x.sendStreamHeader(resp)
 			return nil
 		case err != nil:
 			return err
