forwarder: no requests for an endpoint that said in an answer that it leaves

So far only the endpoint's entry in the store counted: callers whose VM was cut off from the store were sent to an endpoint that was about to exit, and their request was lost with it.

A VM now treats an endpoint as draining from the first such answer on, also a rejection, until its entry shows another start. The ids go along with each request for a slot, because the scheduling VM may not know of them, and the release of the slot tells that VM, so that no other VM uses the endpoint either. The mark is kept while the endpoint is listed and for 15 minutes after, since an entry can lapse and come back.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -65,6 +65,72 @@
 	is.Equal(r.List(), []Endpoint{{ID: "b", Slots: 2}}) // c has not registered again in time
 }
 
+func TestRegistry_EndpointThatSaidItLeaves(t *testing.T) {
+	start := time.Unix(1000, 0)
+	entry := Endpoint{ID: "a", Service: "s", StartedUnixMilli: 7}
+	draining := entry
+	draining.Draining = true
+	restarted := entry
+	restarted.StartedUnixMilli = 8
+	t.Run("is draining whatever its entry says", func(t *testing.T) {
+		is := is.New(t)
+		notified := 0
+		r := &Registry{OnChange: func([]Endpoint) { notified++ }}
+		r.Replace([]Endpoint{entry}, start)
+		is.True(r.MarkLeaving("a", start))
+		is.Equal(notified, 2)
+		is.True(!r.MarkLeaving("a", start))
+		is.Equal(r.List(), []Endpoint{draining})
+		r.Update([]Endpoint{entry}, nil, start)
+		r.Replace([]Endpoint{entry}, start)
+		is.Equal(r.List(), []Endpoint{draining})
+		is.Equal(r.Leaving("s"), []string{"a"})
+		is.Equal(len(r.Leaving("other")), 0)
+	})
+	t.Run("is draining when its entry comes back", func(t *testing.T) {
+		is := is.New(t)
+		r := &Registry{}
+		r.Replace([]Endpoint{entry}, start)
+		r.MarkLeaving("a", start)
+		r.Update(nil, []string{"a"}, start)
+		is.Equal(r.Leaving("s"), []string{"a"}) // another VM may still list it
+		r.Update([]Endpoint{entry}, nil, start)
+		is.Equal(r.List(), []Endpoint{draining})
+	})
+	t.Run("is draining when it is listed for the first time", func(t *testing.T) {
+		is := is.New(t)
+		r := &Registry{}
+		r.MarkLeaving("a", start)
+		is.Equal(r.Leaving("s"), []string{"a"})
+		r.Update([]Endpoint{entry}, nil, start)
+		is.Equal(r.List(), []Endpoint{draining})
+		r.Update([]Endpoint{restarted}, nil, start)
+		is.Equal(r.List(), []Endpoint{restarted})
+	})
+	t.Run("takes requests after it has started again", func(t *testing.T) {
+		is := is.New(t)
+		r := &Registry{}
+		r.Replace([]Endpoint{entry}, start)
+		r.MarkLeaving("a", start)
+		r.Update([]Endpoint{restarted}, nil, start)
+		is.Equal(r.List(), []Endpoint{restarted})
+		is.Equal(len(r.Leaving("s")), 0)
+	})
+	t.Run("is forgotten only after it has not been listed for long", func(t *testing.T) {
+		is := is.New(t)
+		r := &Registry{}
+		r.Replace([]Endpoint{entry}, start)
+		r.MarkLeaving("a", start)
+		gone := start.Add(2 * leavingRetention)
+		r.DropExpired(gone)
+		r.Update(nil, []string{"a"}, gone)
+		r.DropExpired(gone.Add(leavingRetention - 1))
+		is.Equal(r.Leaving("s"), []string{"a"})
+		r.DropExpired(gone.Add(leavingRetention))
+		is.Equal(len(r.Leaving("s")), 0)
+	})
+}
+
 func TestRequest_PrefixHashesCoverTheWholePrefix(t *testing.T) {
 	is := is.New(t)
 	a := (&Request{Prompt: []PromptPart{{"s", 10}, {"x", 5}}}).PrefixHashes()
--- a/internal/forward/registry.go
+++ b/internal/forward/registry.go
@@ -13,6 +13,10 @@
 // Endpoints that vanish within that time are treated alike.
 const missingRetention = 2200 * time.Millisecond
 
+// leavingRetention is how long the registry remembers that an endpoint is leaving
+// after the endpoint was last listed. Its entry may come back in that time.
+const leavingRetention = 15 * time.Minute
+
 // Registry holds the list of live endpoints. It is safe for concurrent use.
 type Registry struct {
 	// OnChange is called with the complete list after each change.
@@ -23,6 +27,17 @@
 	missingSince   map[string]time.Time // guarded by mu; when an endpoint that is kept for missingRetention vanished, by id
 	feedLost       bool                 // guarded by mu
 	feedRestoredAt time.Time            // guarded by mu
+	leaving        map[string]departure // guarded by mu; endpoints that said that they leave, by id
+}
+
+// departure describes an endpoint that said that it leaves.
+type departure struct {
+	// started identifies the process that leaves, as in Endpoint.StartedUnixMilli.
+	// It is unknown if the endpoint was not listed at the time.
+	started      int64
+	startedKnown bool
+	service      string    // empty until the endpoint is listed
+	lastListed   time.Time // or when it said that it leaves
 }
 
 // FeedLost records that the feed of endpoints can't be read.
@@ -40,6 +55,43 @@
 	r.feedRestoredAt = now
 }
 
+// MarkLeaving records that an endpoint said that it leaves. From then on it counts
+// as draining, whatever its entry says, until it starts again. It reports whether
+// that was not known before.
+func (r *Registry) MarkLeaving(id string, now time.Time) bool {
+	r.mu.Lock()
+	if _, known := r.leaving[id]; known {
+		r.mu.Unlock()
+		return false
+	}
+	if r.leaving == nil {
+		r.leaving = make(map[string]departure)
+	}
+	e, listed := r.endpoints[id]
+	r.leaving[id] = departure{started: e.StartedUnixMilli, startedKnown: listed, service: e.Service, lastListed: now}
+	if listed {
+		e.Draining = true
+		r.endpoints[id] = e
+	}
+	r.mu.Unlock()
+	r.notify()
+	return true
+}
+
+// Leaving returns the ids of the endpoints of a service that said that they leave,
+// listed or not.
+func (r *Registry) Leaving(service string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ids []string
+	for id, d := range r.leaving {
+		if d.service == service || d.service == "" {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Replace replaces the whole list.
 func (r *Registry) Replace(list []Endpoint, now time.Time) {
 	r.mu.Lock()
@@ -82,6 +134,15 @@
 		r.missingSince = make(map[string]time.Time)
 	}
 	delete(r.missingSince, e.ID)
+	if d, leaving := r.leaving[e.ID]; leaving {
+		if d.startedKnown && d.started != e.StartedUnixMilli {
+			delete(r.leaving, e.ID) // another process
+		} else {
+			d.started, d.startedKnown, d.service = e.StartedUnixMilli, true, e.Service
+			r.leaving[e.ID] = d
+			e.Draining = true
+		}
+	}
 	if r.endpoints[e.ID] == e {
 		return false
 	}
@@ -106,9 +167,10 @@
 }
 
 // DropExpired removes the missing endpoints once missingRetention has passed since
-// the last outage of the feed.
+// the last outage of the feed, and forgets endpoints that have left.
 func (r *Registry) DropExpired(now time.Time) {
 	r.mu.Lock()
+	r.dropDepartures(now)
 	changed := false
 	if !r.feedLost && now.Sub(r.feedRestoredAt) >= missingRetention {
 		for id := range r.missingSince {
@@ -123,6 +185,19 @@
 	}
 }
 
+// dropDepartures forgets the endpoints that have not been listed for
+// leavingRetention since they said that they leave. The caller holds mu.
+func (r *Registry) dropDepartures(now time.Time) {
+	for id, d := range r.leaving {
+		if _, listed := r.endpoints[id]; listed {
+			d.lastListed = now
+			r.leaving[id] = d
+		} else if now.Sub(d.lastListed) >= leavingRetention {
+			delete(r.leaving, id)
+		}
+	}
+}
+
 // List returns the endpoints sorted by id.
 func (r *Registry) List() []Endpoint {
 	r.mu.Lock()
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -62,5 +62,5 @@
 	Address          string // host:port
 	DC               string
 	Slots            int  // requests that the endpoint runs at once
-	Draining         bool // accepts no new requests
+	Draining         bool // is to get no new requests
 }
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -124,6 +124,9 @@
 	Run    time.Duration // from sending the request to its end
 	First  time.Duration // from sending the request to the first byte of the response
 	Tokens int           // generated tokens
+	// EndpointLeaves means that the endpoint said that it leaves: it gets no more
+	// requests from any VM until it starts again.
+	EndpointLeaves bool
 }
 
 // Scheduler assigns the slots of the endpoints of all services. It is safe for
@@ -160,7 +163,8 @@
 // endpoint is the scheduling state of one endpoint.
 type endpoint struct {
 	forward.Endpoint
-	running      int // occupied slots
+	leaves       bool // said so to a VM
+	running      int  // occupied slots
 	backoffUntil time.Duration
 	backoff      time.Duration // length of the last backoff, 0 after a completed request
 	rates        estimate.Rates
@@ -241,6 +245,7 @@
 		p.endpoints[e.ID] = current
 	}
 	current.Endpoint = e
+	current.Draining = e.Draining || current.leaves
 	if kvTokens > 0 && current.promptCache == nil {
 		current.promptCache = newPromptCache(kvTokens)
 	}
@@ -436,6 +441,9 @@
 
 // applyRelease updates the endpoint's rates, health and backoff from the result of a request.
 func (e *endpoint) applyRelease(r *request, release SlotRelease, now time.Duration) {
+	if release.EndpointLeaves {
+		e.leaves, e.Draining = true, true
+	}
 	switch release.Result {
 	case Completed:
 		e.backoff = 0
--- a/internal/system/dispatch/scheduler_test.go
+++ b/internal/system/dispatch/scheduler_test.go
@@ -211,6 +211,23 @@
 	})
 }
 
+func TestScheduler_EndpointThatSaidItLeavesGetsNoRequestsOfAnyVM(t *testing.T) {
+	is := is.New(t)
+	s, _ := newTestScheduler(2, 4)
+	first := s.Submit(turn(1, 1000))
+	s.Release(SlotRelease{Ticket: first.Ticket, Result: Completed, EndpointLeaves: true})
+	list := engines(2, 4)
+	s.SetEndpoints(list, nil) // the entries don't say so yet
+	for range 6 { // more than the other endpoint has slots
+		is.True(s.Submit(turn(1, 1000)).Endpoint != first.Endpoint)
+	}
+	for i := range list {
+		list[i].StartedUnixMilli++
+	}
+	s.SetEndpoints(list, nil)
+	is.Equal(s.Submit(turn(1, 1000)).State, Assigned)
+}
+
 func TestScheduler_RefusesWhatCannotBeServedInTime(t *testing.T) {
 	t.Run("a new program is refused at once in a long queue", func(t *testing.T) {
 		is := is.New(t)
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -62,6 +63,7 @@
 	failureReason    string        // why the forwarder made the response itself, or left it incomplete; else empty
 	cause            error         // error of the last attempt or of the exchange, for the log; nil if none
 	endpoint         string        // id of the endpoint last tried
+	endpointLeaves   bool          // it said so in a response to this request
 	queueWait        time.Duration // sum over all attempts to acquire a slot
 	sentAt           time.Time     // start of the last attempt
 	timeToFirstEvent time.Duration // of a stream, from sentAt
@@ -105,6 +107,7 @@
 func (x *exchange) useSlot(slot *dispatch.Slot) bool {
 	start := time.Now()
 	mayHaveRun := false
+	x.endpointLeaves = false
 	x.f.delays.recordRequest()
 	for {
 		outcome, err := x.attempt(slot)
@@ -128,6 +131,7 @@
 		}
 		slot.Release(dispatch.SlotRelease{
 			Result: resultOf(outcome, mayHaveRun, err), Run: time.Since(start), First: x.timeToFirstEvent, Tokens: x.events * x.service.TokensPerEvent,
+			EndpointLeaves: x.endpointLeaves,
 		})
 		return x.tryAnotherEndpoint(outcome, slot.Endpoint, err)
 	}
@@ -234,7 +238,7 @@
 	slotReq := dispatch.SlotRequest{
 		Service: x.service.Name, Request: req.ID, Program: req.Program, VM: x.f.VM, DC: x.f.DC, Deadline: x.deadline.Sub(now),
 		Priority: x.route.Priority, First: x.firstTurn, Once: !x.route.Retryable(), Prefixes: req.PrefixHashes(),
-		Avoid: append(endpoints, x.excluded...), AvoidDCs: dcs,
+		Avoid: slices.Concat(endpoints, x.excluded, x.f.Endpoints.Leaving(x.service.Name)), AvoidDCs: dcs,
 	}
 	if !req.Finish.IsZero() {
 		slotReq.HasFinish, slotReq.Finish = true, req.Finish.Sub(now)
@@ -390,6 +394,7 @@
 		var resp *http.Response
 		if resp, err = conn.Receive(x.request.Method, x.matchesRequest); err == nil {
 			x.framing = httpconn.FramingOf(resp)
+			x.observeLeaving(resp, slot.Endpoint)
 			return x.forwardResponse(conn, resp)
 		}
 	}
@@ -408,6 +413,17 @@
 	}
 }
 
+// observeLeaving records whether the response says that its endpoint is leaving.
+func (x *exchange) observeLeaving(resp *http.Response, endpoint string) {
+	if resp.Header.Get(x.f.Headers.Leaving) != "1" {
+		return
+	}
+	x.endpointLeaves = true
+	if x.f.Endpoints.MarkLeaving(endpoint, time.Now()) {
+		x.f.Log.Info("endpoint is leaving; it gets no more requests", tag.Endpoint(endpoint), tag.Request(x.request.ID))
+	}
+}
+
 // matchesRequest reports whether a response belongs to the request. Rejections carry no request id.
 func (x *exchange) matchesRequest(resp *http.Response) bool {
 	id := resp.Header.Get(x.f.Headers.RequestID)
--- a/internal/system/forwarder/forwarder.go
+++ b/internal/system/forwarder/forwarder.go
@@ -52,6 +52,7 @@
 	ExpectEndpoint string // id of the only endpoint that may run the request
 	NotRun         string // set in a response that guarantees that the request has not run
 	LastEventID    string // id of the event after which a stream is resumed
+	Leaving        string // "1" in the responses of an endpoint that is leaving
 }
 
 // Budgets reserves tokens of programs' budgets.
@@ -70,17 +71,28 @@
 	Acquire(ctx context.Context, req dispatch.SlotRequest) (*dispatch.Slot, error)
 }
 
+// EndpointRegistry tracks the endpoints that said that they leave.
+type EndpointRegistry interface {
+	// MarkLeaving records that an endpoint said that it leaves, and reports whether
+	// that was not known before.
+	MarkLeaving(endpoint string, now time.Time) bool
+	// Leaving returns the ids of the endpoints of a service that must get no more
+	// requests because they said that they leave.
+	Leaving(service string) []string
+}
+
 // Forwarder forwards requests. It is safe for concurrent use.
 type Forwarder struct {
-	VM, DC  string
-	Headers HeaderNames
-	Config  func() *forward.Config // returns nil until a configuration is loaded
-	Slots   SlotAllocator
-	Budgets Budgets
-	Pool    *httpconn.Pool
-	Lag     *clock.Lag // scheduling lag of this VM
-	Log     *zap.Logger
-	Metrics *Metrics
+	VM, DC    string
+	Headers   HeaderNames
+	Config    func() *forward.Config // returns nil until a configuration is loaded
+	Slots     SlotAllocator
+	Endpoints EndpointRegistry
+	Budgets   Budgets
+	Pool      *httpconn.Pool
+	Lag       *clock.Lag // scheduling lag of this VM
+	Log       *zap.Logger
+	Metrics   *Metrics
 
 	inFlight     atomic.Int64
 	reachability reachability
