endpoint: a success without a framing is not taken for complete

A caller of `ibisstall serve` could get a part of a tool's or a service's answer as the whole one, and a repeat would get it again, when the service gave neither a length nor chunks and its process ended in the middle: the orderly close looks like the end of the body.

docs/RUNNERS.md has always asked for a length or chunks. A success with neither now counts as unanswered, as other lost answers do, so that it is looked up or ends as outcome unknown, unless it is a whole JSON object or array, whose last byte marks its end. Error answers keep their meaning: their status decides. Model calls are not concerned: a stream is complete at its end marker only. Objects of the store are compressed with a checksum, and all else that is read is JSON.

TestServiceClient_TruncatedResponseWithoutFramingIsUnanswered failed for text, for no content type, for nothing and for a bare number before; it passes in 3 runs with -race. Also formats scheduler_test.go.

--- a/internal/endpoint/service.go
+++ b/internal/endpoint/service.go
@@ -94,23 +94,42 @@
 		return CallResponse{}, fmt.Errorf("%w: %w", ErrUnanswered, err)
 	}
 	if res.StatusCode < http.StatusBadRequest {
+		if isUnframed(res) && !isDelimitedJSON(a) {
+			return CallResponse{}, fmt.Errorf("%w: answer has neither a length nor chunks", ErrUnanswered)
+		}
 		return a, nil
 	}
 	ran := res.Header.Get(HeaderNotRun) != "true"
 	return a, &StatusError{Status: res.StatusCode, Ran: ran, Body: body}
 }
 
+// isUnframed reports whether a response ends with its connection, so that its end
+// does not show whether the body is complete.
+func isUnframed(res *http.Response) bool {
+	return res.ProtoMajor == 1 && res.ContentLength < 0 && len(res.TransferEncoding) == 0 && !res.Uncompressed
+}
+
+// isDelimitedJSON reports whether a body that checkJSON has accepted is a JSON
+// object or array, whose last byte marks its end.
+func isDelimitedJSON(a CallResponse) bool {
+	body := bytes.TrimSpace(a.Body)
+	return isJSON(a.Type) && len(body) > 0 && (body[0] == '{' || body[0] == '[')
+}
+
 // checkJSON returns an error if a body of a JSON content type is not valid JSON.
 // It may have been truncated although it has the declared length.
 func checkJSON(a CallResponse) error {
-	kind, _, err := mime.ParseMediaType(a.Type)
-	isJSON := err == nil && (kind == "application/json" || strings.HasSuffix(kind, "+json"))
-	if isJSON && len(a.Body) > 0 && !json.Valid(a.Body) {
+	if isJSON(a.Type) && len(a.Body) > 0 && !json.Valid(a.Body) {
 		return errors.New("answer is not whole JSON")
 	}
 	return nil
 }
 
+func isJSON(contentType string) bool {
+	kind, _, err := mime.ParseMediaType(contentType)
+	return err == nil && (kind == "application/json" || strings.HasSuffix(kind, "+json"))
+}
+
 // Lookup retrieves the response of an attempt. It returns false if the runner
 // has not received the attempt, which may still be in transit. If the runner
 // doesn't support lookups, the error is a *StatusError.
--- a/internal/endpoint/service_test.go
+++ b/internal/endpoint/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -76,6 +77,49 @@
 	}
 }
 
+// A response with neither a length nor chunks may be truncated without a sign of it.
+func TestServiceClient_TruncatedResponseWithoutFramingIsUnanswered(t *testing.T) {
+	cases := []struct {
+		name, contentType, body string
+		complete                bool
+	}{
+		{"text", "text/plain", "deposit of 4", false},
+		{"nothing", "text/plain", "", false},
+		{"no content type", "", "deposit of 4", false},
+		{"a JSON number", "application/json", "4", false},
+		{"a JSON object that is cut", "application/json", `{"amount":4`, false},
+		{"a whole JSON object", "application/json", `{"amount":40}`, true},
+		{"a whole JSON array", "application/json", " [1]\n", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				io.Copy(io.Discard, r.Body) // a close with unread bytes is a reset
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				header := "HTTP/1.1 200 OK\r\n" + endpoint.HeaderRequestID + ": c-1\r\n"
+				if c.contentType != "" {
+					header += "Content-Type: " + c.contentType + "\r\n"
+				}
+				io.WriteString(conn, header+"\r\n"+c.body)
+			}))
+			defer server.Close()
+			client := endpoint.NewServiceClient(entity.Endpoint{URL: server.URL}, newClient(t), endpoint.Options{})
+			got, err := client.Call(t.Context(), deposit("c-1", "a-1"))
+			if !c.complete {
+				is.True(errors.Is(err, endpoint.ErrUnanswered))
+				return
+			}
+			is.NoErr(err)
+			is.Equal(string(got.Body), c.body)
+		})
+	}
+}
+
 func TestServiceClient_CallReturnsErrorResponses(t *testing.T) {
 	cases := []struct {
 		name   string
--- a/internal/system/dispatch/scheduler_test.go
+++ b/internal/system/dispatch/scheduler_test.go
@@ -218,7 +218,7 @@
 	s.Release(SlotRelease{Ticket: first.Ticket, Result: Completed, EndpointLeaves: true})
 	list := engines(2, 4)
 	s.SetEndpoints(list, nil) // the entries don't say so yet
-	for range 6 { // more than the other endpoint has slots
+	for range 6 {             // more than the other endpoint has slots
 		is.True(s.Submit(turn(1, 1000)).Endpoint != first.Endpoint)
 	}
 	for i := range list {
