--- a/internal/standin/faultproxy/link.go
+++ b/internal/standin/faultproxy/link.go
@@ -1,6 +1,8 @@
 package faultproxy
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -39,8 +41,8 @@
 	l.close()
 }
 
-// pipe forwards bytes in one direction until that direction ends. blockingMode is
-// the mode that blocks only this direction.
+// pipe forwards bytes in one direction until that direction ends; a reset is passed
+// on as a reset. blockingMode is the mode that blocks only this direction.
 func (l *link) pipe(from, to *net.TCPConn, blockingMode Mode) {
 	queue := make(chan chunk, maxQueuedChunks)
 	var wg sync.WaitGroup
@@ -54,6 +56,9 @@
 			queue <- chunk{data: buf[:n], due: time.Now().Add(l.proxy.currentDelay())}
 		}
 		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				l.reset()
+			}
 			return
 		}
 	}
@@ -80,7 +85,7 @@
 		}
 		if _, err := to.Write(c.data); err != nil {
 			broken = true
-			l.close()
+			l.reset()
 		}
 	}
 	if !broken && l.waitUntilAllowed(blockingMode) {
--- a/internal/standin/faultproxy/proxy_test.go
+++ b/internal/standin/faultproxy/proxy_test.go
@@ -109,6 +109,32 @@
 	is.NoErr(exchange(dial(t, p), receiveTimeout))
 }
 
+func TestProxy_PassesOnHowTheTargetClosed(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		is := is.New(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		t.Cleanup(func() { _ = l.Close() })
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.ReadFull(c, make([]byte, 1))
+			if reset {
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+			_ = c.Close()
+		}()
+		p, err := New(l.Addr().String())
+		is.NoErr(err)
+		t.Cleanup(func() { _ = p.Close() })
+		err = exchange(dial(t, p), receiveTimeout)
+		is.Equal(errors.Is(err, syscall.ECONNRESET), reset)
+		is.Equal(errors.Is(err, io.EOF), !reset)
+	}
+}
+
 func TestProxy_RefuseAndReset(t *testing.T) {
 	is := is.New(t)
 	p := newProxy(t)
