endpoint: a call on a connection that went silent is looked up while it waits

A caller's deposit got no response for up to [limits] request_timeout, 10 minutes by default, after its connection to the tool had gone silent, although the deposit had been made: a call that must not be repeated waited for its own connection alone, and its attempt id was looked up only after that had failed.

Traced on a scratch copy, six copies of the test side by side: of three deposits without a response, the tool had run two and never received one. Ruled out: a lost message between VMs, whose heartbeats notice a silent connection within their limits.

While such a call has no response, it is now looked up over a new connection every silence_limit. A recorded answer ends it; after five lookups that find the attempt not to have been received, it ends as unanswered and is resolved as any other lost answer, to outcome unknown. A runner that can't tell is waited for.

TestServiceClient_CallOnAConnectionThatGoesSilent hung in its first subtest before and passes now.

--- a/internal/endpoint/service.go
+++ b/internal/endpoint/service.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 
 	"ibisstall.example/ibisstall/internal/entity"
 )
@@ -35,8 +36,69 @@
 // Call makes a call. A complete response with a status of 400 or above is
 // returned together with a *StatusError. A call with an attempt id is sent at
 // most once, on a new connection: an idle connection may have gone silent, and
-// the call would be lost in it.
+// the call would be lost in it. The new one may go silent as well, so such a call is
+// looked up while its response has not come.
 func (c *ServiceClient) Call(ctx context.Context, req CallRequest) (CallResponse, error) {
+	if req.AttemptID == "" {
+		return c.send(ctx, req)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	responses := make(chan serviceResult, 1)
+	go func() {
+		resp, err := c.send(ctx, req)
+		responses <- serviceResult{resp, err}
+	}()
+	lookup := time.NewTicker(c.options.SilenceTimeout)
+	defer lookup.Stop()
+	for unseen := 0; ; {
+		select {
+		case r := <-responses:
+			return r.resp, r.err
+		case <-lookup.C:
+		}
+		resp, found, err := c.lookUpWithTimeout(ctx, req.AttemptID)
+		switch {
+		case found:
+			return resp, errorOf(resp)
+		case err == nil:
+			unseen++
+		}
+		if unseen >= maxUnseenLookups {
+			return CallResponse{}, fmt.Errorf("%w: the runner had not received the call after %v", ErrUnanswered, maxUnseenLookups*c.options.SilenceTimeout)
+		}
+	}
+}
+
+// maxUnseenLookups is the number of lookups after which a call that the runner has
+// still not received is given up: it may be held by a connection that has gone
+// silent.
+const maxUnseenLookups = 5
+
+// serviceResult is the result of a call on its own connection.
+type serviceResult struct {
+	resp CallResponse
+	err  error
+}
+
+// lookUpWithTimeout looks an attempt up for at most SilenceTimeout.
+func (c *ServiceClient) lookUpWithTimeout(ctx context.Context, attemptID string) (CallResponse, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.SilenceTimeout)
+	defer cancel()
+	return c.Lookup(ctx, attemptID)
+}
+
+// errorOf returns the error of a response that a lookup has found, as Call
+// returns it.
+func errorOf(resp CallResponse) error {
+	if resp.Status < http.StatusBadRequest {
+		return nil
+	}
+	return &StatusError{Status: resp.Status, Ran: true, Body: resp.Body}
+}
+
+// send sends a call and reads its response.
+func (c *ServiceClient) send(ctx context.Context, req CallRequest) (CallResponse, error) {
 	var sent sendProgress
 	r, err := c.request(sent.trace(ctx), &req)
 	if err != nil {
--- a/internal/endpoint/silence_test.go
+++ b/internal/endpoint/silence_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
@@ -126,6 +128,67 @@
 	is.Equal(len(standin.Executions()), 3)
 }
 
+func TestServiceClient_CallOnAConnectionThatGoesSilent(t *testing.T) {
+	options := endpoint.Options{SilenceTimeout: 20 * time.Millisecond}
+	t.Run("gets its response by a lookup if it ran", func(t *testing.T) {
+		for _, status := range []int{http.StatusOK, http.StatusConflict} {
+			is := is.New(t)
+			var p *faultproxy.Proxy
+			standin := runner.NewToolService(runner.ServiceOptions{Handler: func(runner.Execution) (int, []byte) {
+				p.StallOpenConnections()
+				return status, []byte(`{"paid":true}`)
+			}})
+			p, ep := newProxied(t, httptest.NewServer(standin))
+			client := endpoint.NewServiceClient(ep, newClient(t), options)
+			got, err := client.Call(t.Context(), deposit("c-1", "a-1"))
+			var failed *endpoint.StatusError
+			is.Equal(errors.As(err, &failed), status != http.StatusOK)
+			is.Equal(err == nil, status == http.StatusOK)
+			is.Equal(got.Status, status)
+			is.Equal(string(got.Body), `{"paid":true}`)
+			is.Equal(len(standin.Executions()), 1)
+		}
+	})
+	lookups := func(status int, body string, release int) http.HandlerFunc {
+		released := make(chan struct{})
+		var count atomic.Int32
+		return func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodGet {
+				w.WriteHeader(status)
+				io.WriteString(w, body)
+				if count.Add(1) == int32(release) {
+					close(released)
+				}
+				return
+			}
+			io.Copy(io.Discard, r.Body)
+			select {
+			case <-released:
+				w.Header().Set(endpoint.HeaderRequestID, "c-1")
+				io.WriteString(w, "done")
+			case <-r.Context().Done():
+			}
+		}
+	}
+	t.Run("is given up if the runner has not received it", func(t *testing.T) {
+		is := is.New(t)
+		server := httptest.NewServer(lookups(http.StatusNotFound, `{"error":{"type":"attempt_not_found"}}`, 0))
+		defer server.Close()
+		client := endpoint.NewServiceClient(entity.Endpoint{URL: server.URL}, newClient(t), options)
+		_, err := client.Call(t.Context(), deposit("c-1", "a-1"))
+		is.True(errors.Is(err, endpoint.ErrUnanswered))
+	})
+	t.Run("is waited for while the runner can't tell", func(t *testing.T) {
+		is := is.New(t)
+		server := httptest.NewServer(lookups(http.StatusServiceUnavailable, "", 8))
+		defer server.Close()
+		client := endpoint.NewServiceClient(entity.Endpoint{URL: server.URL}, newClient(t), options)
+		got, err := client.Call(t.Context(), deposit("c-1", "a-1"))
+		is.NoErr(err)
+		is.Equal(string(got.Body), "done")
+	})
+}
+
 // Connections are reset at random moments. No call may run twice, or run
 // although it was reported as not sent.
 func TestServiceClient_NotSentMeansNotRun(t *testing.T) {
