forwarder: no slot at an endpoint that this VM knows to be draining or gone

Callers are sent to endpoints that exit under their requests.

Cause: the VM that schedules a service may be among those that are cut off. It assigned slots by its own, old list, and the requesting VM sent the request although its own list was newer. Ruled out: a late feed of the requesting VM; the record names VMs in touch, and the entry had been acknowledged more than 2 s before.

The requesting VM now names, in each request for a slot, the endpoints of the service that drain, that said so or whose entry was removed within 15 minutes. An entry that comes back is usable again unless the endpoint said that it leaves.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -84,8 +84,8 @@
 		r.Update([]Endpoint{entry}, nil, start)
 		r.Replace([]Endpoint{entry}, start)
 		is.Equal(r.List(), []Endpoint{draining})
-		is.Equal(r.Leaving("s"), []string{"a"})
-		is.Equal(len(r.Leaving("other")), 0)
+		is.Equal(r.Unusable("s"), []string{"a"})
+		is.Equal(len(r.Unusable("other")), 0)
 	})
 	t.Run("is draining when its entry comes back", func(t *testing.T) {
 		is := is.New(t)
@@ -93,7 +93,7 @@
 		r.Replace([]Endpoint{entry}, start)
 		r.MarkLeaving("a", start)
 		r.Update(nil, []string{"a"}, start)
-		is.Equal(r.Leaving("s"), []string{"a"}) // another VM may still list it
+		is.Equal(r.Unusable("s"), []string{"a"}) // another VM may still list it
 		r.Update([]Endpoint{entry}, nil, start)
 		is.Equal(r.List(), []Endpoint{draining})
 	})
@@ -101,7 +101,7 @@
 		is := is.New(t)
 		r := &Registry{}
 		r.MarkLeaving("a", start)
-		is.Equal(r.Leaving("s"), []string{"a"})
+		is.Equal(r.Unusable("s"), []string{"a"})
 		r.Update([]Endpoint{entry}, nil, start)
 		is.Equal(r.List(), []Endpoint{draining})
 		r.Update([]Endpoint{restarted}, nil, start)
@@ -114,23 +114,43 @@
 		r.MarkLeaving("a", start)
 		r.Update([]Endpoint{restarted}, nil, start)
 		is.Equal(r.List(), []Endpoint{restarted})
-		is.Equal(len(r.Leaving("s")), 0)
+		is.Equal(len(r.Unusable("s")), 0)
 	})
 	t.Run("is forgotten only after it has not been listed for long", func(t *testing.T) {
 		is := is.New(t)
 		r := &Registry{}
 		r.Replace([]Endpoint{entry}, start)
 		r.MarkLeaving("a", start)
-		gone := start.Add(2 * leavingRetention)
+		gone := start.Add(2 * departureRetention)
 		r.DropExpired(gone)
 		r.Update(nil, []string{"a"}, gone)
-		r.DropExpired(gone.Add(leavingRetention - 1))
-		is.Equal(r.Leaving("s"), []string{"a"})
-		r.DropExpired(gone.Add(leavingRetention))
-		is.Equal(len(r.Leaving("s")), 0)
+		r.DropExpired(gone.Add(departureRetention - 1))
+		is.Equal(r.Unusable("s"), []string{"a"})
+		r.DropExpired(gone.Add(departureRetention))
+		is.Equal(len(r.Unusable("s")), 0)
 	})
 }
 
+func TestRegistry_UnusableEndpoints(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	r := &Registry{}
+	r.Replace([]Endpoint{{ID: "a", Service: "s"}, {ID: "b", Service: "s", Draining: true}, {ID: "c", Service: "other", Draining: true}}, start)
+	is.Equal(r.Unusable("s"), []string{"b"})
+	r.Update([]Endpoint{{ID: "b", Service: "s"}}, []string{"a"}, start)
+	is.Equal(r.Unusable("s"), []string{"a"}) // gone
+	r.Update([]Endpoint{{ID: "a", Service: "s"}}, nil, start)
+	is.Equal(len(r.Unusable("s")), 0) // its entry is back
+	r.FeedLost()
+	r.Replace(nil, start)
+	is.Equal(len(r.Unusable("s")), 0) // may be alive
+	r.FeedRestored(start)
+	r.DropExpired(start.Add(missingRetention))
+	is.Equal(len(r.Unusable("s")), 2)
+	r.DropExpired(start.Add(missingRetention + departureRetention))
+	is.Equal(len(r.Unusable("s")), 0)
+}
+
 func TestRequest_PrefixHashesCoverTheWholePrefix(t *testing.T) {
 	is := is.New(t)
 	a := (&Request{Prompt: []PromptPart{{"s", 10}, {"x", 5}}}).PrefixHashes()
--- a/internal/forward/registry.go
+++ b/internal/forward/registry.go
@@ -13,9 +13,10 @@
 // Endpoints that vanish within that time are treated alike.
 const missingRetention = 2200 * time.Millisecond
 
-// leavingRetention is how long the registry remembers that an endpoint is leaving
-// after the endpoint was last listed. Its entry may come back in that time.
-const leavingRetention = 15 * time.Minute
+// departureRetention is how long the registry remembers an endpoint that is leaving
+// or gone after the endpoint was last listed. Its entry may come back in that time,
+// and other VMs may still use it.
+const departureRetention = 15 * time.Minute
 
 // Registry holds the list of live endpoints. It is safe for concurrent use.
 type Registry struct {
@@ -27,13 +28,15 @@
 	missingSince   map[string]time.Time // guarded by mu; when an endpoint that is kept for missingRetention vanished, by id
 	feedLost       bool                 // guarded by mu
 	feedRestoredAt time.Time            // guarded by mu
-	leaving        map[string]departure // guarded by mu; endpoints that said that they leave, by id
+	departures     map[string]departure // guarded by mu; endpoints that are leaving or gone, by id
 }
 
-// departure describes an endpoint that said that it leaves.
+// departure describes an endpoint that said that it leaves or whose entry was
+// removed.
 type departure struct {
-	// started identifies the process that leaves, as in Endpoint.StartedUnixMilli.
-	// It is unknown if the endpoint was not listed at the time.
+	saidLeaving bool
+	// started identifies the process that said that it leaves, as in
+	// Endpoint.StartedUnixMilli. It is unknown if the endpoint was not listed then.
 	started      int64
 	startedKnown bool
 	service      string    // empty until the endpoint is listed
@@ -60,15 +63,14 @@
 // that was not known before.
 func (r *Registry) MarkLeaving(id string, now time.Time) bool {
 	r.mu.Lock()
-	if _, known := r.leaving[id]; known {
+	if r.departures[id].saidLeaving {
 		r.mu.Unlock()
 		return false
 	}
-	if r.leaving == nil {
-		r.leaving = make(map[string]departure)
-	}
 	e, listed := r.endpoints[id]
-	r.leaving[id] = departure{started: e.StartedUnixMilli, startedKnown: listed, service: e.Service, lastListed: now}
+	r.addDeparture(id, departure{
+		saidLeaving: true, started: e.StartedUnixMilli, startedKnown: listed, service: e.Service, lastListed: now,
+	})
 	if listed {
 		e.Draining = true
 		r.endpoints[id] = e
@@ -78,14 +80,28 @@
 	return true
 }
 
-// Leaving returns the ids of the endpoints of a service that said that they leave,
-// listed or not.
-func (r *Registry) Leaving(service string) []string {
+// addDeparture stores a departure. The caller holds mu.
+func (r *Registry) addDeparture(id string, d departure) {
+	if r.departures == nil {
+		r.departures = make(map[string]departure)
+	}
+	r.departures[id] = d
+}
+
+// Unusable returns the ids of the endpoints of a service that must get no more
+// requests: those that are draining, said that they leave or are gone. Another VM
+// may not know this yet.
+func (r *Registry) Unusable(service string) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var ids []string
-	for id, d := range r.leaving {
-		if d.service == service || d.service == "" {
+	for id, e := range r.endpoints {
+		if e.Draining && e.Service == service {
+			ids = append(ids, id)
+		}
+	}
+	for id, d := range r.departures {
+		if _, listed := r.endpoints[id]; !listed && (d.service == service || d.service == "") {
 			ids = append(ids, id)
 		}
 	}
@@ -134,12 +150,12 @@
 		r.missingSince = make(map[string]time.Time)
 	}
 	delete(r.missingSince, e.ID)
-	if d, leaving := r.leaving[e.ID]; leaving {
-		if d.startedKnown && d.started != e.StartedUnixMilli {
-			delete(r.leaving, e.ID) // another process
+	if d, departed := r.departures[e.ID]; departed {
+		if !d.saidLeaving || d.startedKnown && d.started != e.StartedUnixMilli {
+			delete(r.departures, e.ID) // its entry is back, or it is another process
 		} else {
 			d.started, d.startedKnown, d.service = e.StartedUnixMilli, true, e.Service
-			r.leaving[e.ID] = d
+			r.departures[e.ID] = d
 			e.Draining = true
 		}
 	}
@@ -162,6 +178,14 @@
 		}
 		return
 	}
+	r.drop(id, now)
+}
+
+// drop removes an endpoint from the list. The caller holds mu.
+func (r *Registry) drop(id string, now time.Time) {
+	if _, departed := r.departures[id]; !departed {
+		r.addDeparture(id, departure{service: r.endpoints[id].Service, lastListed: now})
+	}
 	delete(r.endpoints, id)
 	delete(r.missingSince, id)
 }
@@ -174,8 +198,7 @@
 	changed := false
 	if !r.feedLost && now.Sub(r.feedRestoredAt) >= missingRetention {
 		for id := range r.missingSince {
-			delete(r.endpoints, id)
-			delete(r.missingSince, id)
+			r.drop(id, now)
 			changed = true
 		}
 	}
@@ -186,14 +209,14 @@
 }
 
 // dropDepartures forgets the endpoints that have not been listed for
-// leavingRetention since they said that they leave. The caller holds mu.
+// departureRetention. The caller holds mu.
 func (r *Registry) dropDepartures(now time.Time) {
-	for id, d := range r.leaving {
+	for id, d := range r.departures {
 		if _, listed := r.endpoints[id]; listed {
 			d.lastListed = now
-			r.leaving[id] = d
-		} else if now.Sub(d.lastListed) >= leavingRetention {
-			delete(r.leaving, id)
+			r.departures[id] = d
+		} else if now.Sub(d.lastListed) >= departureRetention {
+			delete(r.departures, id)
 		}
 	}
 }
--- a/internal/system/forwarder/forwarder.go
+++ b/internal/system/forwarder/forwarder.go
@@ -71,14 +71,14 @@
 	Acquire(ctx context.Context, req dispatch.SlotRequest) (*dispatch.Slot, error)
 }
 
-// EndpointRegistry tracks the endpoints that said that they leave.
+// EndpointRegistry knows the endpoints that are leaving or gone.
 type EndpointRegistry interface {
 	// MarkLeaving records that an endpoint said that it leaves, and reports whether
 	// that was not known before.
 	MarkLeaving(endpoint string, now time.Time) bool
-	// Leaving returns the ids of the endpoints of a service that must get no more
-	// requests because they said that they leave.
-	Leaving(service string) []string
+	// Unusable returns the ids of the endpoints of a service that must get no more
+	// requests since they are leaving or gone.
+	Unusable(service string) []string
 }
 
 // Forwarder forwards requests. It is safe for concurrent use.
