dispatch: a VM with an outdated list of endpoints leaves the scheduling to others

A scheduler whose feed of endpoints is lost now answers NotReady to VMs whose own feed works; they ask the next VM in order and don't come back to it for 500 ms. Such replies come at once and don't count as attempts, up to four. Until the loss is noticed (up to 3.8 s if connections are silent), a refusal for want of any listed endpoint lets the requesting VM's own scheduler decide. A refusal because all listed endpoints back off after failed connections stands, and has a reason of its own, "endpoints unreachable".

--- a/internal/forward/registry.go
+++ b/internal/forward/registry.go
@@ -58,6 +58,13 @@
 	r.feedRestoredAt = now
 }
 
+// Current reports whether the feed of endpoints can be read.
+func (r *Registry) Current() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.feedLost
+}
+
 // MarkLeaving records that an endpoint said that it leaves. From then on it counts
 // as draining, whatever its entry says, until it starts again. It reports whether
 // that was not known before.
--- a/internal/system/dispatch/client.go
+++ b/internal/system/dispatch/client.go
@@ -20,8 +20,12 @@
 	// within that time.
 	notReadyRetryAfter = 200 * time.Millisecond
 	// maxRemoteAttempts is the number of remote schedulers tried before this
-	// VM's own scheduler decides.
+	// VM's own scheduler decides. Schedulers that are not ready reply at once and
+	// don't count, up to maxNotReady.
 	maxRemoteAttempts = 2
+	maxNotReady       = 4
+	// notReadyBackoff is how long a scheduler that was not ready is not asked again.
+	notReadyBackoff = 500 * time.Millisecond
 )
 
 // RefusedError reports that a request was refused a slot. The request has not run.
@@ -51,6 +55,7 @@
 	mu              sync.Mutex
 	pendingReleases map[string][]SlotRelease // guarded by mu, by scheduler address
 	flushing        map[string]bool          // guarded by mu; whether flushReleases runs, by scheduler address
+	notReadyUntil   map[string]time.Time     // guarded by mu; end of notReadyBackoff, by scheduler address
 }
 
 // Slot is the right to run one request at an endpoint. It must be released
@@ -69,21 +74,26 @@
 // own. Its error is a *RefusedError or the error of ctx.
 func (c *Client) Acquire(ctx context.Context, req SlotRequest) (*Slot, error) {
 	start := time.Now()
-	remoteAttempts := 0
+	attempts, notReady := 0, 0
 	for _, addr := range c.Schedulers(req.Service) {
-		if addr == "" || remoteAttempts >= maxRemoteAttempts {
+		if addr == "" || attempts >= maxRemoteAttempts || notReady >= maxNotReady {
 			break
 		}
-		if c.Suspects.Suspected(addr) {
+		if c.Suspects.Suspected(addr) || c.backsOff(addr, time.Now()) {
 			continue
 		}
-		remoteAttempts++
 		slot, err := c.acquireFrom(ctx, addr, req)
 		var refused *RefusedError
-		if err == nil || errors.As(err, &refused) || ctx.Err() != nil {
+		switch {
+		case errors.Is(err, errNotReady):
+			notReady++
+			c.backOff(addr, time.Now())
+		case errors.As(err, &refused) && refused.Reason == reasonNoEndpoint:
+			attempts = maxRemoteAttempts // this VM may know endpoints that the scheduler has not read yet
+		case err == nil || refused != nil || ctx.Err() != nil:
 			return slot, err
-		}
-		if !errors.Is(err, errNotReady) {
+		default:
+			attempts++
 			c.Suspects.Suspect(addr, err)
 		}
 		elapsed := time.Since(start)
@@ -92,6 +102,7 @@
 		req.Finish -= elapsed
 		req.LateFinish -= elapsed
 	}
+	req.ListCurrent = false // no other scheduler is left
 	slot, err := c.acquireFrom(ctx, "", req)
 	if errors.Is(err, errNotReady) {
 		return nil, &RefusedError{Reason: err.Error(), RetryAfter: notReadyRetryAfter}
@@ -99,7 +110,28 @@
 	return slot, err
 }
 
-// errNotReady means that a scheduler has not loaded the list of endpoints yet.
+// backsOff reports whether a scheduler was not ready less than notReadyBackoff ago.
+func (c *Client) backsOff(addr string, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until, ok := c.notReadyUntil[addr]
+	if ok && !now.Before(until) {
+		delete(c.notReadyUntil, addr)
+	}
+	return ok && now.Before(until)
+}
+
+func (c *Client) backOff(addr string, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.notReadyUntil == nil {
+		c.notReadyUntil = make(map[string]time.Time)
+	}
+	c.notReadyUntil[addr] = now.Add(notReadyBackoff)
+}
+
+// errNotReady means that a scheduler has not loaded the list of endpoints yet, or
+// that its list may be outdated.
 var errNotReady = errors.New("list of endpoints not loaded yet")
 
 // acquireFrom acquires a slot from one scheduler.
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -66,8 +66,12 @@
 	Prefixes           []uint64 // hashes of the prompt's prefixes, shortest prefix first
 	PartTokens         []int32  // tokens that each prefix adds to the one before it
 	AnswerTokens       int      // expected length of the answer; 0 for services without engines
-	Avoid              []string // ids of endpoints to exclude
-	AvoidDCs           []string // data centres to exclude
+	// ListCurrent means that the requesting VM's list of endpoints is up to date, as
+	// far as that VM can tell. A scheduler whose own list may be outdated then
+	// leaves the decision to another one.
+	ListCurrent bool
+	Avoid       []string // ids of endpoints to exclude
+	AvoidDCs    []string // data centres to exclude
 }
 
 // promptTokens returns the length of the prompt in tokens.
@@ -87,8 +91,9 @@
 	Queued State = iota
 	Assigned
 	Refused
-	// NotReady means that the scheduler has not loaded the list of endpoints. The
-	// scheduler of another VM may have loaded it.
+	// NotReady means that the scheduler has not loaded the list of endpoints, or that
+	// its list may be outdated and the requesting VM's is not. The scheduler of
+	// another VM may have the current list.
 	NotReady
 )
 
@@ -143,6 +148,7 @@
 	requests   map[uint64]*request // by ticket
 	lastTicket uint64
 	ready      bool // SetEndpoints was called
+	outdated   bool // changes of the list of endpoints can't be read
 	// candidates and candidateEndpoints are buffers that assignBest reuses.
 	candidates         []placement.Candidate
 	candidateEndpoints []*endpoint
@@ -235,6 +241,14 @@
 	}
 }
 
+// SetOutdated records whether the list of endpoints may be outdated because its
+// changes can't be read.
+func (s *Scheduler) SetOutdated(outdated bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outdated = outdated
+}
+
 // upsertEndpoint adds an endpoint or updates its description. An endpoint that has
 // restarted or moved to another address starts with all slots free.
 func (s *Scheduler) upsertEndpoint(e forward.Endpoint, kvTokens int) {
@@ -264,7 +278,7 @@
 func (s *Scheduler) Submit(args SlotRequest) SlotResponse {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.ready {
+	if !s.ready || s.outdated && args.ListCurrent {
 		return SlotResponse{State: NotReady}
 	}
 	now := s.clock.Now()
@@ -298,23 +312,34 @@
 	return r.response
 }
 
+// Reasons of refusals of requests that no endpoint can serve now.
+const (
+	reasonNoEndpoint  = "no endpoint"           // none is listed that the request may use
+	reasonUnreachable = "endpoints unreachable" // all listed ones back off after failed connections
+)
+
 // refusalReason returns the reason why a request can't be served by any endpoint, or "".
 func (s *Scheduler) refusalReason(p *pool, r *request, now time.Duration) string {
-	eligible := 0
+	reason := reasonNoEndpoint
 	for _, e := range p.sortedEndpoints {
-		if e.eligible(&r.args, now) {
-			eligible++
+		switch {
+		case e.eligible(&r.args, now):
+			return ""
+		case e.allowed(&r.args):
+			reason = reasonUnreachable
 		}
 	}
-	if eligible == 0 {
-		return "no endpoint"
-	}
-	return ""
+	return reason
 }
 
 // eligible reports whether the endpoint may serve the request, now or after a fullBackoff.
 func (e *endpoint) eligible(args *SlotRequest, now time.Duration) bool {
-	return !e.Draining && e.backoffUntil <= now+fullBackoff && !slices.Contains(args.Avoid, e.ID) && !slices.Contains(args.AvoidDCs, e.DC)
+	return e.allowed(args) && e.backoffUntil <= now+fullBackoff
+}
+
+// allowed reports whether the request may use the endpoint.
+func (e *endpoint) allowed(args *SlotRequest) bool {
+	return !e.Draining && !slices.Contains(args.Avoid, e.ID) && !slices.Contains(args.AvoidDCs, e.DC)
 }
 
 // Decided returns a channel that is closed when a waiting request is decided, or
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -238,7 +238,7 @@
 	slotReq := dispatch.SlotRequest{
 		Service: x.service.Name, Request: req.ID, Program: req.Program, VM: x.f.VM, DC: x.f.DC, Deadline: x.deadline.Sub(now),
 		Priority: x.route.Priority, First: x.firstTurn, Once: !x.route.Retryable(), Prefixes: req.PrefixHashes(),
-		Avoid: slices.Concat(endpoints, x.excluded, x.f.Endpoints.Unusable(x.service.Name)), AvoidDCs: dcs,
+		ListCurrent: x.f.Endpoints.Current(), Avoid: slices.Concat(endpoints, x.excluded, x.f.Endpoints.Unusable(x.service.Name)), AvoidDCs: dcs,
 	}
 	if !req.Finish.IsZero() {
 		slotReq.HasFinish, slotReq.Finish = true, req.Finish.Sub(now)
--- a/internal/system/forwarder/forwarder.go
+++ b/internal/system/forwarder/forwarder.go
@@ -79,6 +79,8 @@
 	// Unusable returns the ids of the endpoints of a service that must get no more
 	// requests since they are leaving or gone.
 	Unusable(service string) []string
+	// Current reports whether changes of the list of endpoints can be read.
+	Current() bool
 }
 
 // Forwarder forwards requests. It is safe for concurrent use.
