tokenbudget: a grant counts the settlements that are still on their way

A program's turn could be refused with 503 while the store was away although its earlier turns had returned their tokens: a VM settles a grant of another VM without waiting, and the next request for a grant could reach the keeper first.

A request for a grant now carries the settlements of that VM which the keeper has not confirmed yet, and the keeper applies them first. A settlement that arrives twice has no further effect, since a grant can be settled once only.

TestQuotas_GrantCountsSettlementsThatAreOnTheirWay uses a method that did not exist before.

--- a/internal/system/tokenbudget/peers.go
+++ b/internal/system/tokenbudget/peers.go
@@ -151,6 +151,11 @@
 	// RelayAddresses returns the mesh addresses of VMs that may relay a call, in
 	// an order that depends on the key.
 	RelayAddresses func(key string) []string
+
+	mu sync.Mutex
+	// settling holds the settlements of grants that are on their way, by keeper and
+	// grant; guarded by mu.
+	settling map[string]map[uint64]int64
 }
 
 // call calls a method of a process.
@@ -199,13 +204,14 @@
 
 // Settle implements Peers.
 func (c *PeerClient) Settle(home string, id uint64, generated int64) {
-	c.settleAsync(home, serviceName+".Settle", id, generated)
+	c.settleAsync(home, serviceName+".Settle", id, generated, func() {})
 }
 
 // settleAsync ends a reservation or a grant without waiting for the other VM,
-// which counts it as used if the call fails.
-func (c *PeerClient) settleAsync(process, method string, id uint64, generated int64) {
+// which counts it as used if the call fails, and calls done afterwards.
+func (c *PeerClient) settleAsync(process, method string, id uint64, generated int64, done func()) {
 	go func() {
+		defer done()
 		var ok bool
 		err := c.call(context.Background(), process, method, c.Timeouts.Reserve, SettleRequest{id, generated}, &ok)
 		if err != nil {
--- a/internal/system/tokenbudget/quotas.go
+++ b/internal/system/tokenbudget/quotas.go
@@ -328,10 +328,15 @@
 type GrantRequest struct {
 	Ask ReserveRequest
 	All bool // whatever is left of the quota, without settling
+	// Settled are settlements that may still be on their way to the keeper.
+	Settled []SettleRequest
 }
 
 // Allow grants tokens to another VM.
 func (s *service) Allow(req GrantRequest, out *GrantResponse) error {
+	for _, settled := range req.Settled {
+		s.quotas.settleGrant(settled.ID, settled.Generated)
+	}
 	g, err := s.quotas.grantTokens(req.Ask, req.All)
 	out.ID, out.Tokens = int64(g.ID), g.Tokens
 	out.Spent = errors.Is(err, ErrSpent)
@@ -350,7 +355,7 @@
 
 func (c *PeerClient) requestGrant(ctx context.Context, keeper string, req ReserveRequest, all bool) (Grant, error) {
 	var resp GrantResponse
-	err := c.call(ctx, keeper, serviceName+".Allow", c.Timeouts.Keeper, GrantRequest{req, all}, &resp)
+	err := c.call(ctx, keeper, serviceName+".Allow", c.Timeouts.Keeper, GrantRequest{req, all, c.settlingAt(keeper)}, &resp)
 	switch {
 	case err != nil:
 		return Grant{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
@@ -363,5 +368,38 @@
 }
 
 func (c *PeerClient) settleGrant(keeper string, id uint64, generated int64) {
-	c.settleAsync(keeper, serviceName+".SettleAllowance", id, generated)
+	c.beginSettling(keeper, id, generated)
+	c.settleAsync(keeper, serviceName+".SettleAllowance", id, generated, func() { c.endSettling(keeper, id) })
+}
+
+func (c *PeerClient) beginSettling(keeper string, id uint64, generated int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.settling == nil {
+		c.settling = make(map[string]map[uint64]int64)
+	}
+	if c.settling[keeper] == nil {
+		c.settling[keeper] = make(map[uint64]int64)
+	}
+	c.settling[keeper][id] = generated
+}
+
+func (c *PeerClient) endSettling(keeper string, id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.settling[keeper], id)
+	if len(c.settling[keeper]) == 0 {
+		delete(c.settling, keeper)
+	}
+}
+
+// settlingAt returns the settlements that are on their way to a keeper.
+func (c *PeerClient) settlingAt(keeper string) []SettleRequest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []SettleRequest
+	for id, generated := range c.settling[keeper] {
+		list = append(list, SettleRequest{id, generated})
+	}
+	return list
 }
--- a/internal/system/tokenbudget/tokenbudget_test.go
+++ b/internal/system/tokenbudget/tokenbudget_test.go
@@ -156,6 +156,31 @@
 	})
 }
 
+func TestQuotas_GrantCountsSettlementsThatAreOnTheirWay(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, "dc-1")
+	vm, other := f.start("a", "dc-1"), f.start("b", "dc-1")
+	f.assignKeepers()
+	f.store.setDown(true)
+	first, err := vm.quotas.Reserve(t.Context(), reserveRequest("p", 1300))
+	is.NoErr(err)
+	if first.Keeper == vm.process {
+		vm = other
+	}
+	var grants []Grant
+	for err == nil { // until the quota is used up
+		var g Grant
+		if g, err = vm.quotas.Reserve(t.Context(), reserveRequest("p", 1300)); err == nil {
+			grants = append(grants, g)
+		}
+	}
+	for _, g := range grants {
+		vm.quotas.Peers.beginSettling(g.Keeper, g.ID, 0)
+	}
+	_, err = vm.quotas.Reserve(t.Context(), reserveRequest("p", 1300))
+	is.NoErr(err)
+}
+
 func TestLedger_LostResponses(t *testing.T) {
 	t.Run("a block is recovered after its response was lost", func(t *testing.T) {
 		is := is.New(t)
