forward: an endpoint that said that it leaves after its entry was removed

Such an endpoint would have got no requests after its next start under the same id: its former start was no longer known, so that the new process passed for the one that leaves. The start is now kept with the removal. The new subtest of TestRegistry_EndpointThatSaidItLeaves failed before.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -107,6 +107,16 @@
 		r.Update([]Endpoint{restarted}, nil, start)
 		is.Equal(r.List(), []Endpoint{restarted})
 	})
+	t.Run("takes requests after it has started again, also if it said so when its entry was gone", func(t *testing.T) {
+		is := is.New(t)
+		r := &Registry{}
+		r.Replace([]Endpoint{entry}, start)
+		r.Update(nil, []string{"a"}, start)
+		is.True(r.MarkLeaving("a", start))
+		is.Equal(r.Unusable("s"), []string{"a"})
+		r.Update([]Endpoint{restarted}, nil, start)
+		is.Equal(r.List(), []Endpoint{restarted})
+	})
 	t.Run("takes requests after it has started again", func(t *testing.T) {
 		is := is.New(t)
 		r := &Registry{}
--- a/internal/forward/registry.go
+++ b/internal/forward/registry.go
@@ -35,8 +35,8 @@
 // removed.
 type departure struct {
 	saidLeaving bool
-	// started identifies the process that said that it leaves, as in
-	// Endpoint.StartedUnixMilli. It is unknown if the endpoint was not listed then.
+	// started identifies the process, as in Endpoint.StartedUnixMilli. It is unknown
+	// if the endpoint has not been listed.
 	started      int64
 	startedKnown bool
 	service      string    // empty until the endpoint is listed
@@ -70,14 +70,17 @@
 // that was not known before.
 func (r *Registry) MarkLeaving(id string, now time.Time) bool {
 	r.mu.Lock()
-	if r.departures[id].saidLeaving {
+	d := r.departures[id]
+	if d.saidLeaving {
 		r.mu.Unlock()
 		return false
 	}
+	d.saidLeaving, d.lastListed = true, now
 	e, listed := r.endpoints[id]
-	r.addDeparture(id, departure{
-		saidLeaving: true, started: e.StartedUnixMilli, startedKnown: listed, service: e.Service, lastListed: now,
-	})
+	if listed {
+		d.started, d.startedKnown, d.service = e.StartedUnixMilli, true, e.Service
+	}
+	r.addDeparture(id, d)
 	if listed {
 		e.Draining = true
 		r.endpoints[id] = e
@@ -191,7 +194,8 @@
 // drop removes an endpoint from the list. The caller holds mu.
 func (r *Registry) drop(id string, now time.Time) {
 	if _, departed := r.departures[id]; !departed {
-		r.addDeparture(id, departure{service: r.endpoints[id].Service, lastListed: now})
+		e := r.endpoints[id]
+		r.addDeparture(id, departure{started: e.StartedUnixMilli, startedKnown: true, service: e.Service, lastListed: now})
 	}
 	delete(r.endpoints, id)
 	delete(r.missingSince, id)
