--- a/internal/standin/faultproxy/link.go
+++ b/internal/standin/faultproxy/link.go
@@ -2,9 +2,9 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -22,8 +22,9 @@
 
 // chunk is data to forward.
 type chunk struct {
-	data []byte
-	due  time.Time // earliest time to forward it
+	data  []byte
+	reset bool      // reset the link instead of writing data
+	due   time.Time // earliest time to forward it
 }
 
 // run forwards bytes in both directions until both have ended.
@@ -42,7 +43,8 @@
 }
 
 // pipe forwards bytes in one direction until that direction ends; a reset is passed
-// on as a reset. blockingMode is the mode that blocks only this direction.
+// on after the bytes before it. blockingMode is the mode that blocks only this
+// direction.
 func (l *link) pipe(from, to *net.TCPConn, blockingMode Mode) {
 	queue := make(chan chunk, maxQueuedChunks)
 	var wg sync.WaitGroup
@@ -56,8 +58,8 @@
 			queue <- chunk{data: buf[:n], due: time.Now().Add(l.proxy.currentDelay())}
 		}
 		if err != nil {
-			if !errors.Is(err, io.EOF) {
-				l.reset()
+			if errors.Is(err, syscall.ECONNRESET) {
+				queue <- chunk{reset: true, due: time.Now().Add(l.proxy.currentDelay())}
 			}
 			return
 		}
@@ -83,9 +85,14 @@
 			broken = true
 			continue
 		}
-		if _, err := to.Write(c.data); err != nil {
+		if c.reset {
 			broken = true
 			l.reset()
+			continue
+		}
+		if _, err := to.Write(c.data); err != nil {
+			broken = true
+			l.close()
 		}
 	}
 	if !broken && l.waitUntilAllowed(blockingMode) {
