forwarder: streams with any status of success are checked for their end

Only responses with status 200 were read as streams; one with another status of success, say 206, that ended inside an event still reached its caller as complete. A resumed stream still has to have status 200.

--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -464,7 +464,7 @@
 		return interrupted, fmt.Errorf("endpoint responded with status %d without proof that the request has not run", resp.StatusCode)
 	}
 	isStream := x.isEventStream(resp)
-	if x.headerSent && !isStream {
+	if x.headerSent && (!isStream || resp.StatusCode != http.StatusOK) {
 		conn.Close()
 		return interrupted, fmt.Errorf("endpoint responded to the resumed request with status %d and no stream", resp.StatusCode)
 	}
@@ -492,7 +492,7 @@
 // isEventStream reports whether a response is a stream of events: a success whose
 // content type says so or, on a route for streams, is absent.
 func (x *exchange) isEventStream(resp *http.Response) bool {
-	if resp.StatusCode != http.StatusOK || x.request.Method == http.MethodHead {
+	if resp.StatusCode/100 != 2 || x.request.Method == http.MethodHead {
 		return false
 	}
 	contentType := resp.Header.Get("Content-Type")
