forwarder: a misdirected request says nothing about the endpoint's leave

An endpoint would have got no more requests of a VM for good if another one, at its former address, answered a request with 421 and said that it leaves: the answer was taken for that of the endpoint that the request was meant for. The new subtest of TestProcess_RunnerThatSaidItLeavesGetsNoMoreRequests failed before.

--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -413,9 +413,10 @@
 	}
 }
 
-// observeLeaving records whether the response says that its endpoint is leaving.
+// observeLeaving records whether the response says that its endpoint is leaving. A
+// misdirected request was answered by another endpoint.
 func (x *exchange) observeLeaving(resp *http.Response, endpoint string) {
-	if resp.Header.Get(x.f.Headers.Leaving) != "1" {
+	if resp.Header.Get(x.f.Headers.Leaving) != "1" || resp.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
 	x.endpointLeaves = true
