--- a/internal/forward/registry.go
+++ b/internal/forward/registry.go
@@ -6,6 +6,10 @@
 	"strings"
 	"sync"
 	"time"
+
+	"go.uber.org/zap"
+
+	"ibisstall.example/ibisstall/internal/logging/tag"
 )
 
 // missingRetention is how long an endpoint that vanished during an outage of the
@@ -22,6 +26,7 @@
 type Registry struct {
 	// OnChange is called with the complete list after each change.
 	OnChange func([]Endpoint)
+	Log      *zap.Logger // may be nil
 
 	mu             sync.Mutex
 	endpoints      map[string]Endpoint  // guarded by mu; by id
@@ -185,6 +190,7 @@
 	if r.feedLost || now.Sub(r.feedRestoredAt) < missingRetention {
 		if _, missing := r.missingSince[id]; !missing {
 			r.missingSince[id] = now
+			r.log("entry of an endpoint vanished around an outage of the feed; the endpoint is still used in case it lapsed", id)
 		}
 		return
 	}
@@ -197,10 +203,20 @@
 		e := r.endpoints[id]
 		r.addDeparture(id, departure{started: e.StartedUnixMilli, startedKnown: true, service: e.Service, lastListed: now})
 	}
+	since, wasMissing := r.missingSince[id]
+	if wasMissing {
+		r.log("endpoint that vanished is no longer used", id, tag.Duration(now.Sub(since)))
+	}
 	delete(r.endpoints, id)
 	delete(r.missingSince, id)
 }
 
+func (r *Registry) log(message, endpoint string, fields ...zap.Field) {
+	if r.Log != nil {
+		r.Log.Info(message, append(fields, tag.Endpoint(endpoint))...)
+	}
+}
+
 // DropExpired removes the missing endpoints once missingRetention has passed since
 // the last outage of the feed, and forgets endpoints that have left.
 func (r *Registry) DropExpired(now time.Time) {
--- a/internal/logging/tag/tag.go
+++ b/internal/logging/tag/tag.go
@@ -105,6 +105,10 @@
 // ForwardedProgram is the program of a forwarded request, as the caller named it.
 func ForwardedProgram(id string) zap.Field { return zap.String("program", id) }
 
+// Scheduler is the host:port address of the VM that assigned a slot; "" is the VM that
+// writes the line.
+func Scheduler(hostPort string) zap.Field { return zap.String("scheduler", hostPort) }
+
 // QueueWait is the time for which a request was queued for a slot, in seconds.
 func QueueWait(d time.Duration) zap.Field { return zap.Duration("waited_seconds", d) }
 
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -63,6 +63,7 @@
 	failureReason    string        // why the forwarder made the response itself, or left it incomplete; else empty
 	cause            error         // error of the last attempt or of the exchange, for the log; nil if none
 	endpoint         string        // id of the endpoint last tried
+	scheduler        string        // address of the VM that assigned the last slot; empty for this VM
 	endpointLeaves   bool          // it said so in a response to this request
 	queueWait        time.Duration // sum over all attempts to acquire a slot
 	sentAt           time.Time     // start of the last attempt
@@ -96,7 +97,7 @@
 		x.fail(err)
 		return false
 	}
-	x.endpoint = slot.Endpoint
+	x.endpoint, x.scheduler = slot.Endpoint, slot.Scheduler
 	x.queueWait += slot.QueueWait
 	return x.useSlot(slot)
 }
@@ -307,6 +308,9 @@
 		tag.Request(x.request.ID), tag.Status(x.status), tag.Duration(latency), tag.QueueWait(x.queueWait), tag.Endpoint(x.endpoint),
 		tag.Attempts(x.possibleRuns + x.notRunAttempts),
 	}
+	if x.scheduler != "" {
+		fields = append(fields, tag.Scheduler(x.scheduler))
+	}
 	if x.request.Program != "" {
 		fields = append(fields, tag.ForwardedProgram(x.request.Program))
 	}
