--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -65,6 +65,20 @@
 	is.Equal(r.List(), []Endpoint{{ID: "b", Slots: 2}}) // c has not registered again in time
 }
 
+// An endpoint that left shortly after an outage of the feed was used for seconds after its removal was read.
+func TestRegistry_EndpointRemovedAfterAnOutageIsNoLongerUsed(t *testing.T) {
+	is := is.New(t)
+	restoredAt := time.Unix(1000, 0)
+	r := &Registry{}
+	r.Replace([]Endpoint{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}}, restoredAt.Add(-time.Minute))
+	r.FeedLost()
+	r.FeedRestored(restoredAt)
+	r.Update([]Endpoint{{ID: "b", Service: "s", Slots: 1}}, nil, restoredAt) // the changes during the outage
+	r.Update(nil, []string{"a"}, restoredAt.Add(time.Millisecond))
+	is.Equal(len(r.List()), 1)
+	is.Equal(r.Unusable("s"), []string{"a"})
+}
+
 func TestRegistry_EndpointThatSaidItLeaves(t *testing.T) {
 	start := time.Unix(1000, 0)
 	entry := Endpoint{ID: "a", Service: "s", StartedUnixMilli: 7}
