changefeed: a change is read within two seconds, also on connections that went silent

Callers' requests reached endpoints that had left, and could be handled by an old configuration, for up to 3.8 s at a VM whose connection to the store had gone silent: a read of a feed waited 3 s for changes and 0.8 s more for the response, longer than the 2 s that the platform allows. After that, each retry could take another idle connection that was just as silent, and after an outage the next attempt could start 1.6 s after the store was back.

Cause: the age of the copies that a VM keeps of the store's rows (operators' configuration, endpoints, VMs, keepers) had no bound of its own; it followed from timeouts chosen for other reasons.

A feed that is silent costs 0.7 reads a second instead of 0.3.

--- a/internal/system/changefeed/changefeed.go
+++ b/internal/system/changefeed/changefeed.go
@@ -14,19 +14,22 @@
 	"ibisstall.example/ibisstall/internal/platform"
 )
 
-// Timing parameters of a follower.
+// Timing parameters of a follower. A VM has to act on a change within two seconds, also
+// if the connection on which it waits for changes goes silent.
 const (
 	// pollWait is how long the feed may hold a call while there are no changes.
-	pollWait = 3 * time.Second
+	pollWait = time.Second
 	// pollTimeoutSlack is how much longer than its wait a call may take: the feed
 	// may go silent without closing its connection.
-	pollTimeoutSlack = 800 * time.Millisecond
+	pollTimeoutSlack = 600 * time.Millisecond
 	// snapshotTimeout bounds the reading of a whole table.
-	snapshotTimeout = 2 * time.Second
-	// initialBackoff and maxBackoff bound the delay after a failed call, which
-	// doubles with each further failure.
+	snapshotTimeout = 1500 * time.Millisecond
+	// initialBackoff and maxBackoff bound the time from the start of a failed call to
+	// the next one, which doubles with each further failure. minPause is the shortest
+	// pause between two calls.
 	initialBackoff = 100 * time.Millisecond
-	maxBackoff     = 800 * time.Millisecond
+	maxBackoff     = 650 * time.Millisecond
+	minPause       = 50 * time.Millisecond
 )
 
 // Follower follows the changes of one table.
@@ -51,6 +54,7 @@
 	backoff := initialBackoff
 	cursor, hasCursor := uint64(0), false
 	for ctx.Err() == nil {
+		started := time.Now()
 		next, err := f.poll(ctx, cursor, hasCursor)
 		switch {
 		case err == nil:
@@ -64,7 +68,7 @@
 			continue
 		}
 		f.reportLost(ctx, err)
-		clock.Sleep(ctx, backoff)
+		clock.Sleep(ctx, max(minPause, backoff-time.Since(started)))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
--- a/internal/system/changefeed/changefeed_test.go
+++ b/internal/system/changefeed/changefeed_test.go
@@ -103,3 +103,121 @@
 		is.Equal(f.snapshots, 2)
 	})
 }
+
+// mortalFeed is a feed whose connections can go silent while new ones work.
+type mortalFeed struct {
+	mu      sync.Mutex
+	rows    []platform.Row
+	changed chan struct{} // closed and replaced when rows are added
+	silence chan struct{} // calls that began while this channel was current hang once it is closed
+	down    bool          // new calls hang
+}
+
+func (f *mortalFeed) add(r platform.Row) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rows = append(f.rows, r)
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// silenceCalls makes all calls in progress hang and, with down set, new ones too.
+func (f *mortalFeed) silenceCalls(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.silence)
+	f.silence, f.down = make(chan struct{}), down
+}
+
+func (f *mortalFeed) Snapshot(context.Context, string) ([]platform.Row, uint64, error) {
+	return nil, 0, nil
+}
+
+func (f *mortalFeed) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) ([]platform.Row, uint64, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	f.mu.Lock()
+	silence, down := f.silence, f.down
+	f.mu.Unlock()
+	for !down {
+		f.mu.Lock()
+		rows, changed := f.rows[after:], f.changed
+		f.mu.Unlock()
+		if len(rows) > 0 {
+			return rows, after + uint64(len(rows)), nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, after, nil
+		case <-silence:
+			down = true
+		case <-ctx.Done():
+			down = true
+		}
+	}
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// followMortalFeed starts a follower that records when each row was passed on.
+func followMortalFeed(t *testing.T) (f *mortalFeed, receivedAt func(id string) time.Time) {
+	f = &mortalFeed{changed: make(chan struct{}), silence: make(chan struct{})}
+	var mu sync.Mutex
+	times := make(map[string]time.Time)
+	follower := &Follower{
+		Feed: f, Table: "t", CoalesceInterval: 400 * time.Millisecond, Log: zap.NewNop(),
+		OnSnapshot: func([]platform.Row) {},
+		OnChanges: func(rows []platform.Row) {
+			mu.Lock()
+			defer mu.Unlock()
+			for _, r := range rows {
+				times[r.Key.ID] = time.Now()
+			}
+		},
+	}
+	go follower.Run(t.Context())
+	return f, func(id string) time.Time {
+		mu.Lock()
+		defer mu.Unlock()
+		return times[id]
+	}
+}
+
+// A VM acted on a change only after 3.8 s if the connection that it waited on went silent.
+func TestFollower_ChangeIsReadWithinTwoSecondsOfASilentConnection(t *testing.T) {
+	const actWithin = 2 * time.Second
+	for delay := time.Duration(0); delay < 4*time.Second; delay += 170 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f, receivedAt := followMortalFeed(t)
+			time.Sleep(delay)
+			f.silenceCalls(false)
+			changedAt := time.Now()
+			f.add(row("a"))
+			time.Sleep(actWithin)
+			at := receivedAt("a")
+			is.True(!at.IsZero() && at.Sub(changedAt) < actWithin)
+		})
+	}
+}
+
+// Entries that lapsed are kept for 2.2 s, and a VM counts as in touch 3 s after the return of the store.
+func TestFollower_ChangesOfAnOutageAreReadSoonAfterItsEnd(t *testing.T) {
+	const readWithin = 800 * time.Millisecond
+	for delay := time.Duration(0); delay < 2*time.Second; delay += 90 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f, receivedAt := followMortalFeed(t)
+			time.Sleep(time.Second)
+			f.silenceCalls(true)
+			time.Sleep(10*time.Second + delay)
+			f.silenceCalls(false) // calls that began during the outage get no response
+			f.add(row("a"))
+			endedAt := time.Now()
+			time.Sleep(readWithin)
+			at := receivedAt("a")
+			is.True(!at.IsZero() && at.Sub(endedAt) < readWithin)
+		})
+	}
+}
