forward: an entry removed after an outage of the feed is a removal, not a lapse

Cause: entries of live endpoints lapse while the store is away, so the registry keeps an endpoint whose entry vanishes around an outage for 2.2 s.

Change: each reading of the feed says how long ago the previous one was, pauses of the VM included. Only a reading after a gap in which an entry can lapse (two of the endpoints' heartbeats, from the settings) keeps the endpoints that it lacks; any other removal takes effect at once.

TestRegistry_KeepsEndpointsThatVanishDuringAnOutage required that an entry removed a second after the outage is kept, which is the fault itself: it now requires that of one that vanished during the outage, with the same bounds, and TestRegistry_RetentionOfMissingEndpoints adds when nothing is kept.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -43,38 +43,74 @@
 	is.Equal((&Route{Services: []WeightedService{{"a", 0}}}).PickService(1), "")
 }
 
+// at returns a reading soon after the previous one, as while the feed is readable.
+func at(t time.Time) Reading { return Reading{At: t, Gap: 400 * time.Millisecond} }
+
 func TestRegistry_KeepsEndpointsThatVanishDuringAnOutage(t *testing.T) {
+	const lapseTime = 2400 * time.Millisecond
 	is := is.New(t)
 	start := time.Unix(1000, 0)
-	r := &Registry{}
-	r.Replace([]Endpoint{{ID: "a"}, {ID: "b"}, {ID: "c"}}, start)
+	r := &Registry{LapseTime: lapseTime}
+	r.Replace([]Endpoint{{ID: "a"}, {ID: "b"}, {ID: "c"}}, Reading{At: start})
 
-	r.Update(nil, []string{"a"}, start)
+	r.Update(nil, []string{"a"}, at(start))
 	is.Equal(len(r.List()), 2) // removed at once while the feed is readable
 
-	r.FeedLost()
-	r.Replace([]Endpoint{{ID: "c"}}, start)
-	is.Equal(len(r.List()), 2) // b may be alive
+	r.FeedLost(start)
 	restoredAt := start.Add(10 * time.Second)
-	r.FeedRestored(restoredAt)
-	r.Update([]Endpoint{{ID: "b", Slots: 2}}, nil, restoredAt.Add(time.Second))
-	r.Update(nil, []string{"c"}, restoredAt.Add(time.Second))
-	r.DropExpired(restoredAt.Add(missingRetention - time.Millisecond))
+	r.FeedRestored()
+	r.Replace([]Endpoint{}, Reading{At: restoredAt, Gap: 10 * time.Second})
+	is.Equal(len(r.List()), 2) // b and c may be alive
+	r.Update([]Endpoint{{ID: "b", Slots: 2}}, nil, at(restoredAt.Add(time.Second)))
+	r.DropMissing(restoredAt.Add(missingRetention - time.Millisecond))
 	is.Equal(len(r.List()), 2)
-	r.DropExpired(restoredAt.Add(missingRetention))
+	r.DropMissing(restoredAt.Add(missingRetention))
 	is.Equal(r.List(), []Endpoint{{ID: "b", Slots: 2}}) // c has not registered again in time
 }
 
+func TestRegistry_RetentionOfMissingEndpoints(t *testing.T) {
+	const lapseTime = 2400 * time.Millisecond
+	restoredAt := time.Unix(1000, 0)
+	vanished := func(gap time.Duration) *Registry {
+		r := &Registry{LapseTime: lapseTime}
+		r.Replace([]Endpoint{{ID: "a"}}, Reading{At: restoredAt.Add(-gap)})
+		r.Update(nil, []string{"a"}, Reading{At: restoredAt, Gap: gap})
+		return r
+	}
+	t.Run("an outage that is too short for a lapse keeps none", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(len(vanished(lapseTime-1).List()), 0)
+		is.Equal(len(vanished(lapseTime).List()), 1)
+	})
+	t.Run("another outage keeps them, since they may have registered again", func(t *testing.T) {
+		is := is.New(t)
+		r := vanished(lapseTime)
+		r.FeedLost(restoredAt.Add(time.Second))
+		r.DropMissing(restoredAt.Add(time.Second + lapseTime))
+		is.Equal(len(r.List()), 1)
+		r.FeedRestored()
+		r.DropMissing(restoredAt.Add(time.Second + lapseTime))
+		is.Equal(len(r.List()), 0)
+	})
+	t.Run("a failed read of the feed does not prolong it", func(t *testing.T) {
+		is := is.New(t)
+		r := vanished(lapseTime)
+		r.FeedLost(restoredAt.Add(missingRetention - time.Millisecond))
+		r.DropMissing(restoredAt.Add(missingRetention))
+		is.Equal(len(r.List()), 0)
+	})
+}
+
 // An endpoint that left shortly after an outage of the feed was used for seconds after its removal was read.
 func TestRegistry_EndpointRemovedAfterAnOutageIsNoLongerUsed(t *testing.T) {
 	is := is.New(t)
 	restoredAt := time.Unix(1000, 0)
-	r := &Registry{}
-	r.Replace([]Endpoint{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}}, restoredAt.Add(-time.Minute))
-	r.FeedLost()
-	r.FeedRestored(restoredAt)
-	r.Update([]Endpoint{{ID: "b", Service: "s", Slots: 1}}, nil, restoredAt) // the changes during the outage
-	r.Update(nil, []string{"a"}, restoredAt.Add(time.Millisecond))
+	r := &Registry{LapseTime: 2400 * time.Millisecond}
+	r.Replace([]Endpoint{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}}, Reading{At: restoredAt.Add(-time.Minute)})
+	r.FeedLost(restoredAt.Add(-5 * time.Second))
+	r.FeedRestored()
+	r.Update([]Endpoint{{ID: "b", Service: "s", Slots: 1}}, nil, Reading{At: restoredAt, Gap: 6 * time.Second}) // the changes during the outage
+	r.Update(nil, []string{"a"}, at(restoredAt.Add(time.Millisecond)))
 	is.Equal(len(r.List()), 1)
 	is.Equal(r.Unusable("s"), []string{"a"})
 }
@@ -90,13 +126,13 @@
 		is := is.New(t)
 		notified := 0
 		r := &Registry{OnChange: func([]Endpoint) { notified++ }}
-		r.Replace([]Endpoint{entry}, start)
+		r.Replace([]Endpoint{entry}, at(start))
 		is.True(r.MarkLeaving("a", start))
 		is.Equal(notified, 2)
 		is.True(!r.MarkLeaving("a", start))
 		is.Equal(r.List(), []Endpoint{draining})
-		r.Update([]Endpoint{entry}, nil, start)
-		r.Replace([]Endpoint{entry}, start)
+		r.Update([]Endpoint{entry}, nil, at(start))
+		r.Replace([]Endpoint{entry}, at(start))
 		is.Equal(r.List(), []Endpoint{draining})
 		is.Equal(r.Unusable("s"), []string{"a"})
 		is.Equal(len(r.Unusable("other")), 0)
@@ -104,11 +140,11 @@
 	t.Run("is draining when its entry comes back", func(t *testing.T) {
 		is := is.New(t)
 		r := &Registry{}
-		r.Replace([]Endpoint{entry}, start)
+		r.Replace([]Endpoint{entry}, at(start))
 		r.MarkLeaving("a", start)
-		r.Update(nil, []string{"a"}, start)
+		r.Update(nil, []string{"a"}, at(start))
 		is.Equal(r.Unusable("s"), []string{"a"}) // another VM may still list it
-		r.Update([]Endpoint{entry}, nil, start)
+		r.Update([]Endpoint{entry}, nil, at(start))
 		is.Equal(r.List(), []Endpoint{draining})
 	})
 	t.Run("is draining when it is listed for the first time", func(t *testing.T) {
@@ -116,41 +152,41 @@
 		r := &Registry{}
 		r.MarkLeaving("a", start)
 		is.Equal(r.Unusable("s"), []string{"a"})
-		r.Update([]Endpoint{entry}, nil, start)
+		r.Update([]Endpoint{entry}, nil, at(start))
 		is.Equal(r.List(), []Endpoint{draining})
-		r.Update([]Endpoint{restarted}, nil, start)
+		r.Update([]Endpoint{restarted}, nil, at(start))
 		is.Equal(r.List(), []Endpoint{restarted})
 	})
 	t.Run("takes requests after it has started again, also if it said so when its entry was gone", func(t *testing.T) {
 		is := is.New(t)
 		r := &Registry{}
-		r.Replace([]Endpoint{entry}, start)
-		r.Update(nil, []string{"a"}, start)
+		r.Replace([]Endpoint{entry}, at(start))
+		r.Update(nil, []string{"a"}, at(start))
 		is.True(r.MarkLeaving("a", start))
 		is.Equal(r.Unusable("s"), []string{"a"})
-		r.Update([]Endpoint{restarted}, nil, start)
+		r.Update([]Endpoint{restarted}, nil, at(start))
 		is.Equal(r.List(), []Endpoint{restarted})
 	})
 	t.Run("takes requests after it has started again", func(t *testing.T) {
 		is := is.New(t)
 		r := &Registry{}
-		r.Replace([]Endpoint{entry}, start)
+		r.Replace([]Endpoint{entry}, at(start))
 		r.MarkLeaving("a", start)
-		r.Update([]Endpoint{restarted}, nil, start)
+		r.Update([]Endpoint{restarted}, nil, at(start))
 		is.Equal(r.List(), []Endpoint{restarted})
 		is.Equal(len(r.Unusable("s")), 0)
 	})
 	t.Run("is forgotten only after it has not been listed for long", func(t *testing.T) {
 		is := is.New(t)
 		r := &Registry{}
-		r.Replace([]Endpoint{entry}, start)
+		r.Replace([]Endpoint{entry}, at(start))
 		r.MarkLeaving("a", start)
 		gone := start.Add(2 * departureRetention)
-		r.DropExpired(gone)
-		r.Update(nil, []string{"a"}, gone)
-		r.DropExpired(gone.Add(departureRetention - 1))
+		r.DropDepartures(gone)
+		r.Update(nil, []string{"a"}, at(gone))
+		r.DropDepartures(gone.Add(departureRetention - 1))
 		is.Equal(r.Unusable("s"), []string{"a"})
-		r.DropExpired(gone.Add(departureRetention))
+		r.DropDepartures(gone.Add(departureRetention))
 		is.Equal(len(r.Unusable("s")), 0)
 	})
 }
@@ -159,19 +195,18 @@
 	is := is.New(t)
 	start := time.Unix(1000, 0)
 	r := &Registry{}
-	r.Replace([]Endpoint{{ID: "a", Service: "s"}, {ID: "b", Service: "s", Draining: true}, {ID: "c", Service: "other", Draining: true}}, start)
+	r.Replace([]Endpoint{{ID: "a", Service: "s"}, {ID: "b", Service: "s", Draining: true}, {ID: "c", Service: "other", Draining: true}}, at(start))
 	is.Equal(r.Unusable("s"), []string{"b"})
-	r.Update([]Endpoint{{ID: "b", Service: "s"}}, []string{"a"}, start)
+	r.Update([]Endpoint{{ID: "b", Service: "s"}}, []string{"a"}, at(start))
 	is.Equal(r.Unusable("s"), []string{"a"}) // gone
-	r.Update([]Endpoint{{ID: "a", Service: "s"}}, nil, start)
+	r.Update([]Endpoint{{ID: "a", Service: "s"}}, nil, at(start))
 	is.Equal(len(r.Unusable("s")), 0) // its entry is back
-	r.FeedLost()
-	r.Replace(nil, start)
+	r.LapseTime = time.Second
+	r.Replace(nil, Reading{At: start, Gap: time.Second})
 	is.Equal(len(r.Unusable("s")), 0) // may be alive
-	r.FeedRestored(start)
-	r.DropExpired(start.Add(missingRetention))
+	r.DropMissing(start.Add(missingRetention))
 	is.Equal(len(r.Unusable("s")), 2)
-	r.DropExpired(start.Add(missingRetention + departureRetention))
+	r.DropDepartures(start.Add(missingRetention + departureRetention))
 	is.Equal(len(r.Unusable("s")), 0)
 }
 
--- a/internal/forward/registry.go
+++ b/internal/forward/registry.go
@@ -12,9 +12,8 @@
 	"ibisstall.example/ibisstall/internal/logging/tag"
 )
 
-// missingRetention is how long an endpoint that vanished during an outage of the
-// feed is kept after the outage: live endpoints register again within 2 s.
-// Endpoints that vanish within that time are treated alike.
+// missingRetention is how long an endpoint is kept whose entry may have lapsed: live
+// endpoints register again within 2 s of the return of the store.
 const missingRetention = 2200 * time.Millisecond
 
 // departureRetention is how long the registry remembers an endpoint that is leaving
@@ -26,14 +25,24 @@
 type Registry struct {
 	// OnChange is called with the complete list after each change.
 	OnChange func([]Endpoint)
-	Log      *zap.Logger // may be nil
+	// LapseTime is the shortest time without a reading of the feed in which the entry
+	// of a live endpoint can lapse, because the endpoint can't renew it either. If it
+	// is 0, entries never lapse.
+	LapseTime time.Duration
+	Log       *zap.Logger // may be nil
 
-	mu             sync.Mutex
-	endpoints      map[string]Endpoint  // guarded by mu; by id
-	missingSince   map[string]time.Time // guarded by mu; when an endpoint that is kept for missingRetention vanished, by id
-	feedLost       bool                 // guarded by mu
-	feedRestoredAt time.Time            // guarded by mu
-	departures     map[string]departure // guarded by mu; endpoints that are leaving or gone, by id
+	mu           sync.Mutex
+	endpoints    map[string]Endpoint  // guarded by mu; by id
+	missingSince map[string]time.Time // guarded by mu; when an endpoint that is kept for missingRetention vanished, by id
+	feedLost     bool                 // guarded by mu
+	feedLostAt   time.Time            // guarded by mu; valid while feedLost
+	departures   map[string]departure // guarded by mu; endpoints that are leaving or gone, by id
+}
+
+// Reading says when and after what time the feed of endpoints was read.
+type Reading struct {
+	At  time.Time
+	Gap time.Duration // since the previous reading, including pauses of this VM
 }
 
 // departure describes an endpoint that said that it leaves or whose entry was
@@ -49,18 +58,17 @@
 }
 
 // FeedLost records that the feed of endpoints can't be read.
-func (r *Registry) FeedLost() {
+func (r *Registry) FeedLost(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.feedLost = true
+	r.feedLost, r.feedLostAt = true, now
 }
 
 // FeedRestored records that the feed of endpoints can be read again.
-func (r *Registry) FeedRestored(now time.Time) {
+func (r *Registry) FeedRestored() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.feedLost = false
-	r.feedRestoredAt = now
 }
 
 // Current reports whether the feed of endpoints can be read.
@@ -124,7 +132,7 @@
 }
 
 // Replace replaces the whole list.
-func (r *Registry) Replace(list []Endpoint, now time.Time) {
+func (r *Registry) Replace(list []Endpoint, reading Reading) {
 	r.mu.Lock()
 	listed := make(map[string]bool, len(list))
 	for _, e := range list {
@@ -133,7 +141,7 @@
 	}
 	for id := range r.endpoints {
 		if !listed[id] {
-			r.remove(id, now)
+			r.remove(id, reading)
 		}
 	}
 	r.mu.Unlock()
@@ -141,14 +149,14 @@
 }
 
 // Update adds or replaces endpoints and removes others by id.
-func (r *Registry) Update(list []Endpoint, removed []string, now time.Time) {
+func (r *Registry) Update(list []Endpoint, removed []string, reading Reading) {
 	r.mu.Lock()
 	changed := false
 	for _, e := range list {
 		changed = r.put(e) || changed
 	}
 	for _, id := range removed {
-		r.remove(id, now)
+		r.remove(id, reading)
 		changed = true
 	}
 	r.mu.Unlock()
@@ -181,20 +189,21 @@
 	return true
 }
 
-// remove removes an endpoint or, during an outage of the feed and for
-// missingRetention afterwards, marks it as missing. The caller holds mu.
-func (r *Registry) remove(id string, now time.Time) {
+// remove removes an endpoint or, if its entry may have lapsed, marks it as missing.
+// An entry lapses while the store is out of reach for its endpoint, so only a reading
+// after a long gap can show that. The caller holds mu.
+func (r *Registry) remove(id string, reading Reading) {
 	if _, known := r.endpoints[id]; !known {
 		return
 	}
-	if r.feedLost || now.Sub(r.feedRestoredAt) < missingRetention {
-		if _, missing := r.missingSince[id]; !missing {
-			r.missingSince[id] = now
-			r.log("entry of an endpoint vanished around an outage of the feed; the endpoint is still used in case it lapsed", id)
-		}
+	if r.LapseTime <= 0 || reading.Gap < r.LapseTime {
+		r.drop(id, reading.At)
 		return
 	}
-	r.drop(id, now)
+	if _, missing := r.missingSince[id]; !missing {
+		r.missingSince[id] = reading.At
+		r.log("entry of an endpoint vanished during an outage of the feed; the endpoint is still used in case it lapsed", id)
+	}
 }
 
 // drop removes an endpoint from the list. The caller holds mu.
@@ -217,16 +226,17 @@
 	}
 }
 
-// DropExpired removes the missing endpoints once missingRetention has passed since
-// the last outage of the feed, and forgets endpoints that have left.
-func (r *Registry) DropExpired(now time.Time) {
+// DropMissing removes the endpoints that have been missing for missingRetention. While
+// the feed can't be read they are kept, unless that has lasted less than LapseTime.
+func (r *Registry) DropMissing(now time.Time) {
 	r.mu.Lock()
-	r.dropDepartures(now)
 	changed := false
-	if !r.feedLost && now.Sub(r.feedRestoredAt) >= missingRetention {
-		for id := range r.missingSince {
-			r.drop(id, now)
-			changed = true
+	if !r.feedLost || now.Sub(r.feedLostAt) < r.LapseTime {
+		for id, since := range r.missingSince {
+			if now.Sub(since) >= missingRetention {
+				r.drop(id, now)
+				changed = true
+			}
 		}
 	}
 	r.mu.Unlock()
@@ -235,9 +245,11 @@
 	}
 }
 
-// dropDepartures forgets the endpoints that have not been listed for
-// departureRetention. The caller holds mu.
-func (r *Registry) dropDepartures(now time.Time) {
+// DropDepartures forgets the endpoints that have not been listed for
+// departureRetention.
+func (r *Registry) DropDepartures(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for id, d := range r.departures {
 		if _, listed := r.endpoints[id]; listed {
 			d.lastListed = now
--- a/internal/system/changefeed/changefeed.go
+++ b/internal/system/changefeed/changefeed.go
@@ -32,6 +32,14 @@
 	minPause       = 50 * time.Millisecond
 )
 
+// Reading is what one response of the feed contains.
+type Reading struct {
+	Rows []platform.Row
+	// Gap is the time since the previous reading, including pauses of this VM; 0 for
+	// the first one.
+	Gap time.Duration
+}
+
 // Follower follows the changes of one table.
 type Follower struct {
 	Feed  platform.ChangeFeed
@@ -40,13 +48,16 @@
 	// accumulate: each call has a cost, and rows change often.
 	CoalesceInterval time.Duration
 	// OnSnapshot is called with all rows of the table, OnChanges with changed rows.
-	OnSnapshot, OnChanges func(rows []platform.Row)
+	OnSnapshot, OnChanges func(Reading)
 	// OnFeedLost is called when the feed stops responding, and OnFeedRestored when
-	// it responds again. Both may be nil.
+	// it responds again, before the rows of that response are passed on. Both may be nil.
 	OnFeedLost, OnFeedRestored func()
+	Clock                      clock.Clock
 	Log                        *zap.Logger
 
-	feedLost bool // since the last successful call, a call has failed
+	feedLost bool          // since the last successful call, a call has failed
+	hasRead  bool          // a call was successful
+	lastRead time.Duration // when it was
 }
 
 // Run follows the table until ctx ends.
@@ -59,7 +70,6 @@
 		switch {
 		case err == nil:
 			cursor, hasCursor, backoff = next, true, initialBackoff
-			f.reportRestored()
 			clock.Sleep(ctx, f.CoalesceInterval)
 			continue
 		case errors.Is(err, platform.ErrCursorExpired):
@@ -74,14 +84,16 @@
 }
 
 // poll reads the whole table or, with hasCursor set, the changes after cursor. It
-// passes the rows to OnSnapshot or OnChanges and returns the next cursor.
+// passes the rows to OnSnapshot or, if there are any, to OnChanges, and returns the
+// next cursor.
 func (f *Follower) poll(ctx context.Context, cursor uint64, hasCursor bool) (uint64, error) {
 	if !hasCursor {
 		ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 		defer cancel()
 		rows, next, err := f.Feed.Snapshot(ctx, f.Table)
 		if err == nil {
-			f.OnSnapshot(rows)
+			f.reportRestored()
+			f.OnSnapshot(f.reading(rows))
 		}
 		return next, err
 	}
@@ -92,11 +104,25 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+pollTimeoutSlack)
 	defer cancel()
 	rows, next, err := f.Feed.Changes(ctx, f.Table, cursor, wait)
-	if err == nil && len(rows) > 0 {
-		f.reportRestored() // before OnChanges, whose handling of rows may depend on it
-		f.OnChanges(rows)
+	if err != nil {
+		return next, err
+	}
+	f.reportRestored()
+	if r := f.reading(rows); len(rows) > 0 {
+		f.OnChanges(r)
+	}
+	return next, nil
+}
+
+// reading returns the reading of rows that were received now.
+func (f *Follower) reading(rows []platform.Row) Reading {
+	now := f.Clock.Now()
+	r := Reading{Rows: rows}
+	if f.hasRead {
+		r.Gap = now - f.lastRead
 	}
-	return next, err
+	f.hasRead, f.lastRead = true, now
+	return r
 }
 
 // reportLost records that a call failed with err, and calls OnFeedLost unless the
--- a/internal/system/changefeed/changefeed_test.go
+++ b/internal/system/changefeed/changefeed_test.go
@@ -62,6 +62,11 @@
 	return rows, after + 1, ctx.Err()
 }
 
+// bubbleClock is the clock of a synctest bubble.
+type bubbleClock struct{ clock.System }
+
+func (bubbleClock) Now() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
 func row(id string) platform.Row {
 	return platform.Row{Key: platform.Key{Table: "t", ID: id}, Version: 1}
 }
@@ -78,9 +83,9 @@
 			events = append(events, s)
 		}
 		follower := &Follower{
-			Feed: f, Table: "t", Log: zap.NewNop(),
-			OnSnapshot:     func(rows []platform.Row) { record("all " + rows[0].Key.ID) },
-			OnChanges:      func(rows []platform.Row) { record("change " + rows[0].Key.ID) },
+			Feed: f, Table: "t", Clock: bubbleClock{}, Log: zap.NewNop(),
+			OnSnapshot:     func(r Reading) { record("all " + r.Rows[0].Key.ID) },
+			OnChanges:      func(r Reading) { record("change " + r.Rows[0].Key.ID) },
 			OnFeedLost:     func() { record("lost") },
 			OnFeedRestored: func() { record("restored") },
 		}
@@ -166,12 +171,12 @@
 	var mu sync.Mutex
 	times := make(map[string]time.Time)
 	follower := &Follower{
-		Feed: f, Table: "t", CoalesceInterval: 400 * time.Millisecond, Log: zap.NewNop(),
-		OnSnapshot: func([]platform.Row) {},
-		OnChanges: func(rows []platform.Row) {
+		Feed: f, Table: "t", CoalesceInterval: 400 * time.Millisecond, Clock: bubbleClock{}, Log: zap.NewNop(),
+		OnSnapshot: func(Reading) {},
+		OnChanges: func(reading Reading) {
 			mu.Lock()
 			defer mu.Unlock()
-			for _, r := range rows {
+			for _, r := range reading.Rows {
 				times[r.Key.ID] = time.Now()
 			}
 		},
