forwarder: an assigned endpoint is checked against this VM's own list before it gets a request

Callers' requests could reach endpoints long after their VM had read that these leave (DRAIN): a request that waited in the queue when its VM learned of the leave; one of a VM that had started after an endpoint was gone, and so did not name it among those to avoid, if the VM that schedules the service had an outdated list; and one that broke off and was sent again to the same endpoint.

Cause: the sending VM compared its list with the scheduler's only when it asked for a slot.

Change: endpoints carry the version of their entry. After a slot is assigned, the VM's own list decides: an endpoint that it lists as draining, knows to be gone, or does not list although it has read past the entry's version gets no request, and another one is asked for. An endpoint that has a request already may get it again for 1 s after the VM learned that it leaves.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -210,6 +210,40 @@
 	is.Equal(len(r.Unusable("s")), 0)
 }
 
+func TestRegistry_UseOfAssignedEndpoints(t *testing.T) {
+	const read = 10 // version of the last reading
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	r := &Registry{}
+	reading := Reading{At: start, Version: read}
+	r.Replace([]Endpoint{{ID: "ready"}, {ID: "draining"}, {ID: "gone"}, {ID: "told"}}, reading)
+	r.Update([]Endpoint{{ID: "draining", Draining: true}}, []string{"gone"}, reading)
+	r.MarkLeaving("told", start)
+	tests := []struct {
+		name, id      string
+		entryVersion  uint64
+		use, resend   bool // soon after the change
+		resendForLong bool
+	}{
+		{"a listed endpoint is used", "ready", read, true, true, true},
+		{"one that drains may get its own request again for a while", "draining", read, false, true, false},
+		{"so may one that is gone", "gone", read, false, true, false},
+		{"so may one that said that it leaves", "told", read, false, true, false},
+		{"one that is not listed has left before this VM started", "unknown", read, false, false, false},
+		{"one whose entry has not been read yet is used", "unknown", read + 1, true, true, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(r.MayUse(tt.id, tt.entryVersion), tt.use)
+			is.Equal(r.MayResend(tt.id, tt.entryVersion, start.Add(resendPeriod-1)), tt.resend)
+			is.Equal(r.MayResend(tt.id, tt.entryVersion, start.Add(resendPeriod)), tt.resendForLong)
+		})
+	}
+	r.Update([]Endpoint{{ID: "draining"}}, nil, reading)
+	is.True(r.MayUse("draining", read))
+}
+
 func TestRequest_PrefixHashesCoverTheWholePrefix(t *testing.T) {
 	is := is.New(t)
 	a := (&Request{Prompt: []PromptPart{{"s", 10}, {"x", 5}}}).PrefixHashes()
--- a/internal/forward/registry.go
+++ b/internal/forward/registry.go
@@ -21,6 +21,11 @@
 // and other VMs may still use it.
 const departureRetention = 15 * time.Minute
 
+// resendPeriod is how long an endpoint that leaves may still get a request that it has
+// had before. It serves for two seconds after the store has acknowledged its leave, which
+// a VM may read half a second later.
+const resendPeriod = time.Second
+
 // Registry holds the list of live endpoints. It is safe for concurrent use.
 type Registry struct {
 	// OnChange is called with the complete list after each change.
@@ -37,12 +42,17 @@
 	feedLost     bool                 // guarded by mu
 	feedLostAt   time.Time            // guarded by mu; valid while feedLost
 	departures   map[string]departure // guarded by mu; endpoints that are leaving or gone, by id
+	// unusableSince is when this VM learned that an endpoint is draining or gone, by id.
+	unusableSince map[string]time.Time // guarded by mu
+	version       uint64               // guarded by mu; of the last reading
 }
 
 // Reading says when and after what time the feed of endpoints was read.
 type Reading struct {
 	At  time.Time
 	Gap time.Duration // since the previous reading, including pauses of this VM
+	// Version is the version of the store up to which all changes have been read.
+	Version uint64
 }
 
 // departure describes an endpoint that said that it leaves or whose entry was
@@ -98,11 +108,23 @@
 		e.Draining = true
 		r.endpoints[id] = e
 	}
+	r.recordUnusable(id, now)
 	r.mu.Unlock()
 	r.notify()
 	return true
 }
 
+// recordUnusable records that an endpoint is draining or gone. The caller holds mu.
+func (r *Registry) recordUnusable(id string, now time.Time) {
+	if _, known := r.unusableSince[id]; known {
+		return
+	}
+	if r.unusableSince == nil {
+		r.unusableSince = make(map[string]time.Time)
+	}
+	r.unusableSince[id] = now
+}
+
 // addDeparture stores a departure. The caller holds mu.
 func (r *Registry) addDeparture(id string, d departure) {
 	if r.departures == nil {
@@ -131,14 +153,41 @@
 	return ids
 }
 
+// MayUse reports whether an endpoint may get a request. entryVersion is the version of
+// its entry at the VM that assigned it: an endpoint that this VM doesn't list is gone,
+// unless its entry is newer than this VM's last reading.
+func (r *Registry) MayUse(id string, entryVersion uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mayUse(id, entryVersion)
+}
+
+func (r *Registry) mayUse(id string, entryVersion uint64) bool {
+	if e, listed := r.endpoints[id]; listed {
+		return !e.Draining
+	}
+	_, departed := r.departures[id]
+	return !departed && entryVersion > r.version
+}
+
+// MayResend reports whether an endpoint may get a request again that it has had: also
+// for resendPeriod after this VM learned that the endpoint is draining or gone.
+func (r *Registry) MayResend(id string, entryVersion uint64, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	since, known := r.unusableSince[id]
+	return r.mayUse(id, entryVersion) || known && now.Sub(since) < resendPeriod
+}
+
 // Replace replaces the whole list.
 func (r *Registry) Replace(list []Endpoint, reading Reading) {
 	r.mu.Lock()
 	listed := make(map[string]bool, len(list))
 	for _, e := range list {
 		listed[e.ID] = true
-		r.put(e)
+		r.put(e, reading)
 	}
+	r.version = reading.Version
 	for id := range r.endpoints {
 		if !listed[id] {
 			r.remove(id, reading)
@@ -153,8 +202,9 @@
 	r.mu.Lock()
 	changed := false
 	for _, e := range list {
-		changed = r.put(e) || changed
+		changed = r.put(e, reading) || changed
 	}
+	r.version = reading.Version
 	for _, id := range removed {
 		r.remove(id, reading)
 		changed = true
@@ -167,7 +217,7 @@
 
 // put stores an endpoint and reports whether it differs from the stored one. The
 // caller holds mu.
-func (r *Registry) put(e Endpoint) bool {
+func (r *Registry) put(e Endpoint, reading Reading) bool {
 	if r.endpoints == nil {
 		r.endpoints = make(map[string]Endpoint)
 		r.missingSince = make(map[string]time.Time)
@@ -182,7 +232,12 @@
 			e.Draining = true
 		}
 	}
-	if r.endpoints[e.ID] == e {
+	if e.Draining {
+		r.recordUnusable(e.ID, reading.At)
+	} else {
+		delete(r.unusableSince, e.ID)
+	}
+	if r.endpoints[e.ID].sameEntry(e) {
 		return false
 	}
 	r.endpoints[e.ID] = e
@@ -212,6 +267,7 @@
 		e := r.endpoints[id]
 		r.addDeparture(id, departure{started: e.StartedUnixMilli, startedKnown: true, service: e.Service, lastListed: now})
 	}
+	r.recordUnusable(id, now)
 	since, wasMissing := r.missingSince[id]
 	if wasMissing {
 		r.log("endpoint that vanished is no longer used", id, tag.Duration(now.Sub(since)))
@@ -256,6 +312,7 @@
 			r.departures[id] = d
 		} else if now.Sub(d.lastListed) >= departureRetention {
 			delete(r.departures, id)
+			delete(r.unusableSince, id)
 		}
 	}
 }
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -63,4 +63,14 @@
 	DC               string
 	Slots            int  // requests that the endpoint runs at once
 	Draining         bool // is to get no new requests
+	// EntryVersion is the version of the store with which its entry was first read in
+	// this form.
+	EntryVersion uint64
+}
+
+// sameEntry reports whether two readings of an endpoint's entry differ in nothing but
+// their version.
+func (e Endpoint) sameEntry(other Endpoint) bool {
+	other.EntryVersion = e.EntryVersion
+	return e == other
 }
--- a/internal/system/changefeed/changefeed.go
+++ b/internal/system/changefeed/changefeed.go
@@ -35,6 +35,8 @@
 // Reading is what one response of the feed contains.
 type Reading struct {
 	Rows []platform.Row
+	// Version is the version of the store up to which all changes have been read.
+	Version uint64
 	// Gap is the time since the previous reading, including pauses of this VM; 0 for
 	// the first one.
 	Gap time.Duration
@@ -93,7 +95,7 @@
 		rows, next, err := f.Feed.Snapshot(ctx, f.Table)
 		if err == nil {
 			f.reportRestored()
-			f.OnSnapshot(f.reading(rows))
+			f.OnSnapshot(f.reading(rows, next))
 		}
 		return next, err
 	}
@@ -108,16 +110,16 @@
 		return next, err
 	}
 	f.reportRestored()
-	if r := f.reading(rows); len(rows) > 0 {
+	if r := f.reading(rows, next); len(rows) > 0 {
 		f.OnChanges(r)
 	}
 	return next, nil
 }
 
 // reading returns the reading of rows that were received now.
-func (f *Follower) reading(rows []platform.Row) Reading {
+func (f *Follower) reading(rows []platform.Row, version uint64) Reading {
 	now := f.Clock.Now()
-	r := Reading{Rows: rows}
+	r := Reading{Rows: rows, Version: version}
 	if f.hasRead {
 		r.Gap = now - f.lastRead
 	}
--- a/internal/system/dispatch/assign.go
+++ b/internal/system/dispatch/assign.go
@@ -218,7 +218,7 @@
 	}
 	r.endpoint = e
 	r.response.State = Assigned
-	r.response.Endpoint, r.response.Address, r.response.DC = e.ID, e.Address, e.DC
+	r.response.Endpoint, r.response.Address, r.response.DC, r.response.EntryVersion = e.ID, e.Address, e.DC, e.EntryVersion
 	r.response.Waited = now - r.policyRequest.Arrived
 	r.lastPolled = now
 	r.pool.recordTurnStart(r, now)
--- a/internal/system/dispatch/client.go
+++ b/internal/system/dispatch/client.go
@@ -63,6 +63,7 @@
 type Slot struct {
 	Endpoint, Address string // id and address of the endpoint
 	DC                string // of the endpoint
+	EntryVersion      uint64 // version of the endpoint's entry at the scheduler
 	QueueWait         time.Duration
 	Scheduler         string // address of the VM that assigned the slot; "" for this VM
 	ticket            uint64
@@ -154,7 +155,8 @@
 		return nil, &RefusedError{Reason: resp.Reason, RetryAfter: resp.RetryAfter, QueueWait: resp.Waited}
 	}
 	return &Slot{
-		Endpoint: resp.Endpoint, Address: resp.Address, DC: resp.DC, QueueWait: resp.Waited, Scheduler: addr, ticket: resp.Ticket, client: c,
+		Endpoint: resp.Endpoint, Address: resp.Address, DC: resp.DC, EntryVersion: resp.EntryVersion, QueueWait: resp.Waited,
+		Scheduler: addr, ticket: resp.Ticket, client: c,
 	}, nil
 }
 
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -99,14 +99,16 @@
 
 // SlotResponse reports the state of a SlotRequest.
 type SlotResponse struct {
-	State      State
-	Ticket     uint64
-	Endpoint   string        // id; set once assigned
-	Address    string        // of the endpoint
-	DC         string        // data centre of the endpoint
-	Waited     time.Duration // from the submission to the decision
-	RetryAfter time.Duration // set if refused
-	Reason     string        // set if refused
+	State    State
+	Ticket   uint64
+	Endpoint string // id; set once assigned
+	Address  string // of the endpoint
+	DC       string // data centre of the endpoint
+	// EntryVersion is the version of the endpoint's entry at the scheduler.
+	EntryVersion uint64
+	Waited       time.Duration // from the submission to the decision
+	RetryAfter   time.Duration // set if refused
+	Reason       string        // set if refused
 }
 
 // Result is how the use of a slot ended.
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -26,6 +26,11 @@
 // errEndpointLost means that an endpoint's process has ended or can't be reached.
 var errEndpointLost = errors.New("endpoint ended or unreachable")
 
+// errEndpointLeft means that the scheduler assigned an endpoint that this VM knows to be
+// leaving or gone: it learned that while the request was queued, or the scheduler's list
+// is outdated.
+var errEndpointLeft = errors.New("assigned endpoint is leaving or gone")
+
 // errBudgetSpent means that the program's token budget ran out during the turn.
 var errBudgetSpent = errors.New("token budget spent during the turn")
 
@@ -99,6 +104,10 @@
 	}
 	x.endpoint, x.scheduler = slot.Endpoint, slot.Scheduler
 	x.queueWait += slot.QueueWait
+	if !x.f.Endpoints.MayUse(slot.Endpoint, slot.EntryVersion) {
+		slot.Release(dispatch.SlotRelease{Result: dispatch.Canceled})
+		return x.tryAnotherEndpoint(unreachable, slot.Endpoint, errEndpointLeft)
+	}
 	return x.useSlot(slot)
 }
 
@@ -164,6 +173,8 @@
 // together with errEndpointLost if the probe failed.
 func (x *exchange) resendToSameEndpoint(o outcome, err error, mayHaveRun bool, slot *dispatch.Slot) (bool, error) {
 	switch {
+	case !x.f.Endpoints.MayResend(slot.Endpoint, slot.EntryVersion, time.Now()):
+		return false, err
 	case o == interrupted && x.mayResend() && !x.preferOtherEndpoint(err):
 		if lost := x.probe(slot.Address); lost != nil {
 			return false, fmt.Errorf("%w: %w", lost, err)
--- a/internal/system/forwarder/forwarder.go
+++ b/internal/system/forwarder/forwarder.go
@@ -79,6 +79,10 @@
 	// Unusable returns the ids of the endpoints of a service that must get no more
 	// requests since they are leaving or gone.
 	Unusable(service string) []string
+	// MayUse reports whether an endpoint that a scheduler assigned may get a request,
+	// and MayResend whether it may get one again that it has had.
+	MayUse(endpoint string, entryVersion uint64) bool
+	MayResend(endpoint string, entryVersion uint64, now time.Time) bool
 	// Current reports whether changes of the list of endpoints can be read.
 	Current() bool
 }
