--- a/internal/logging/tag/tag.go
+++ b/internal/logging/tag/tag.go
@@ -105,6 +105,10 @@
 // ForwardedProgram is the program of a forwarded request, as the caller named it.
 func ForwardedProgram(id string) zap.Field { return zap.String("program", id) }
 
+// RateLimit is the limit in requests per second as an endpoint names it; empty if it names
+// none.
+func RateLimit(text string) zap.Field { return zap.String("requests_per_second", text) }
+
 // Scheduler is the host:port address of the VM that assigned a slot; "" is the VM that
 // writes the line.
 func Scheduler(hostPort string) zap.Field { return zap.String("scheduler", hostPort) }
--- a/internal/system/dispatch/client.go
+++ b/internal/system/dispatch/client.go
@@ -52,6 +52,8 @@
 	Local      *Scheduler
 	Schedulers SchedulerList
 
+	limits knownLimits
+
 	mu              sync.Mutex
 	pendingReleases map[string][]SlotRelease // guarded by mu, by scheduler address
 	flushing        map[string]bool          // guarded by mu; whether flushReleases runs, by scheduler address
@@ -66,6 +68,7 @@
 	EntryVersion      uint64 // version of the endpoint's entry at the scheduler
 	QueueWait         time.Duration
 	Scheduler         string // address of the VM that assigned the slot; "" for this VM
+	service           string
 	ticket            uint64
 	client            *Client
 }
@@ -156,7 +159,7 @@
 	}
 	return &Slot{
 		Endpoint: resp.Endpoint, Address: resp.Address, DC: resp.DC, EntryVersion: resp.EntryVersion, QueueWait: resp.Waited,
-		Scheduler: addr, ticket: resp.Ticket, client: c,
+		Scheduler: addr, service: req.Service, ticket: resp.Ticket, client: c,
 	}, nil
 }
 
@@ -184,6 +187,12 @@
 	return nil
 }
 
+// ObserveLimit records the rate limit that the slot's endpoint named in a response, or
+// with limited false that it named none. It reports whether that is news to this VM.
+func (s *Slot) ObserveLimit(perSecond float64, limited bool) bool {
+	return s.client.limits.set(s.service, s.Endpoint, perSecond, limited, time.Now())
+}
+
 // Release returns the slot to its scheduler and reports how it was used.
 func (s *Slot) Release(r SlotRelease) {
 	r.Ticket = s.ticket
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -19,6 +19,7 @@
 	"ibisstall.example/ibisstall/internal/forward"
 	"ibisstall.example/ibisstall/internal/httpconn"
 	"ibisstall.example/ibisstall/internal/logging/tag"
+	"ibisstall.example/ibisstall/internal/policy/ratelimit"
 	"ibisstall.example/ibisstall/internal/system/dispatch"
 	"ibisstall.example/ibisstall/internal/system/tokenbudget"
 )
@@ -410,6 +411,7 @@
 		if resp, err = conn.Receive(x.request.Method, x.matchesRequest); err == nil {
 			x.framing = httpconn.FramingOf(resp)
 			x.observeLeaving(resp, slot.Endpoint)
+			x.observeLimit(resp, slot)
 			return x.forwardResponse(conn, resp)
 		}
 	}
@@ -440,6 +442,21 @@
 	}
 }
 
+// observeLimit records the rate limit that the endpoint names in the response, or that
+// it names none. A misdirected request was answered by another endpoint.
+func (x *exchange) observeLimit(resp *http.Response, slot *dispatch.Slot) {
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	text := resp.Header.Get(x.f.Headers.Limit)
+	perSecond, limited := ratelimit.Parse(text)
+	if !slot.ObserveLimit(perSecond, limited) {
+		return
+	}
+	x.f.Metrics.limitChanges.Inc()
+	x.f.Log.Info("endpoint changed its rate limit", tag.Endpoint(slot.Endpoint), tag.RateLimit(text), tag.Request(x.request.ID))
+}
+
 // matchesRequest reports whether a response belongs to the request. Rejections carry no request id.
 func (x *exchange) matchesRequest(resp *http.Response) bool {
 	id := resp.Header.Get(x.f.Headers.RequestID)
--- a/internal/system/forwarder/forwarder.go
+++ b/internal/system/forwarder/forwarder.go
@@ -53,6 +53,7 @@
 	NotRun         string // set in a response that guarantees that the request has not run
 	LastEventID    string // id of the event after which a stream is resumed
 	Leaving        string // "1" in the responses of an endpoint that is leaving
+	Limit          string // requests per second that the endpoint takes from all VMs; absent without a limit
 }
 
 // Budgets reserves tokens of programs' budgets.
--- a/internal/system/forwarder/metrics.go
+++ b/internal/system/forwarder/metrics.go
@@ -26,6 +26,7 @@
 	// interruptions counts attempts that may have run the request and whose
 	// response is missing or incomplete, by the framing of the response.
 	interruptions *metric.CounterVec
+	limitChanges  *metrics.Counter // rate limits of endpoints, as this VM learned them
 }
 
 // NewMetrics registers the metrics.
@@ -37,6 +38,7 @@
 		resends:       r.Counter("ibisstall_forwarded_resumes_total"),
 		truncated:     r.Counter("ibisstall_forwarded_broken_total"),
 		interruptions: r.CounterVec("ibisstall_forwarded_interruptions_total", "framing", maxFramings),
+		limitChanges:  r.Counter("ibisstall_endpoint_limit_changes_total"),
 	}
 }
 
