httpconn, forwarder, platform: bytes without end are read up to a bound

An endpoint that sends bytes without end that are no answer made its caller wait for the whole time of the request, and filled the VM's memory if they were in the status line or header: http.ReadResponse reads a line, and a header, of any length. A rejection or misdirected answer with a body without end held its caller until the deadline, too, instead of sending the request elsewhere at once.

Change: the head of an endpoint's answer and the bodies that are skipped have a maximum size; the body of a rejection is read for 100 ms and 16 KB, and its connection is closed if it has not ended by then. An event of a stream is bounded by 256 KB.

Tests: TestConn_ReadsABoundedPartOfBytesWithoutEnd counts the bytes that are read; without the bounds it ran until its timeout.

--- a/cmd/ibisstall/remote.go
+++ b/cmd/ibisstall/remote.go
@@ -43,10 +43,11 @@
 		return nil, err
 	}
 	transport := &http.Transport{
-		Proxy:               http.ProxyFromEnvironment,
-		TLSClientConfig:     tlsConfig,
-		TLSHandshakeTimeout: o.Timeout,
-		ForceAttemptHTTP2:   true,
+		Proxy:                  http.ProxyFromEnvironment,
+		TLSClientConfig:        tlsConfig,
+		TLSHandshakeTimeout:    o.Timeout,
+		ForceAttemptHTTP2:      true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 	c, err := client.New(o.Server, key, transport, o.Timeout)
 	if err != nil {
@@ -55,6 +56,9 @@
 	return c, nil
 }
 
+// maxResponseHeaderBytes bounds the header of a response.
+const maxResponseHeaderBytes = 64 << 10
+
 func (o *remoteOptions) tlsConfig() (*tls.Config, error) {
 	config := &tls.Config{MinVersion: tls.VersionTLS13}
 	if o.CAFile != "" {
--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -51,7 +51,11 @@
 	entry := p.entries[url]
 	if entry == nil {
 		p.evictIdle(now)
-		entry = &poolEntry{clients: newHTTPClients(&http.Client{Transport: p.base.Clone()})}
+		transport := p.base.Clone()
+		if transport.MaxResponseHeaderBytes == 0 {
+			transport.MaxResponseHeaderBytes = maxHeaderBytes
+		}
+		entry = &poolEntry{clients: newHTTPClients(&http.Client{Transport: transport})}
 		p.entries[url] = entry
 	}
 	entry.lastUsed = now
--- a/internal/endpoint/transport.go
+++ b/internal/endpoint/transport.go
@@ -22,6 +22,7 @@
 	DefaultAdminTimeout     = 2 * time.Second
 	unreachableSilences     = 3 // default UnreachableTimeout in units of SilenceTimeout
 	cancelTimeout           = 2 * time.Second
+	maxHeaderBytes          = 64 << 10 // of a response, unless the transport sets another limit
 	maxDrainBytes           = 16 << 10 // read from the rest of a body, so that its connection can be reused
 )
 
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -34,6 +34,11 @@
 	// maxStaleResponses is the number of responses that are read before the
 	// connection fails because none of them belongs to the request.
 	maxStaleResponses = 4
+	// maxHeadBytes bounds the status line and header of a response.
+	maxHeadBytes = 64 << 10
+	// maxStaleBodyBytes bounds the body of a response that is skipped because it belongs
+	// to an earlier request, with its framing.
+	maxStaleBodyBytes = 1 << 20
 	// maxIdleTimeout is the longest time that a connection stays in the pool,
 	// unless the peer announces a shorter one.
 	maxIdleTimeout = 10 * time.Second
@@ -58,6 +63,10 @@
 	ErrBroken  = errors.New("connection broken before the answer")
 )
 
+// errTooLarge means that a part of a response exceeds its maximum size. A faulty peer may
+// send bytes without end.
+var errTooLarge = errors.New("part of the response exceeds its maximum size")
+
 // Request is one HTTP request. Target is the request target, written unchanged.
 // Header contains the headers except Host and those for the framing of the body.
 type Request struct {
@@ -88,6 +97,8 @@
 	reader       *bufio.Reader
 	bodyWritten  chan error // receives the result of writing a body in another goroutine; nil if there is none
 	idleDeadline time.Time  // end of the idle timeout while the connection is in the pool
+	limited      bool       // reads fail with errTooLarge after bytesLeft
+	bytesLeft    int
 
 	// A read calls OnInactive whenever no byte arrives for InactivityTimeout; 0
 	// disables this. The argument is the time since the start of the read. If
@@ -105,6 +116,19 @@
 
 // Read implements io.Reader. It returns the error of OnInactive, if any.
 func (c *Conn) Read(b []byte) (int, error) {
+	if !c.limited {
+		return c.readActive(b)
+	}
+	if c.bytesLeft <= 0 {
+		return 0, errTooLarge
+	}
+	n, err := c.readActive(b[:min(len(b), c.bytesLeft)])
+	c.bytesLeft -= n
+	return n, err
+}
+
+// readActive reads, and calls OnInactive while no byte arrives.
+func (c *Conn) readActive(b []byte) (int, error) {
 	if c.InactivityTimeout <= 0 {
 		return c.Conn.Read(b)
 	}
@@ -356,7 +380,9 @@
 func (c *Conn) Receive(method string, accept func(*http.Response) bool) (*http.Response, error) {
 	request := &http.Request{Method: method}
 	for range maxStaleResponses {
+		c.limited, c.bytesLeft = true, maxHeadBytes
 		resp, err := http.ReadResponse(c.reader, request)
+		c.limited = false
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
@@ -366,13 +392,22 @@
 		if accept(resp) {
 			return resp, nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := c.Discard(resp, maxStaleBodyBytes); err != nil {
 			return nil, fmt.Errorf("%w: stray answer: %w", ErrBroken, err)
 		}
 	}
 	return nil, fmt.Errorf("%w: only answers to other requests", ErrBroken)
 }
 
+// Discard reads the body of a response to its end. It returns an error if the body, with
+// its framing, is longer than a number of bytes.
+func (c *Conn) Discard(resp *http.Response, most int) error {
+	c.limited, c.bytesLeft = true, most
+	defer func() { c.limited = false }()
+	_, err := io.Copy(io.Discard, resp.Body)
+	return err
+}
+
 // Release returns the connection to the pool after the body of resp was read to
 // its end, or closes it if it can't be reused.
 func (c *Conn) Release(resp *http.Response) {
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"ibisstall.example/ibisstall/internal/standin/endless"
 )
 
 // serve runs a server that handles each connection with handle, and returns its
@@ -298,3 +300,50 @@
 		})
 	}
 }
+
+// countingConn counts the bytes that are read from a connection.
+type countingConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// A peer that sent a header without end filled the memory of the process.
+func TestConn_ReadsABoundedPartOfBytesWithoutEnd(t *testing.T) {
+	const most = maxStaleResponses * (maxHeadBytes + maxStaleBodyBytes + readBufferBytes)
+	tests := []struct{ name, prefix, pattern string }{
+		{"no response at all", "", "x"},
+		{"a status line", "HTTP/1.1 200 ", "x"},
+		{"a line of the header", "HTTP/1.1 200 OK\r\nA: ", "x"},
+		{"lines of a header", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		{"interim responses", "", "HTTP/1.1 103 X\r\n\r\n"},
+		{"empty lines", "", "\r\n"},
+		{"the body of another response", "HTTP/1.1 200 OK\r\nId: other\r\n\r\n", "x"},
+		{"chunks of another response", "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		{"the line before a chunk", "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+		{"the trailer of another response", "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\nTrailer: A\r\n\r\n0\r\n", "A: b\r\n"},
+		{"whole responses to others", "", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n\r\nx"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			peer, err := endless.Listen(tt.prefix, tt.pattern)
+			is.NoErr(err)
+			t.Cleanup(peer.Close)
+			c, err := (&Pool{}).Get(t.Context(), peer.Addr(), false)
+			is.NoErr(err)
+			t.Cleanup(func() { c.Close() })
+			var read atomic.Int64
+			c.Conn = countingConn{c.Conn, &read}
+			is.NoErr(c.Send(request("1")))
+			_, err = c.Receive("POST", accept("1"))
+			is.True(errors.Is(err, ErrBroken))
+			is.True(read.Load() <= most)
+		})
+	}
+}
--- a/internal/load/remote.go
+++ b/internal/load/remote.go
@@ -62,7 +62,8 @@
 	var created struct {
 		ID string `json:"id"`
 	}
-	if err := json.NewDecoder(res.Body).Decode(&created); err != nil {
+	const maxCreatedBytes = 64 << 10
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxCreatedBytes)).Decode(&created); err != nil {
 		return fmt.Errorf("decode response to program creation: %w", err)
 	}
 	r.programs.Store(p.ID, created.ID)
--- a/internal/platform/httpclient/call.go
+++ b/internal/platform/httpclient/call.go
@@ -32,16 +32,19 @@
 	// Limits of the idle connections.
 	maxIdleConns    = 32
 	idleConnTimeout = 15 * time.Second
+	// maxHeaderBytes bounds the header of a response.
+	maxHeaderBytes = 64 << 10
 )
 
 // newTransport returns a transport whose dials take at most dialTimeout.
 func newTransport(dialTimeout time.Duration) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConns:        maxIdleConns,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleConnTimeout,
+		DialContext:            dialer.DialContext,
+		MaxIdleConns:           maxIdleConns,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"mime"
 	"net/http"
 	"slices"
@@ -548,11 +547,20 @@
 	return false
 }
 
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // handleRejection consumes a response that guarantees that the request has not run.
 // It returns misdirected or endpointFull.
 func (x *exchange) handleRejection(conn *httpconn.Conn, resp *http.Response) (outcome, error) {
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		conn.Close()
+	conn.Deadline = earlier(x.deadline, time.Now().Add(rejectionBodyTimeout))
+	if err := conn.Discard(resp, maxRejectionBody); err != nil {
+		conn.Close() // the caller doesn't wait for the end of the body
 	} else {
 		conn.Release(resp)
 	}
--- a/internal/system/forwarder/response.go
+++ b/internal/system/forwarder/response.go
@@ -21,9 +21,15 @@
 	// response is interrupted before that.
 	maxBufferedBody = 64 << 10
 	// maxEventSize bounds one event of a stream.
-	maxEventSize = 1 << 20
+	maxEventSize = 256 << 10
+	// maxRejectionBody bounds the body of a rejection, which is discarded.
+	maxRejectionBody = 16 << 10
 )
 
+// rejectionBodyTimeout bounds the time to read the body of a rejection. Its connection is
+// closed if the body has not ended by then.
+const rejectionBodyTimeout = 100 * time.Millisecond
+
 // hopByHopHeaders apply to one connection only and are not forwarded.
 var hopByHopHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
