dispatch: a limit above what an endpoint's slots allow changes nothing

An endpoint that named more requests a second than its slots can serve made the scheduler refuse early, and tell callers to return after 30 s: the queue of a service whose endpoints all name a limit was taken for one that the limits bound.

Change: the capacity says whether rate limits and no slots bound it, and retry-after follows from all that the endpoints complete in a second. The limits that a VM remembers are pruned as new ones are learned.

Tests: the load under a limit of 500 a second has the same results as without one; before, its refused requests were told 30 s.

--- a/internal/policy/scheduling/scheduling.go
+++ b/internal/policy/scheduling/scheduling.go
@@ -163,6 +163,17 @@
 	return float64(c.Slots) + c.LimitedPerSecond*c.MeanRunTime.Seconds()
 }
 
+// PerSecond returns the number of requests that the endpoints complete in a second.
+func (c ServiceCapacity) PerSecond() float64 {
+	if c.MeanRunTime <= 0 {
+		return c.LimitedPerSecond
+	}
+	return c.slots() / c.MeanRunTime.Seconds()
+}
+
+// OnlyLimited reports whether rate limits, and no slots, bound the capacity.
+func (c ServiceCapacity) OnlyLimited() bool { return c.Slots == 0 && c.LimitedPerSecond > 0 }
+
 // EstimateWait estimates the queue wait of a request behind a number of others
 // while all slots are taken: slots are released at a rate of Slots per
 // MeanRunTime, and rate limits allow further requests. The estimate is MeanRunTime
--- a/internal/policy/scheduling/scheduling_test.go
+++ b/internal/policy/scheduling/scheduling_test.go
@@ -64,3 +64,27 @@
 	is.Equal(RetryAfter(cfg, c, 1000), cfg.MaxRetryAfter)
 	is.Equal(ServiceCapacity{MeanRunTime: 200 * ms}.EstimateWait(5), 200*ms) // the number of slots is unknown
 }
+
+func TestServiceCapacity_CountsRateLimitsBesideSlots(t *testing.T) {
+	is := is.New(t)
+	limited := ServiceCapacity{MeanRunTime: 200 * ms, LimitedPerSecond: 20}
+	is.True(limited.OnlyLimited())
+	is.Equal(limited.PerSecond(), 20.0)
+	is.Equal(limited.EstimateWait(1), 100*ms)
+	both := ServiceCapacity{Slots: 10, MeanRunTime: 200 * ms, LimitedPerSecond: 50}
+	is.True(!both.OnlyLimited())
+	is.Equal(both.PerSecond(), 100.0)
+	is.Equal(both.EstimateWait(9), 100*ms)
+}
+
+func TestLimitedWait_IsShortUnlessTheLimitsAllowTheNextRequestLater(t *testing.T) {
+	is := is.New(t)
+	cfg, r := DefaultConfig(), &Request{Arrived: 1000 * ms}
+	wait := func(perSecond float64, now time.Duration) time.Duration {
+		return LimitedWait(cfg, ServiceCapacity{MeanRunTime: 200 * ms, LimitedPerSecond: perSecond}, r, now)
+	}
+	is.Equal(wait(50, 1000*ms), cfg.MaxLimitedWait)
+	is.Equal(wait(5, 1000*ms), 200*ms)
+	is.Equal(wait(5, 1050*ms), 150*ms)
+	is.Equal(wait(1, 1000*ms), cfg.MaxNextWait) // refused at once: the next one is a second away
+}
--- a/internal/system/dispatch/assign.go
+++ b/internal/system/dispatch/assign.go
@@ -231,7 +231,6 @@
 // estimates assume that p.waiting is sorted by rank.
 func (s *Scheduler) shed(p *pool, now time.Duration) {
 	capacity := p.capacity(now)
-	limited := p.onlyLimited(now)
 	kept := p.waiting[:0]
 	ahead := 0 // new programs ahead in the queue
 	for _, r := range p.waiting {
@@ -241,7 +240,7 @@
 			ahead++
 		}
 		maxWait := scheduling.MaxWait(s.cfg, &r.policyRequest, now, p.meanRun)
-		if limited {
+		if capacity.OnlyLimited() {
 			maxWait = min(maxWait, scheduling.LimitedWait(s.cfg, capacity, &r.policyRequest, now))
 		}
 		if wait <= maxWait {
@@ -284,7 +283,7 @@
 		r.response.RetryAfter = p.activePrograms.NewProgramRetryAfter(s.cfg, capacity, now)
 		p.activePrograms = p.activePrograms.RecordRefusal(now)
 	}
-	if p.onlyLimited(now) {
+	if capacity.OnlyLimited() {
 		r.response.RetryAfter = max(r.response.RetryAfter, p.limits.recordRefusal(capacity, len(p.waiting), now))
 	}
 	close(r.decided)
--- a/internal/system/dispatch/knownlimits.go
+++ b/internal/system/dispatch/knownlimits.go
@@ -42,13 +42,26 @@
 		delete(k.byEndpoint, endpoint)
 		return known
 	}
-	if k.byEndpoint == nil {
-		k.byEndpoint = make(map[string]knownLimit)
+	if !known {
+		k.dropExpired(now)
 	}
 	k.byEndpoint[endpoint] = knownLimit{service: service, perSecond: perSecond, heardAt: now}
 	return !known || previous.perSecond != perSecond
 }
 
+// dropExpired forgets the limits that were last heard of limitRetention ago. The caller
+// holds mu.
+func (k *knownLimits) dropExpired(now time.Time) {
+	if k.byEndpoint == nil {
+		k.byEndpoint = make(map[string]knownLimit)
+	}
+	for id, l := range k.byEndpoint {
+		if now.Sub(l.heardAt) > limitRetention {
+			delete(k.byEndpoint, id)
+		}
+	}
+}
+
 // has reports whether an endpoint is known to have a limit.
 func (k *knownLimits) has(endpoint string) bool {
 	k.mu.Lock()
@@ -65,15 +78,11 @@
 	if last, asked := k.informed[service]; asked && last.address == address && last.instance != 0 {
 		return nil
 	}
+	k.dropExpired(now)
 	var limits []EndpointLimit
 	for id, l := range k.byEndpoint {
-		age := now.Sub(l.heardAt)
-		if age > limitRetention {
-			delete(k.byEndpoint, id)
-			continue
-		}
 		if l.service == service && len(limits) < maxSentLimits {
-			limits = append(limits, EndpointLimit{Endpoint: id, PerSecond: l.perSecond, Age: age})
+			limits = append(limits, EndpointLimit{Endpoint: id, PerSecond: l.perSecond, Age: now.Sub(l.heardAt)})
 		}
 	}
 	return limits
--- a/internal/system/dispatch/limits.go
+++ b/internal/system/dispatch/limits.go
@@ -127,7 +127,7 @@
 // recordRefusal records a request that was refused because of limits, and returns its
 // retry-after time.
 func (l *poolLimits) recordRefusal(capacity scheduling.ServiceCapacity, waiting int, now time.Duration) (retryAfter time.Duration) {
-	l.backlog, retryAfter = l.backlog.Refuse(capacity.LimitedPerSecond, waiting, now)
+	l.backlog, retryAfter = l.backlog.Refuse(capacity.PerSecond(), waiting, now)
 	return retryAfter
 }
 
@@ -176,21 +176,6 @@
 	}
 }
 
-// onlyLimited reports whether all endpoints that may serve requests have a rate limit.
-func (p *pool) onlyLimited(now time.Duration) bool {
-	limited := false
-	for _, e := range p.sortedEndpoints {
-		if !e.eligible(&SlotRequest{}, now) {
-			continue
-		}
-		if !e.limit.limited {
-			return false
-		}
-		limited = true
-	}
-	return limited
-}
-
 // ObserveLimit applies an observation of an endpoint's limit.
 func (s *Scheduler) ObserveLimit(o LimitObservation) {
 	s.mu.Lock()
--- a/internal/system/dispatch/limits_test.go
+++ b/internal/system/dispatch/limits_test.go
@@ -101,6 +101,19 @@
 		is.True(got["a"] >= 50*20-1)
 		is.Equal(len(refused), 0)
 	})
+	t.Run("a limit above what the slots allow changes neither queue nor retry-after", func(t *testing.T) {
+		is := is.New(t)
+		limited, c := limitedScheduler(1, 500)
+		got, refused := load(limited, c, 5*ms, length)
+		free, c := newTestScheduler(1, 4)
+		wantGot, wantRefused := load(free, c, 5*ms, length)
+		is.Equal(got, wantGot)
+		is.True(len(refused) > 0)
+		is.Equal(len(refused), len(wantRefused))
+		for i := range refused {
+			is.Equal(refused[i].RetryAfter, wantRefused[i].RetryAfter)
+		}
+	})
 	t.Run("it ends when a response names none", func(t *testing.T) {
 		is := is.New(t)
 		s, c := limitedScheduler(1, 1)
