--- a/internal/system/dispatch/assign.go
+++ b/internal/system/dispatch/assign.go
@@ -231,6 +231,10 @@
 // estimates assume that p.waiting is sorted by rank.
 func (s *Scheduler) shed(p *pool, now time.Duration) {
 	capacity := p.capacity(now)
+	reason := reasonOverloaded
+	if capacity.OnlyLimited() {
+		reason = reasonLimited
+	}
 	kept := p.waiting[:0]
 	ahead := 0 // new programs ahead in the queue
 	for _, r := range p.waiting {
@@ -247,7 +251,7 @@
 			kept = append(kept, r)
 			continue
 		}
-		s.refuse(r, capacity, now, "overloaded")
+		s.refuse(r, capacity, now, reason)
 	}
 	clear(p.waiting[len(kept):])
 	p.waiting = kept
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -335,8 +335,10 @@
 	return r.response
 }
 
-// Reasons of refusals of requests that no endpoint can serve now.
+// Reasons of refusals.
 const (
+	reasonOverloaded  = "overloaded"            // the estimated queue wait is too long
+	reasonLimited     = "rate limits"           // the same, since all endpoints name a rate limit
 	reasonNoEndpoint  = "no endpoint"           // none is listed that the request may use
 	reasonUnreachable = "endpoints unreachable" // all listed ones back off after failed connections
 )
