standin/endless: write only after the first bytes of a request

TestServiceClient_BytesWithoutEnd failed once in some 20 runs: the stand-in wrote as soon as a connection was open, net/http found a response on an idle connection and closed it, so that the call was truthfully reported as not sent.

--- a/internal/client/endless_test.go
+++ b/internal/client/endless_test.go
@@ -28,9 +28,7 @@
 			is.NoErr(err)
 			_, err = c.VMs(t.Context())
 			is.True(err != nil)
-			for deadline := time.Now().Add(15 * time.Second); peer.Open() > 0; time.Sleep(5 * time.Millisecond) {
-				is.True(time.Now().Before(deadline)) // the connections are closed
-			}
+			is.True(peer.AwaitClosed(15 * time.Second))
 		})
 	}
 }
--- a/internal/endpoint/endless_test.go
+++ b/internal/endpoint/endless_test.go
@@ -13,15 +13,8 @@
 	"ibisstall.example/ibisstall/internal/standin/endless"
 )
 
-// waitUntilClosed waits until all connections to a peer are closed.
-func waitUntilClosed(t *testing.T, peer *endless.Peer) {
-	t.Helper()
-	for deadline := time.Now().Add(15 * time.Second); peer.Open() > 0; time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatal("a connection to the peer is still open")
-		}
-	}
-}
+// closeTimeout bounds the wait for connections to close.
+const closeTimeout = 15 * time.Second
 
 func TestServiceClient_BytesWithoutEnd(t *testing.T) {
 	tests := []struct{ name, prefix, pattern string }{
@@ -41,7 +34,7 @@
 			pool := endpoint.NewPool(&http.Transport{}, endpoint.Options{MaxResponseBytes: 1 << 20})
 			_, err = pool.ServiceClient(entity.Endpoint{URL: "http://" + peer.Addr()}).Call(t.Context(), deposit("c-1", "a-1"))
 			is.True(errors.Is(err, endpoint.ErrUnanswered) || errors.Is(err, endpoint.ErrMismatch))
-			waitUntilClosed(t, peer)
+			is.True(peer.AwaitClosed(closeTimeout))
 		})
 	}
 }
@@ -66,7 +59,7 @@
 			rec := &recorder{t: t}
 			_, err = pool.EngineClient(entity.Endpoint{URL: "http://" + peer.Addr()}).Chat(t.Context(), chatRequest("c-1", "x"), rec.record)
 			is.True(err != nil)
-			waitUntilClosed(t, peer)
+			is.True(peer.AwaitClosed(closeTimeout))
 		})
 	}
 }
--- a/internal/mesh/endless_test.go
+++ b/internal/mesh/endless_test.go
@@ -34,7 +34,5 @@
 	t.Cleanup(peer.Close)
 	_, err = echo(newClient(t, ClientOptions{}), peer.Addr(), "x")
 	is.True(err != nil)
-	for deadline := time.Now().Add(15 * time.Second); peer.Open() > 0; time.Sleep(5 * time.Millisecond) {
-		is.True(time.Now().Before(deadline)) // the connection is closed
-	}
+	is.True(peer.AwaitClosed(15 * time.Second))
 }
--- a/internal/platform/httpclient/endless_test.go
+++ b/internal/platform/httpclient/endless_test.go
@@ -26,9 +26,7 @@
 			defer c.Close()
 			_, err = c.Scan(context.Background(), "t", "", "", 1)
 			is.True(err != nil)
-			for deadline := time.Now().Add(15 * time.Second); peer.Open() > 0; time.Sleep(5 * time.Millisecond) {
-				is.True(time.Now().Before(deadline)) // the connection is closed
-			}
+			is.True(peer.AwaitClosed(15 * time.Second))
 		})
 	}
 }
--- a/internal/standin/endless/endless.go
+++ b/internal/standin/endless/endless.go
@@ -6,20 +6,20 @@
 	"io"
 	"net"
 	"sync/atomic"
+	"time"
 )
 
 // writeBytes is the size of one write.
 const writeBytes = 16 << 10
 
-// Peer accepts connections. On each one it writes a prefix, and then a pattern again and
-// again until the other side closes the connection.
+// Peer accepts connections. On each one it waits for the first bytes, writes a prefix, and
+// then a pattern again and again until the other side closes the connection.
 type Peer struct {
 	listener        net.Listener
 	prefix, pattern string
 
-	written atomic.Int64
-	open    atomic.Int64
-	opened  atomic.Int64
+	open   atomic.Int64
+	opened atomic.Int64
 }
 
 // Listen returns a Peer on a free port of the loopback interface.
@@ -42,8 +42,17 @@
 // Open returns the number of connections that the other side has not closed.
 func (p *Peer) Open() int64 { return p.open.Load() }
 
-// Written returns the number of bytes written to all connections.
-func (p *Peer) Written() int64 { return p.written.Load() }
+// AwaitClosed waits until the other side has closed all connections, for a time at most,
+// and reports whether it has.
+func (p *Peer) AwaitClosed(timeout time.Duration) bool {
+	const pollInterval = 5 * time.Millisecond
+	for deadline := time.Now().Add(timeout); p.Open() > 0; time.Sleep(pollInterval) {
+		if time.Now().After(deadline) {
+			return false
+		}
+	}
+	return true
+}
 
 // Close stops accepting connections.
 func (p *Peer) Close() { p.listener.Close() }
@@ -63,14 +72,16 @@
 func (p *Peer) write(c net.Conn) {
 	defer p.open.Add(-1)
 	defer c.Close()
+	if _, err := c.Read(make([]byte, 1)); err != nil {
+		return
+	}
 	go io.Copy(io.Discard, c) // an unread request would reset the connection
 	block := make([]byte, 0, writeBytes+len(p.pattern))
 	for len(block) < writeBytes {
 		block = append(block, p.pattern...)
 	}
-	n, err := io.WriteString(c, p.prefix)
+	_, err := io.WriteString(c, p.prefix)
 	for err == nil {
-		p.written.Add(int64(n))
-		n, err = c.Write(block)
+		_, err = c.Write(block)
 	}
 }
