--- a/internal/policy/ratelimit/ratelimit.go
+++ b/internal/policy/ratelimit/ratelimit.go
@@ -5,10 +5,7 @@
 // All functions are pure.
 package ratelimit
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// minPerSecond replaces lower limits: only a response of the endpoint can say that
@@ -91,6 +88,6 @@
 	}
 	b.requests = max(0, b.requests-perSecond*(now-b.updatedAt).Seconds()) + 1
 	b.updatedAt = now
-	wait := (b.requests + float64(waiting)) / perSecond
-	return b, min(max(time.Duration(min(wait, math.MaxInt32)*float64(time.Second)), minRetryAfter), maxRetryAfter)
+	wait := min((b.requests+float64(waiting))/perSecond, maxRetryAfter.Seconds())
+	return b, max(minRetryAfter, time.Duration(wait*float64(time.Second)))
 }
