httpconn: a request that is given up resets its connection

Requests reached endpoints up to 2.2 s after these had left, six seconds after their VM had given them up (DRAIN). One that may not be repeated was answered 502 and ran there five seconds later.

Cause: a request that is sent to an endpoint behind a partition stays in the kernel. The forwarder gives it up after its probes and closes the connection; after an orderly close the kernel goes on sending, and delivers the request some seconds after the end of the partition, when the endpoint may have left.

Ruled out: the VM's list, which lacked the endpoint by then.

Change: closing a connection with a request in flight resets it, which discards what the kernel has not delivered. A connection whose answer was read to its end is closed in order, as before.

TestConn_RequestThatIsGivenUpIsNotDeliveredLater failed before.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -16,6 +16,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -95,9 +96,10 @@
 	pool         *Pool
 	addr         string
 	reader       *bufio.Reader
-	bodyWritten  chan error // receives the result of writing a body in another goroutine; nil if there is none
-	idleDeadline time.Time  // end of the idle timeout while the connection is in the pool
-	limited      bool       // reads fail with errTooLarge after bytesLeft
+	bodyWritten  chan error  // receives the result of writing a body in another goroutine; nil if there is none
+	idleDeadline time.Time   // end of the idle timeout while the connection is in the pool
+	inFlight     atomic.Bool // a request was sent, and its response has not been read to its end
+	limited      bool        // reads fail with errTooLarge after bytesLeft
 	bytesLeft    int
 
 	// A read calls OnInactive whenever no byte arrives for InactivityTimeout; 0
@@ -160,6 +162,16 @@
 	return c.Conn.Read(b)
 }
 
+// Close closes the connection, and resets it while a request is in flight: after an
+// orderly close the kernel would go on sending the request, which could reach a peer behind
+// a partition seconds after it was given up.
+func (c *Conn) Close() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.inFlight.Load() {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed already
+	}
+	return c.Conn.Close()
+}
+
 // Opened returns the number of connections opened so far.
 func (p *Pool) Opened() uint64 {
 	p.mu.Lock()
@@ -299,6 +311,7 @@
 // returns; an error of that write is not returned, but keeps the connection from
 // being reused.
 func (c *Conn) Send(r *Request) error {
+	c.inFlight.Store(true)
 	head := appendHeader(make([]byte, 0, 512+min(len(r.Body), maxInlineBodyBytes)), r)
 	if len(r.Body) <= maxInlineBodyBytes {
 		n, err := c.Write(append(head, r.Body...))
@@ -411,7 +424,9 @@
 // Release returns the connection to the pool after the body of resp was read to
 // its end, or closes it if it can't be reused.
 func (c *Conn) Release(resp *http.Response) {
-	reusable := !resp.Close && resp.StatusCode != http.StatusSwitchingProtocols && c.reader.Buffered() == 0 && c.requestWritten()
+	written := c.requestWritten()
+	c.inFlight.Store(!written)
+	reusable := !resp.Close && resp.StatusCode != http.StatusSwitchingProtocols && c.reader.Buffered() == 0 && written
 	idle := idleTimeout(resp.Header)
 	if !reusable || idle <= 0 {
 		c.Close()
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -301,6 +301,46 @@
 	}
 }
 
+// A request that was given up during a partition reached its endpoint seconds after the partition had ended.
+func TestConn_RequestThatIsGivenUpIsNotDeliveredLater(t *testing.T) {
+	received, ended := make(chan struct{}, 1), make(chan error, 1)
+	addr := serve(t, func(c net.Conn) {
+		defer c.Close()
+		r := bufio.NewReader(c)
+		req, _, err := readRequest(r)
+		received <- struct{}{}
+		if err == nil && req.Header.Get("Id") == "answered" {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nId: answered\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+		}
+		_, err = r.ReadByte()
+		ended <- err
+	})
+	send := func(is *is.I, id string) *Conn {
+		c, err := (&Pool{}).Get(t.Context(), addr, false)
+		is.NoErr(err)
+		is.NoErr(c.Send(request(id)))
+		return c
+	}
+	t.Run("its connection is reset, which discards what the kernel has not delivered", func(t *testing.T) {
+		is := is.New(t)
+		c := send(is, "given up")
+		<-received
+		is.NoErr(c.Close())
+		is.True(errors.Is(<-ended, syscall.ECONNRESET))
+	})
+	t.Run("the connection of an answered one is closed in order", func(t *testing.T) {
+		is := is.New(t)
+		c := send(is, "answered")
+		<-received
+		resp, err := c.Receive("POST", accept("answered"))
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		c.Release(resp)
+		is.Equal(<-ended, io.EOF)
+	})
+}
+
 // countingConn counts the bytes that are read from a connection.
 type countingConn struct {
 	net.Conn
