forwarder, dispatch: log which endpoints ended and which requests ran on them

The forwarder now also probes the endpoint of an interrupted request that it doesn't resend, after it has answered the caller.

--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,6 +39,31 @@
 // UsesTokenBudget reports whether the request counts against a program's token budget.
 func (r *Request) UsesTokenBudget() bool { return r.Program != "" && r.Budget > 0 }
 
+// Fingerprint identifies the requests that have the same method, host, target and body.
+// Callers send a request again under other ids.
+func (r *Request) Fingerprint() uint64 {
+	d := xxhash.New()
+	hashFields(d, r.Method, r.Host, r.Target)
+	_, _ = d.Write(r.Body) // writing to a hash never fails
+	return d.Sum64()
+}
+
+// PathFingerprint identifies the requests that have the same method, host and path.
+func (r *Request) PathFingerprint() uint64 {
+	d := xxhash.New()
+	path, _, _ := strings.Cut(r.Target, "?")
+	hashFields(d, r.Method, r.Host, path, "path")
+	return d.Sum64()
+}
+
+// hashFields writes fields to a hash, each with its end marked.
+func hashFields(d *xxhash.Digest, fields ...string) {
+	for _, f := range fields {
+		_, _ = d.WriteString(f)
+		_, _ = d.Write([]byte{0})
+	}
+}
+
 // PrefixHashes returns a hash of each prefix of the prompt that ends with a part.
 // Equal prefixes have equal hashes.
 func (r *Request) PrefixHashes() []uint64 {
--- a/internal/logging/tag/tag.go
+++ b/internal/logging/tag/tag.go
@@ -4,6 +4,7 @@
 package tag
 
 import (
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -140,6 +141,17 @@
 // complete event.
 func UnfinishedBytes(n int) zap.Field { return zap.Int("unfinished_bytes", n) }
 
+// Fingerprint is the hash of a request's method, host, target and body.
+func Fingerprint(hash uint64) zap.Field {
+	return zap.String("fingerprint", strconv.FormatUint(hash, 16))
+}
+
+// Requests are the ids of requests.
+func Requests(ids []string) zap.Field { return zap.Strings("requests", ids) }
+
+// EndpointEnded is whether an endpoint's process was found to have ended.
+func EndpointEnded(ended bool) zap.Field { return zap.Bool("endpoint_ended", ended) }
+
 // Budget is the number of tokens that a program may generate.
 func Budget(tokens int64) zap.Field { return zap.Int64("budget_tokens", tokens) }
 
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"ibisstall.example/ibisstall/internal/clock"
 	"ibisstall.example/ibisstall/internal/forward"
 	"ibisstall.example/ibisstall/internal/policy/estimate"
@@ -130,6 +132,17 @@
 	Canceled              // the caller disconnected or its deadline passed
 )
 
+// EndpointLoss is what a VM knows about the end of an endpoint that may have been running
+// its request.
+type EndpointLoss int
+
+// Kinds of losses.
+const (
+	NotLost EndpointLoss = iota
+	Silent               // does not answer: it has ended, or the VM is cut off from it
+	Ended                // refuses connections: its process has ended
+)
+
 // SlotRelease returns a slot and reports how it was used.
 type SlotRelease struct {
 	Ticket uint64
@@ -140,6 +153,8 @@
 	// EndpointLeaves means that the endpoint said that it leaves: it gets no more
 	// requests from any VM until it starts again.
 	EndpointLeaves bool
+	// Loss tells that the endpoint was lost while it may have been running the request.
+	Loss EndpointLoss
 }
 
 // Scheduler assigns the slots of the endpoints of all services. It is safe for
@@ -149,7 +164,8 @@
 	// Fleet returns the VMs that may schedule a service; nil if there are no others. The
 	// result is not modified.
 	Fleet func(service string) Fleet
-	Lag   *clock.Lag // of this VM; may be nil
+	Lag   *clock.Lag  // of this VM; may be nil
+	Log   *zap.Logger // may be nil
 
 	clock  clock.Clock
 	cfg    scheduling.Config
@@ -199,6 +215,7 @@
 	concurrencyLimit scheduling.ConcurrencyLimit
 	promptCache      *promptCache
 	limit            endpointLimit
+	ended            bool // its process is known to have ended
 }
 
 // request is a SlotRequest and its scheduling state.
@@ -422,6 +439,9 @@
 		return
 	}
 	now := s.clock.Now()
+	if r.endpoint != nil && r.endpoint.recordLoss(r, release.Loss, now) {
+		s.observeEnd(r.endpoint)
+	}
 	s.remove(r)
 	if r.endpoint != nil {
 		r.endpoint.applyRelease(r, release, now)
--- a/internal/system/forwarder/delays.go
+++ b/internal/system/forwarder/delays.go
@@ -1,7 +1,9 @@
 package forwarder
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"syscall"
 	"time"
@@ -125,7 +127,7 @@
 		return errResponseOverdue
 	}
 	if silence >= probeAfterSilence {
-		return x.probe(address)
+		return x.f.probe(x.ctx, address)
 	}
 	return nil
 }
@@ -133,15 +135,15 @@
 // probe returns errEndpointLost if an endpoint has ended or is unreachable: its
 // address refuses connections, or connectAttempts attempts time out while this VM
 // isn't lagging.
-func (x *exchange) probe(address string) error {
+func (f *Forwarder) probe(ctx context.Context, address string) error {
 	for range connectAttempts {
-		err := x.f.Pool.Probe(x.ctx, address)
+		err := f.Pool.Probe(ctx, address)
 		switch {
-		case err == nil || x.ctx.Err() != nil:
+		case err == nil || ctx.Err() != nil:
 			return nil
 		case errors.Is(err, syscall.ECONNREFUSED):
-			return errEndpointLost
-		case x.f.Lag.Current() > 0:
+			return fmt.Errorf("%w: %w", errEndpointLost, err)
+		case f.Lag.Current() > 0:
 			return nil
 		}
 	}
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -122,15 +122,17 @@
 	for {
 		outcome, err := x.attempt(slot)
 		if outcome == interrupted {
+			if x.mayResend() {
+				err = x.diagnoseInterruption(x.ctx, slot, err)
+			}
 			x.recordInterruption(slot.Endpoint, err)
 			if !mayHaveRun {
 				mayHaveRun = true
 				x.possibleRuns++
 			}
 		}
-		resend, err := x.resendToSameEndpoint(outcome, err, mayHaveRun, slot)
 		x.cause = err
-		if resend {
+		if x.resendToSameEndpoint(outcome, err, mayHaveRun, slot) {
 			continue
 		}
 		if mayHaveRun && !errors.Is(err, errEndpointLost) && outcome != unreachable && outcome != misdirected {
@@ -139,14 +141,52 @@
 		if outcome == unreachable {
 			x.f.reachability.recordFailure(slot.Endpoint, slot.DC, time.Now())
 		}
-		slot.Release(dispatch.SlotRelease{
+		release := dispatch.SlotRelease{
 			Result: resultOf(outcome, mayHaveRun, err), Run: time.Since(start), First: x.timeToFirstEvent, Tokens: x.events * x.service.TokensPerEvent,
-			EndpointLeaves: x.endpointLeaves,
-		})
+			EndpointLeaves: x.endpointLeaves, Loss: lossOf(mayHaveRun, err),
+		}
+		if outcome == interrupted && !x.mayResend() {
+			go x.releaseAfterDiagnosis(slot, release, err) // the caller doesn't wait for it
+		} else {
+			slot.Release(release)
+		}
 		return x.tryAnotherEndpoint(outcome, slot.Endpoint, err)
 	}
 }
 
+// diagnoseInterruption probes the endpoint of an interrupted attempt, unless its response
+// is merely overdue. It returns err, wrapped together with errEndpointLost if the probe
+// failed.
+func (x *exchange) diagnoseInterruption(ctx context.Context, slot *dispatch.Slot, err error) error {
+	if errors.Is(err, errResponseOverdue) || errors.Is(err, errEndpointLost) {
+		return err
+	}
+	if lost := x.f.probe(ctx, slot.Address); lost != nil {
+		return fmt.Errorf("%w: %w", lost, err)
+	}
+	return err
+}
+
+// releaseAfterDiagnosis releases the slot of an interrupted attempt that is not resent,
+// after it has found out whether the endpoint ended.
+func (x *exchange) releaseAfterDiagnosis(slot *dispatch.Slot, release dispatch.SlotRelease, err error) {
+	err = x.diagnoseInterruption(context.Background(), slot, err)
+	release.Result, release.Loss = resultOf(interrupted, true, err), lossOf(true, err)
+	slot.Release(release)
+}
+
+// lossOf returns what an attempt's error says about the end of an endpoint that may have
+// run the request.
+func lossOf(mayHaveRun bool, err error) dispatch.EndpointLoss {
+	switch {
+	case !mayHaveRun || !errors.Is(err, errEndpointLost):
+		return dispatch.NotLost
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return dispatch.Ended
+	}
+	return dispatch.Silent
+}
+
 // resultOf returns the result of a slot's use from the outcome and error of the
 // last attempt, and whether an earlier response was lost.
 func resultOf(o outcome, mayHaveRun bool, err error) dispatch.Result {
@@ -168,27 +208,23 @@
 
 // resendToSameEndpoint reports whether to resend the request to the same endpoint:
 // if the response was interrupted and the endpoint is alive, or if the endpoint is
-// full and the route allows no other one. It probes the endpoint in the first case
-// and waits for fullRetryPause in the second. The returned error is err, wrapped
-// together with errEndpointLost if the probe failed.
-func (x *exchange) resendToSameEndpoint(o outcome, err error, mayHaveRun bool, slot *dispatch.Slot) (bool, error) {
+// full and the route allows no other one. It waits for fullRetryPause in the second
+// case.
+func (x *exchange) resendToSameEndpoint(o outcome, err error, mayHaveRun bool, slot *dispatch.Slot) bool {
 	switch {
 	case !x.f.Endpoints.MayResend(slot.Endpoint, slot.EntryVersion, time.Now()):
-		return false, err
+		return false
 	case o == interrupted && x.mayResend() && !x.preferOtherEndpoint(err):
-		if lost := x.probe(slot.Address); lost != nil {
-			return false, fmt.Errorf("%w: %w", lost, err)
-		}
-		if !slot.AllowResend(x.ctx) {
-			return false, err
+		if errors.Is(err, errEndpointLost) || errors.Is(err, errResponseOverdue) && x.f.probe(x.ctx, slot.Address) != nil || !slot.AllowResend(x.ctx) {
+			return false
 		}
 		x.resends++
-		return true, err
+		return true
 	case o == endpointFull && mayHaveRun && x.liveRuns+1 >= x.maxEndpoints() && x.notRunAttempts < maxNotRunAttempts:
 		x.notRunAttempts++
-		return clock.Sleep(x.ctx, fullRetryPause) && slot.AllowResend(x.ctx), err
+		return clock.Sleep(x.ctx, fullRetryPause) && slot.AllowResend(x.ctx)
 	}
-	return false, err
+	return false
 }
 
 // maxEndpoints returns the number of endpoints that the request may run on.
@@ -372,7 +408,10 @@
 // recordInterruption logs and counts an attempt with the outcome interrupted.
 func (x *exchange) recordInterruption(endpoint string, err error) {
 	x.f.Metrics.observeInterruption(x.framing)
-	fields := []zap.Field{tag.Request(x.request.ID), tag.Endpoint(endpoint), tag.Target(x.route.Name), tag.Error(err)}
+	fields := []zap.Field{
+		tag.Request(x.request.ID), tag.Endpoint(endpoint), tag.Target(x.route.Name), tag.Error(err),
+		tag.Fingerprint(x.request.Fingerprint()), tag.EndpointEnded(errors.Is(err, errEndpointLost)),
+	}
 	x.f.Log.Info("response interrupted", append(fields, x.responseFields()...)...)
 }
 
