quarantine: a path is refused after three of its requests ended endpoints on which nothing else ran

An end on which nothing else ran is certain but for schedulers that are cut off from each other, so it counts for its request at once, and three different requests make the path refused. A response that is a failure of the endpoint clears nobody any more.

--- a/internal/policy/quarantine/memory.go
+++ b/internal/policy/quarantine/memory.go
@@ -65,7 +65,7 @@
 // RecordEnd records that an endpoint ended during runs. It returns the fingerprints of the
 // requests and paths that are rejected from now on.
 func (m *Memory) RecordEnd(endpoint string, runs []Run, now time.Duration) (rejected []uint64) {
-	record := func(key uint64, group bool, guilty uint64, started time.Duration) *entry {
+	record := func(key uint64, group bool, guilty uint64, started time.Duration) {
 		e := m.entryFor(key, group, now)
 		before := e.LevelAt(now)
 		if e.recordEnd(endpoint, guilty, started, now) {
@@ -74,13 +74,13 @@
 				rejected = append(rejected, key)
 			}
 		}
-		return e
 	}
 	guilty := uint64(0)
 	for _, run := range runs {
-		if own := record(run.Request, false, 0, run.Started); len(runs) == 1 && len(own.Endpoints) >= aloneAfter {
-			guilty = run.Request
-		}
+		record(run.Request, false, 0, run.Started)
+	}
+	if len(runs) == 1 {
+		guilty = runs[0].Request
 	}
 	for _, run := range runs {
 		record(run.Path, true, guilty, run.Started)
--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -32,7 +32,7 @@
 	rejectAfter = 3
 	// minGuilty is the number of different requests of a group that have to end endpoints
 	// on which nothing else ran before the group is rejected.
-	minGuilty = 2
+	minGuilty = 3
 	// firstHold is how long a request is rejected before it is tried once more, alone:
 	// schedulers that are cut off from each other may have run it beside the one that
 	// crashes endpoints. Each further hold is holdGrowth times as long, up to maxHold.
@@ -51,7 +51,7 @@
 type Record struct {
 	Group     bool
 	Endpoints []string      // processes that ended while it ran, the last one last
-	Guilty    []uint64      // of a group: requests that ended an endpoint on which nothing else ran, not for the first time
+	Guilty    []uint64      // of a group: requests that ended an endpoint on which nothing else ran
 	Last      time.Duration // when the last endpoint ended
 	HeldUntil time.Duration // valid if Holds > 0
 	Holds     int           // how often it was rejected for a time
--- a/internal/policy/quarantine/quarantine_test.go
+++ b/internal/policy/quarantine/quarantine_test.go
@@ -101,7 +101,7 @@
 		}
 		l, _ := m.Level(other, path, 40)
 		is.Equal(l, Alone)
-		is.Equal(end(&m, "4", 50, beside), []uint64{path})
+		is.Equal(end(&m, "4", 50, 4), []uint64{path})
 		l, _ = m.Level(other, path, 50)
 		is.Equal(l, Rejected)
 		l, _ = m.Level(other, otherPath, 50)
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -170,6 +170,8 @@
 	// EndpointLeaves means that the endpoint said that it leaves: it gets no more
 	// requests from any VM until it starts again.
 	EndpointLeaves bool
+	// Served means that the response is complete and no failure of the endpoint.
+	Served bool
 	// Loss tells that the endpoint was lost while it may have been running the request.
 	Loss EndpointLoss
 }
--- a/internal/system/dispatch/endings.go
+++ b/internal/system/dispatch/endings.go
@@ -80,16 +80,16 @@
 	}
 }
 
-// recordRunEnd records how a run ended: a completed one clears its request, one that broke
+// recordRunEnd records how a run ended: one that was served clears its request, one that broke
 // off may have broken off because its endpoint ended.
 func (s *Scheduler) recordRunEnd(r *request, release SlotRelease, now time.Duration) {
 	if r.endpoint == nil || r.args.Fingerprint == 0 {
 		return
 	}
-	switch release.Result {
-	case Completed:
+	switch {
+	case release.Served:
 		s.quarantine.RecordCompletion(r.args.Fingerprint, r.args.PathFingerprint)
-	case Failed, Canceled:
+	case release.Result == Failed || release.Result == Canceled:
 		if e := r.endpoint; !e.ended {
 			if len(e.recent) >= maxRecentRuns || len(e.recent) > 0 && now-e.recent[len(e.recent)-1].at > recentRunTime {
 				e.recent = e.recent[:0]
--- a/internal/system/dispatch/endings_test.go
+++ b/internal/system/dispatch/endings_test.go
@@ -82,7 +82,7 @@
 		s.Release(SlotRelease{Ticket: busy[1].Ticket, Result: Completed})
 		is.Equal(s.Poll(next.Ticket).State, Assigned)
 		last := s.Submit(plainCall())
-		s.Release(SlotRelease{Ticket: suspect.Ticket, Result: Completed})
+		s.Release(SlotRelease{Ticket: suspect.Ticket, Result: Completed, Served: true})
 		is.Equal(s.Poll(last.Ticket).Endpoint, suspect.Endpoint) // no longer reserved
 		is.Equal(s.pools["model"].reserved, nil)
 	})
@@ -154,7 +154,7 @@
 	}
 	slot, err := b.Acquire(t.Context(), suspectCall(harmless))
 	is.NoErr(err)
-	slot.Release(SlotRelease{Result: Completed})
+	slot.Release(SlotRelease{Result: Completed, Served: true})
 	is.True(b.Local.Quarantined(deadly, deadlyPath) > 0) // from the answer to another request
 
 	current = secondAddress
@@ -299,7 +299,7 @@
 		if !v.up || v.scheduler != process {
 			return
 		}
-		release := SlotRelease{Ticket: resp.Ticket, Result: Completed, Run: 40 * ms}
+		release := SlotRelease{Ticket: resp.Ticket, Result: Completed, Served: true, Run: 40 * ms}
 		if f.ended[resp.Endpoint] {
 			release = SlotRelease{Ticket: resp.Ticket, Result: Unreachable, Loss: Ended}
 			f.under[r.Fingerprint]++
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -145,6 +145,7 @@
 		release := dispatch.SlotRelease{
 			Result: resultOf(outcome, mayHaveRun, err), Run: time.Since(start), First: x.timeToFirstEvent, Tokens: x.events * x.service.TokensPerEvent,
 			EndpointLeaves: x.endpointLeaves, Loss: lossOf(mayHaveRun, err),
+			Served: outcome == completed && x.status < http.StatusInternalServerError,
 		}
 		if release.Loss == dispatch.Ended {
 			x.endedUnder = append(x.endedUnder, slot.Process)
