--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -35,6 +35,9 @@
 	OutputTokensHint int // the caller's estimate of generated tokens; 0 if unknown
 	Prompt           []PromptPart
 	LastEventID      string // id of the event after which to resume a stream; empty to start from the beginning
+	// FirstAttempt is the id of the attempt that brought the first event of the stream
+	// that the request resumes; empty if it resumes none or the caller doesn't say.
+	FirstAttempt string
 }
 
 // UsesTokenBudget reports whether the request counts against a program's token budget.
@@ -88,8 +91,9 @@
 	Service          string
 	Address          string // host:port
 	DC               string
-	Slots            int  // requests that the endpoint runs at once
-	Draining         bool // is to get no new requests
+	Slots            int    // requests that the endpoint runs at once
+	Draining         bool   // is to get no new requests
+	SoftwareVersion  string // empty if unknown
 	// EntryVersion is the version of the store with which its entry was first read in
 	// this form.
 	EntryVersion uint64
--- a/internal/logging/tag/tag.go
+++ b/internal/logging/tag/tag.go
@@ -149,6 +149,12 @@
 // Requests are the ids of requests.
 func Requests(ids []string) zap.Field { return zap.Strings("requests", ids) }
 
+// SoftwareVersion is the version of an endpoint's software; empty if unknown.
+func SoftwareVersion(version string) zap.Field { return zap.String("software_version", version) }
+
+// FirstAttempt is the attempt that brought the first event of a stream that is resumed.
+func FirstAttempt(id string) zap.Field { return zap.String("first_attempt", id) }
+
 // EndpointEnded is whether an endpoint's process was found to have ended.
 func EndpointEnded(ended bool) zap.Field { return zap.Bool("endpoint_ended", ended) }
 
--- a/internal/system/dispatch/client.go
+++ b/internal/system/dispatch/client.go
@@ -75,6 +75,7 @@
 	Scheduler         string // address of the VM that assigned the slot; "" for this VM
 	service           string
 	Process           string     // identifies the endpoint's process
+	SoftwareVersion   string     // of the endpoint; empty if unknown
 	limit             LimitState // of the endpoint, as far as the scheduler knows
 	ticket            uint64
 	client            *Client
@@ -183,7 +184,7 @@
 	}
 	return &Slot{
 		Endpoint: resp.Endpoint, Address: resp.Address, DC: resp.DC, EntryVersion: resp.EntryVersion, QueueWait: resp.Waited,
-		Scheduler: addr, Process: resp.Process, service: req.Service, limit: resp.Limit, ticket: resp.Ticket, client: c,
+		Scheduler: addr, Process: resp.Process, SoftwareVersion: resp.SoftwareVersion, service: req.Service, limit: resp.Limit, ticket: resp.Ticket, client: c,
 	}, nil
 }
 
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -128,8 +128,9 @@
 	Instance     uint64        // of the scheduler; another one knows nothing of this one's limits
 	// Limit is the endpoint's rate limit as far as the scheduler knows; set once assigned.
 	Limit LimitState
-	// Process identifies the endpoint's process; set once assigned.
-	Process string
+	// Process identifies the endpoint's process, and SoftwareVersion is that of its
+	// software; set once assigned.
+	Process, SoftwareVersion string
 	// Quarantine is what the scheduler has learned since the requesting VM's
 	// QuarantineSeen, up to QuarantineVersion.
 	Quarantine        []quarantine.Shared
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -70,6 +70,7 @@
 	cause            error         // error of the last attempt or of the exchange, for the log; nil if none
 	endpoint         string        // id of the endpoint last tried
 	scheduler        string        // address of the VM that assigned the last slot; empty for this VM
+	softwareVersion  string        // of the endpoint last tried
 	endpointLeaves   bool          // it said so in a response to this request
 	queueWait        time.Duration // sum over all attempts to acquire a slot
 	sentAt           time.Time     // start of the last attempt
@@ -103,7 +104,7 @@
 		x.fail(err)
 		return false
 	}
-	x.endpoint, x.scheduler = slot.Endpoint, slot.Scheduler
+	x.endpoint, x.scheduler, x.softwareVersion = slot.Endpoint, slot.Scheduler, slot.SoftwareVersion
 	x.queueWait += slot.QueueWait
 	if !x.f.Endpoints.MayUse(slot.Endpoint, slot.EntryVersion) {
 		slot.Release(dispatch.SlotRelease{Result: dispatch.Canceled})
@@ -370,6 +371,12 @@
 	if x.scheduler != "" {
 		fields = append(fields, tag.Scheduler(x.scheduler))
 	}
+	if x.softwareVersion != "" {
+		fields = append(fields, tag.SoftwareVersion(x.softwareVersion))
+	}
+	if x.request.LastEventID != "" {
+		fields = append(fields, tag.FirstAttempt(x.request.FirstAttempt))
+	}
 	if x.request.Program != "" {
 		fields = append(fields, tag.ForwardedProgram(x.request.Program))
 	}
@@ -419,7 +426,7 @@
 	x.f.Metrics.observeInterruption(x.framing)
 	fields := []zap.Field{
 		tag.Request(x.request.ID), tag.Endpoint(endpoint), tag.Target(x.route.Name), tag.Error(err),
-		tag.Fingerprint(x.request.Fingerprint()), tag.EndpointEnded(errors.Is(err, errEndpointLost)),
+		tag.SoftwareVersion(x.softwareVersion), tag.Fingerprint(x.request.Fingerprint()), tag.EndpointEnded(errors.Is(err, errEndpointLost)),
 	}
 	x.f.Log.Info("response interrupted", append(fields, x.responseFields()...)...)
 }
