forwarder, streams, resumption: a stream goes on only at the software version that began it

Callers who took a stream up again got its rest from an endpoint of another software version, which doesn't fit what they had; so did callers whose response a VM resumed.

The version of a stream's first event is now remembered under the attempt that brought it (system/streams): in the memory of the VM that forwards it and, unless the service has had one version only, of two witnesses in two data centres. A VM where a caller takes the stream up asks the witnesses. Versions never change once recorded, so every answer is right, also of a VM that is cut off. Without an answer the stream goes on only if one version alone has been listed for longer than it can have lasted, at all VMs that answer (policy/resumption, pure); else it is refused at once, as is one whose version has left. An endpoint whose process has ended has no known version until its new entry is read.

--- a/internal/forward/registry.go
+++ b/internal/forward/registry.go
@@ -45,6 +45,7 @@
 	// unusableSince is when this VM learned that an endpoint is draining or gone, by id.
 	unusableSince map[string]time.Time // guarded by mu
 	version       uint64               // guarded by mu; of the last reading
+	versions      softwareVersions     // guarded by mu
 }
 
 // Reading says when and after what time the feed of endpoints was read.
@@ -182,6 +183,7 @@
 // Replace replaces the whole list.
 func (r *Registry) Replace(list []Endpoint, reading Reading) {
 	r.mu.Lock()
+	r.versions.readFirst(reading.At)
 	listed := make(map[string]bool, len(list))
 	for _, e := range list {
 		listed[e.ID] = true
@@ -237,9 +239,13 @@
 	} else {
 		delete(r.unusableSince, e.ID)
 	}
-	if r.endpoints[e.ID].sameEntry(e) {
+	previous, listed := r.endpoints[e.ID]
+	if previous.sameEntry(e) {
 		return false
 	}
+	if listed {
+		r.versions.left(previous, reading.At)
+	}
 	r.endpoints[e.ID] = e
 	return true
 }
@@ -272,6 +278,7 @@
 	if wasMissing {
 		r.log("endpoint that vanished is no longer used", id, tag.Duration(now.Sub(since)))
 	}
+	r.versions.left(r.endpoints[id], now)
 	delete(r.endpoints, id)
 	delete(r.missingSince, id)
 }
@@ -306,6 +313,7 @@
 func (r *Registry) DropDepartures(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.versions.dropOld(now)
 	for id, d := range r.departures {
 		if _, listed := r.endpoints[id]; listed {
 			d.lastListed = now
--- /dev/null
+++ b/internal/forward/versions.go
@@ -0,0 +1,86 @@
+package forward
+
+import (
+	"time"
+
+	"ibisstall.example/ibisstall/internal/policy/resumption"
+)
+
+// versionRetention is how long the registry remembers a software version after its last
+// endpoint left.
+const versionRetention = time.Hour
+
+// softwareVersions remembers the software versions whose endpoints have left.
+type softwareVersions struct {
+	firstRead time.Time                       // of the list of endpoints; zero before
+	leftAt    map[string]map[string]time.Time // when an endpoint of a version last left, by service and version
+}
+
+// readFirst records that the list was read.
+func (v *softwareVersions) readFirst(now time.Time) {
+	if v.firstRead.IsZero() {
+		v.firstRead = now
+	}
+}
+
+// left records that an endpoint has left or has another version now.
+func (v *softwareVersions) left(e Endpoint, now time.Time) {
+	if v.leftAt == nil {
+		v.leftAt = make(map[string]map[string]time.Time)
+	}
+	if v.leftAt[e.Service] == nil {
+		v.leftAt[e.Service] = make(map[string]time.Time)
+	}
+	v.leftAt[e.Service][e.SoftwareVersion] = now
+}
+
+// dropOld forgets the versions that left versionRetention ago.
+func (v *softwareVersions) dropOld(now time.Time) {
+	for service, versions := range v.leftAt {
+		for version, at := range versions {
+			if now.Sub(at) > versionRetention {
+				delete(versions, version)
+			}
+		}
+		if len(versions) == 0 {
+			delete(v.leftAt, service)
+		}
+	}
+}
+
+// VersionView returns what this VM knows about the software versions of a service that were
+// listed within a time before now.
+func (r *Registry) VersionView(service string, horizon time.Duration, now time.Time) resumption.View {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	listed := make(map[string]bool)
+	for _, e := range r.endpoints {
+		if e.Service == service {
+			listed[e.SoftwareVersion] = true
+		}
+	}
+	for version, at := range r.versions.leftAt[service] {
+		if now.Sub(at) <= horizon {
+			listed[version] = true
+		}
+	}
+	first := r.versions.firstRead
+	view := resumption.View{Versions: len(listed), Whole: !first.IsZero() && now.Sub(first) >= horizon, Current: !r.feedLost}
+	if len(listed) == 1 {
+		for version := range listed {
+			view.Version = version
+		}
+	}
+	return view
+}
+
+// SoftwareVersion returns the software version of an endpoint that a scheduler assigned:
+// assigned as the scheduler knows it, unless this VM has a newer entry of another process.
+func (r *Registry) SoftwareVersion(id, process string, entryVersion uint64, assigned string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e, listed := r.endpoints[id]; listed && e.Process() != process && e.EntryVersion > entryVersion {
+		return e.SoftwareVersion
+	}
+	return assigned
+}
--- a/internal/logging/tag/tag.go
+++ b/internal/logging/tag/tag.go
@@ -155,6 +155,12 @@
 // FirstAttempt is the attempt that brought the first event of a stream that is resumed.
 func FirstAttempt(id string) zap.Field { return zap.String("first_attempt", id) }
 
+// StreamVersion is the software version that began a stream; empty if unknown.
+func StreamVersion(version string) zap.Field { return zap.String("stream_version", version) }
+
+// StreamOrigin is how a stream's version was found out.
+func StreamOrigin(origin string) zap.Field { return zap.String("stream_origin", origin) }
+
 // EndpointEnded is whether an endpoint's process was found to have ended.
 func EndpointEnded(ended bool) zap.Field { return zap.Bool("endpoint_ended", ended) }
 
--- /dev/null
+++ b/internal/policy/resumption/resumption.go
@@ -0,0 +1,67 @@
+// Package resumption decides at which software version of a service a stream that a caller
+// takes up again may go on: only at that of the endpoint that made its first event. The
+// caller names the attempt that brought that event, but not the version; VMs remember it, and
+// otherwise it is certain only if the service has had one version for long enough. All
+// functions are pure.
+package resumption
+
+import "time"
+
+// listLag is how old a VM's list of endpoints may be while it can read changes.
+const listLag = 2 * time.Second
+
+// Horizon returns for how long only one version must have served for a stream of unknown
+// beginning to be of that version: the stream's first response and the one that is resumed
+// each last no longer than the route's timeout.
+func Horizon(routeTimeout time.Duration) time.Duration { return 2*routeTimeout + listLag }
+
+// View is what a VM knows about the software versions of a service.
+type View struct {
+	Versions int    // different versions that were listed within the horizon
+	Version  string // the only one if Versions is 1; empty if unknown
+	Whole    bool   // the VM has read the list since the start of the horizon
+	Current  bool   // the VM can read changes of the list
+}
+
+// Sole reports whether only one known version is listed.
+func (v View) Sole() bool { return v.Versions == 1 && v.Version != "" }
+
+// Answer is what a VM knows about a stream.
+type Answer struct {
+	Known   bool   // Version is that of its first event
+	Version string // empty if the VM knows that the version is unknown
+	View    View
+}
+
+// Origin is how the version of a stream's first event was found out.
+type Origin string
+
+// Origins.
+const (
+	Remembered Origin = "remembered" // a VM has seen the first event
+	OnlyOne    Origin = "only one"   // no other version has served
+	Unknown    Origin = "unknown"
+)
+
+// Resolve returns the version of a stream's first event from what this VM and others know.
+// others holds the answers that arrived; alone means that there are no other VMs.
+//
+// A VM that hears of nobody and can't read the list either may not know of a version that
+// others already use.
+func Resolve(own Answer, others []Answer, alone bool) (version string, origin Origin) {
+	whole := own.View.Whole
+	sole := own.View.Sole()
+	current := own.View.Current
+	for _, a := range append([]Answer{own}, others...) {
+		if a.Known && a.Version != "" {
+			return a.Version, Remembered
+		}
+		whole = whole || a.View.Whole
+		current = current || a.View.Current
+		sole = sole && !a.Known && a.View.Sole() && a.View.Version == own.View.Version
+	}
+	if !whole || !sole || !current && len(others) == 0 && !alone {
+		return "", Unknown
+	}
+	return own.View.Version, OnlyOne
+}
--- /dev/null
+++ b/internal/policy/resumption/resumption_test.go
@@ -0,0 +1,60 @@
+package resumption
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestResolve(t *testing.T) {
+	one := View{Versions: 1, Version: "v1", Whole: true, Current: true}
+	with := func(change func(*View)) View {
+		v := one
+		change(&v)
+		return v
+	}
+	fresh := with(func(v *View) { v.Whole = false })
+	outdated := with(func(v *View) { v.Current = false })
+	other := with(func(v *View) { v.Version = "v2" })
+	two := with(func(v *View) { v.Versions, v.Version = 2, "" })
+	unnamed := with(func(v *View) { v.Version = "" })
+	seen := func(version string) Answer { return Answer{Known: true, Version: version, View: two} }
+	view := func(v View) Answer { return Answer{View: v} }
+	tests := []struct {
+		name        string
+		own         Answer
+		others      []Answer
+		alone       bool
+		wantVersion string
+		want        Origin
+	}{
+		{"this VM has seen the first event", seen("v2"), nil, false, "v2", Remembered},
+		{"another one has", view(one), []Answer{view(one), seen("v2")}, false, "v2", Remembered},
+		{"a VM has seen it at an endpoint of unknown version", view(one), []Answer{{Known: true, View: one}}, false, "", Unknown},
+		{"nobody has, and there is one version", view(one), []Answer{view(one)}, false, "v1", OnlyOne},
+		{"nobody answers, but this VM reads the list", view(one), nil, false, "v1", OnlyOne},
+		{"there are two versions", view(two), []Answer{view(two)}, false, "", Unknown},
+		{"another VM knows of a second version", view(one), []Answer{view(two)}, false, "", Unknown},
+		{"another VM knows another version only", view(one), []Answer{view(other)}, false, "", Unknown},
+		{"this VM has just started and others have not", view(fresh), []Answer{view(one)}, false, "v1", OnlyOne},
+		{"all have just started", view(fresh), []Answer{view(fresh)}, false, "", Unknown},
+		{"this VM can't read the list, but another one can", view(outdated), []Answer{view(one)}, false, "v1", OnlyOne},
+		{"nobody can read the list: the store is away", view(outdated), []Answer{view(outdated)}, false, "v1", OnlyOne},
+		{"this VM is cut off", view(outdated), nil, false, "", Unknown},
+		{"the only VM can't read the list", view(outdated), nil, true, "v1", OnlyOne},
+		{"the only version has no name", view(unnamed), []Answer{view(unnamed)}, false, "", Unknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			version, origin := Resolve(tt.own, tt.others, tt.alone)
+			is.Equal(version, tt.wantVersion)
+			is.Equal(origin, tt.want)
+		})
+	}
+}
+
+func TestHorizon_CoversTwoResponsesAndTheLagOfTheList(t *testing.T) {
+	is.New(t).Equal(Horizon(3*time.Second), 8*time.Second)
+}
--- a/internal/system/dispatch/assign.go
+++ b/internal/system/dispatch/assign.go
@@ -237,7 +237,7 @@
 		e.suspects++
 	}
 	r.response.State = Assigned
-	r.response.Process, r.response.SoftwareVersion = e.Process(), e.SoftwareVersion
+	r.response.Process, r.response.SoftwareVersion = e.Process(), e.softwareVersion()
 	r.response.Endpoint, r.response.Address, r.response.DC, r.response.EntryVersion = e.ID, e.Address, e.DC, e.EntryVersion
 	r.response.Waited = now - r.policyRequest.Arrived
 	r.lastPolled = now
--- a/internal/system/dispatch/directory.go
+++ b/internal/system/dispatch/directory.go
@@ -29,9 +29,10 @@
 	Self VM // this VM
 
 	mu         sync.Mutex
-	vms        map[string]VM       // guarded by mu, by name
-	orderCache map[string][]string // guarded by mu, by service
-	fleetCache map[string]Fleet    // guarded by mu, by service
+	vms        map[string]VM         // guarded by mu, by name
+	orderCache map[string][]string   // guarded by mu, by service
+	fleetCache map[string]Fleet      // guarded by mu, by service
+	witnesses  map[string][][]string // guarded by mu, by key
 }
 
 // Replace replaces the whole list.
@@ -42,9 +43,12 @@
 	for _, vm := range list {
 		d.vms[vm.Name] = vm
 	}
-	d.orderCache, d.fleetCache = nil, nil
+	d.dropCaches()
 }
 
+// dropCaches drops what follows from the list of VMs. The caller holds mu.
+func (d *Directory) dropCaches() { d.orderCache, d.fleetCache, d.witnesses = nil, nil, nil }
+
 // Update adds or replaces VMs and deletes the removed ones by name.
 func (d *Directory) Update(list []VM, removed []string) {
 	d.mu.Lock()
@@ -58,7 +62,7 @@
 	for _, name := range removed {
 		delete(d.vms, name)
 	}
-	d.orderCache, d.fleetCache = nil, nil
+	d.dropCaches()
 }
 
 // SchedulerOrder implements SchedulerList. It ranks VMs by rendezvous hashing over
@@ -132,6 +136,60 @@
 	return f
 }
 
+// Size returns the number of VMs, including this one.
+func (d *Directory) Size() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	others := len(d.vms)
+	if _, listed := d.vms[d.Self.Name]; listed {
+		others--
+	}
+	return others + 1
+}
+
+// witnessesPerDC is the number of VMs of each data centre that Witnesses returns: the first
+// one may be the VM that asks itself, or be lost.
+const witnessesPerDC = 2
+
+// Witnesses returns the mesh addresses of the VMs ranked first by rendezvous hashing of a key
+// in each data centre, without this VM: those of its own data centre first, then the others
+// in the order of their best VM. The caller must not modify the result.
+func (d *Directory) Witnesses(key string) [][]string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if list, ok := d.witnesses[key]; ok {
+		return list
+	}
+	score := func(vm VM) uint64 { return ownership.RendezvousScore(vm.Name, key) }
+	var ranked []VM
+	for _, vm := range d.vms {
+		if vm.Name != d.Self.Name && !vm.Draining {
+			ranked = append(ranked, vm)
+		}
+	}
+	slices.SortFunc(ranked, func(a, b VM) int {
+		return cmp.Or(cmp.Compare(dcDistance(a.DC, d.Self.DC), dcDistance(b.DC, d.Self.DC)), cmp.Compare(score(b), score(a)), cmp.Compare(a.Name, b.Name))
+	})
+	var list [][]string
+	index := make(map[string]int) // of a data centre in list
+	for _, vm := range ranked {
+		i, seen := index[vm.DC]
+		if !seen {
+			i = len(list)
+			index[vm.DC] = i
+			list = append(list, nil)
+		}
+		if len(list[i]) < witnessesPerDC {
+			list[i] = append(list[i], vm.Address)
+		}
+	}
+	if d.witnesses == nil {
+		d.witnesses = make(map[string][][]string)
+	}
+	d.witnesses[key] = list
+	return list
+}
+
 // dcDistance returns 0 for the own data centre and 1 for others.
 func dcDistance(dc, own string) int {
 	if dc == own {
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -86,8 +86,12 @@
 	// is the scheduler's QuarantineVersion that the VM has read.
 	Quarantine     []quarantine.Shared
 	QuarantineSeen uint64
-	Avoid          []string // ids of endpoints to exclude
-	AvoidDCs       []string // data centres to exclude
+	// Pinned means that only endpoints of SoftwareVersion may run the request, since it
+	// resumes a stream that one of them began.
+	Pinned          bool
+	SoftwareVersion string
+	Avoid           []string // ids of endpoints to exclude
+	AvoidDCs        []string // data centres to exclude
 }
 
 // promptTokens returns the length of the prompt in tokens.
@@ -129,7 +133,7 @@
 	// Limit is the endpoint's rate limit as far as the scheduler knows; set once assigned.
 	Limit LimitState
 	// Process identifies the endpoint's process, and SoftwareVersion is that of its
-	// software; set once assigned.
+	// software, empty if unknown; set once assigned.
 	Process, SoftwareVersion string
 	// Quarantine is what the scheduler has learned since the requesting VM's
 	// QuarantineSeen, up to QuarantineVersion.
@@ -416,6 +420,9 @@
 
 // allowed reports whether the request may use the endpoint.
 func (e *endpoint) allowed(args *SlotRequest) bool {
+	if args.Pinned && args.SoftwareVersion != e.softwareVersion() {
+		return false
+	}
 	return !e.Draining && !slices.Contains(args.Avoid, e.ID) && !slices.Contains(args.AvoidDCs, e.DC)
 }
 
--- a/internal/system/dispatch/endings.go
+++ b/internal/system/dispatch/endings.go
@@ -44,6 +44,15 @@
 	return e.ended && !known
 }
 
+// softwareVersion returns the version of the endpoint's software. It is unknown once the
+// process has ended: another one may have started under its id, whose entry is not read yet.
+func (e *endpoint) softwareVersion() string {
+	if e.ended {
+		return ""
+	}
+	return e.SoftwareVersion
+}
+
 // run returns the request as a run of its endpoint.
 func (r *request) run() quarantine.Run {
 	return quarantine.Run{Request: r.args.Fingerprint, Path: r.args.PathFingerprint, Started: r.assignedAt}
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -56,6 +56,7 @@
 	liveRuns       int      // endpoints that may have run the request and are still alive; at most the route's MaxEndpoints
 	resends        int      // attempts made because a response was interrupted
 
+	stream         streamVersion
 	reservations   []*tokenbudget.Reservation
 	reservedTokens int64 // sum over reservations
 
@@ -70,7 +71,7 @@
 	cause            error         // error of the last attempt or of the exchange, for the log; nil if none
 	endpoint         string        // id of the endpoint last tried
 	scheduler        string        // address of the VM that assigned the last slot; empty for this VM
-	softwareVersion  string        // of the endpoint last tried
+	softwareVersion  string        // of the endpoint last tried; empty if unknown
 	endpointLeaves   bool          // it said so in a response to this request
 	queueWait        time.Duration // sum over all attempts to acquire a slot
 	sentAt           time.Time     // start of the last attempt
@@ -104,12 +105,16 @@
 		x.fail(err)
 		return false
 	}
-	x.endpoint, x.scheduler, x.softwareVersion = slot.Endpoint, slot.Scheduler, slot.SoftwareVersion
+	x.endpoint, x.scheduler, x.softwareVersion = slot.Endpoint, slot.Scheduler, x.versionOf(slot)
 	x.queueWait += slot.QueueWait
 	if !x.f.Endpoints.MayUse(slot.Endpoint, slot.EntryVersion) {
 		slot.Release(dispatch.SlotRelease{Result: dispatch.Canceled})
 		return x.tryAnotherEndpoint(unreachable, slot.Endpoint, errEndpointLeft)
 	}
+	if x.stream.begun && x.softwareVersion != x.stream.version {
+		slot.Release(dispatch.SlotRelease{Result: dispatch.Canceled})
+		return x.tryAnotherEndpoint(unreachable, slot.Endpoint, errOtherVersion)
+	}
 	return x.useSlot(slot)
 }
 
@@ -218,7 +223,7 @@
 // case.
 func (x *exchange) resendToSameEndpoint(o outcome, err error, mayHaveRun bool, slot *dispatch.Slot) bool {
 	switch {
-	case !x.f.Endpoints.MayResend(slot.Endpoint, slot.EntryVersion, time.Now()):
+	case !x.f.Endpoints.MayResend(slot.Endpoint, slot.EntryVersion, time.Now()) || x.versionOf(slot) != x.softwareVersion:
 		return false
 	case o == interrupted && x.mayResend() && !x.preferOtherEndpoint(err):
 		if errors.Is(err, errEndpointLost) || errors.Is(err, errResponseOverdue) && x.f.probe(x.ctx, slot.Address) != nil || !slot.AllowResend(x.ctx) {
@@ -250,11 +255,15 @@
 }
 
 // continuable reports whether another response can continue what was sent to the
-// caller so far: only a stream can be resumed, after an event with an id.
+// caller so far: only a stream can be resumed, after an event with an id, and only if the
+// version of its first event is known.
 func (x *exchange) continuable() bool {
 	if !x.headerSent {
 		return true
 	}
+	if x.stream.begun && x.stream.version == "" {
+		return false
+	}
 	return x.streaming && x.route.Kind == forward.Stream && (x.events == 0 || x.lastEventID != "")
 }
 
@@ -296,6 +305,7 @@
 		Service: x.service.Name, Request: req.ID, Program: req.Program, VM: x.f.VM, DC: x.f.DC, Deadline: x.deadline.Sub(now),
 		Priority: x.route.Priority, First: x.firstTurn, Once: !x.route.Retryable(), Prefixes: req.PrefixHashes(),
 		Fingerprint: req.Fingerprint(), PathFingerprint: req.PathFingerprint(), EndedUnder: x.endedUnder,
+		Pinned: x.stream.begun, SoftwareVersion: x.stream.version,
 		ListCurrent: x.f.Endpoints.Current(), Avoid: slices.Concat(endpoints, x.excluded, x.f.Endpoints.Unusable(x.service.Name)), AvoidDCs: dcs,
 	}
 	if !req.Finish.IsZero() {
@@ -371,12 +381,7 @@
 	if x.scheduler != "" {
 		fields = append(fields, tag.Scheduler(x.scheduler))
 	}
-	if x.softwareVersion != "" {
-		fields = append(fields, tag.SoftwareVersion(x.softwareVersion))
-	}
-	if x.request.LastEventID != "" {
-		fields = append(fields, tag.FirstAttempt(x.request.FirstAttempt))
-	}
+	fields = append(fields, x.versionFields()...)
 	if x.request.Program != "" {
 		fields = append(fields, tag.ForwardedProgram(x.request.Program))
 	}
--- a/internal/system/forwarder/forwarder.go
+++ b/internal/system/forwarder/forwarder.go
@@ -17,7 +17,9 @@
 	"ibisstall.example/ibisstall/internal/clock"
 	"ibisstall.example/ibisstall/internal/forward"
 	"ibisstall.example/ibisstall/internal/httpconn"
+	"ibisstall.example/ibisstall/internal/policy/resumption"
 	"ibisstall.example/ibisstall/internal/system/dispatch"
+	"ibisstall.example/ibisstall/internal/system/streams"
 	"ibisstall.example/ibisstall/internal/system/tokenbudget"
 )
 
@@ -84,10 +86,19 @@
 	// and MayResend whether it may get one again that it has had.
 	MayUse(endpoint string, entryVersion uint64) bool
 	MayResend(endpoint string, entryVersion uint64, now time.Time) bool
+	// SoftwareVersion returns the software version of an endpoint that a scheduler
+	// assigned, as assigned unless this VM has a newer entry of another process.
+	SoftwareVersion(endpoint, process string, entryVersion uint64, assigned string) string
 	// Current reports whether changes of the list of endpoints can be read.
 	Current() bool
 }
 
+// StreamOrigins remembers which software versions began streams.
+type StreamOrigins interface {
+	Record(r streams.Record, horizon time.Duration)
+	Resolve(ctx context.Context, q streams.Query) (version string, origin resumption.Origin)
+}
+
 // Forwarder forwards requests. It is safe for concurrent use.
 type Forwarder struct {
 	VM, DC    string
@@ -96,6 +107,7 @@
 	Slots     SlotAllocator
 	Endpoints EndpointRegistry
 	Budgets   Budgets
+	Streams   StreamOrigins
 	Pool      *httpconn.Pool
 	Lag       *clock.Lag // scheduling lag of this VM
 	Log       *zap.Logger
@@ -155,6 +167,9 @@
 // endpoints until the exchange is complete or has failed.
 func (x *exchange) forwardRequest() {
 	req := x.request
+	if x.route.Kind == forward.Stream && req.LastEventID != "" && !x.pinToOrigin() {
+		return
+	}
 	if !req.Finish.IsZero() && req.Program != "" {
 		ran, started, objective := x.f.Budgets.ObserveRequest(req.Program, req.Arrived, req.Finish)
 		x.firstTurn = !ran && req.UsesTokenBudget()
--- a/internal/system/forwarder/metrics.go
+++ b/internal/system/forwarder/metrics.go
@@ -14,6 +14,7 @@
 	maxRoutes   = 64
 	maxStatuses = 40
 	maxFramings = 4
+	maxOrigins  = 3
 )
 
 // Metrics counts and times forwarded requests.
@@ -26,19 +27,22 @@
 	// interruptions counts attempts that may have run the request and whose
 	// response is missing or incomplete, by the framing of the response.
 	interruptions *metric.CounterVec
-	limitChanges  *metrics.Counter // rate limits of endpoints, as this VM learned them
+	// resumedStreams counts streams that callers take up, by how their version was found out.
+	resumedStreams *metric.CounterVec
+	limitChanges   *metrics.Counter // rate limits of endpoints, as this VM learned them
 }
 
 // NewMetrics registers the metrics.
 func NewMetrics(r *metric.Registry) *Metrics {
 	return &Metrics{
-		requests:      r.CounterVec("ibisstall_forwarded_requests_total", "status", maxStatuses),
-		latency:       r.HistogramVec("ibisstall_forwarded_request_seconds", "route", maxRoutes),
-		queueWaits:    r.Histogram("ibisstall_place_wait_seconds"),
-		resends:       r.Counter("ibisstall_forwarded_resumes_total"),
-		truncated:     r.Counter("ibisstall_forwarded_broken_total"),
-		interruptions: r.CounterVec("ibisstall_forwarded_interruptions_total", "framing", maxFramings),
-		limitChanges:  r.Counter("ibisstall_endpoint_limit_changes_total"),
+		requests:       r.CounterVec("ibisstall_forwarded_requests_total", "status", maxStatuses),
+		latency:        r.HistogramVec("ibisstall_forwarded_request_seconds", "route", maxRoutes),
+		queueWaits:     r.Histogram("ibisstall_place_wait_seconds"),
+		resends:        r.Counter("ibisstall_forwarded_resumes_total"),
+		truncated:      r.Counter("ibisstall_forwarded_broken_total"),
+		interruptions:  r.CounterVec("ibisstall_forwarded_interruptions_total", "framing", maxFramings),
+		resumedStreams: r.CounterVec("ibisstall_forwarded_streams_taken_up_total", "origin", maxOrigins),
+		limitChanges:   r.Counter("ibisstall_endpoint_limit_changes_total"),
 	}
 }
 
--- a/internal/system/forwarder/response.go
+++ b/internal/system/forwarder/response.go
@@ -140,6 +140,7 @@
 				return fmt.Errorf("%w: %w", errBudgetSpent, err)
 			}
 			x.observeDelay()
+			x.recordFirstEvent()
 			x.sendStreamHeader(resp)
 			x.recordEvents(block)
 			conn.InactivityTimeout = min(probeAfterSilence, x.overdueAfter())
--- /dev/null
+++ b/internal/system/streams/streams.go
@@ -0,0 +1,238 @@
+// Package streams remembers of each stream the software version of the endpoint that made its
+// first event, so that a caller that takes the stream up again at any VM gets the rest from
+// that version.
+//
+// The VM that forwards a first event keeps the version in memory and, unless the service has
+// only one, tells it to two witnesses: one in its own data centre and one in another, chosen
+// by a hash of the attempt over the live VMs. A VM where a caller takes a stream up asks the
+// witnesses of all data centres. A version never changes once recorded, so any answer is
+// right; if none is known, policy/resumption decides.
+package streams
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ibisstall.example/ibisstall/internal/clock"
+	"ibisstall.example/ibisstall/internal/mesh"
+	"ibisstall.example/ibisstall/internal/policy/resumption"
+)
+
+// serviceName is the net/rpc service name.
+const serviceName = "Streams"
+
+const (
+	// replyTimeout is how long witnesses are waited for, far above a round trip.
+	replyTimeout = 120 * time.Millisecond
+	// vmsPerShard is the number of VMs of the fleet for each shard of attempts. All
+	// attempts of a shard have the same witnesses, so that a VM is connected to few.
+	vmsPerShard = 32
+	// witnesses is the number of VMs that are told of an attempt.
+	witnesses = 2
+	// maxPending bounds the records that wait to be sent to one witness.
+	maxPending = 1024
+)
+
+// Record says which software version made the first event of a stream.
+type Record struct {
+	Service, Attempt string
+	Version          string // empty if unknown
+}
+
+// Query asks what a VM knows about a stream.
+type Query struct {
+	Service, Attempt string // Attempt is empty if the caller doesn't name it
+	Horizon          time.Duration
+}
+
+// Directory knows the other VMs.
+type Directory interface {
+	// Witnesses returns the mesh addresses of the VMs ranked first by a key in each data
+	// centre, this VM's own data centre first, without this VM.
+	Witnesses(key string) [][]string
+	// Size returns the number of VMs, including this one.
+	Size() int
+}
+
+// Origins remembers the first versions of streams. It is safe for concurrent use.
+type Origins struct {
+	Mesh      *mesh.Client
+	Suspects  *mesh.Suspects
+	Directory Directory
+	// View returns what this VM knows about the software versions of a service.
+	View  func(service string, horizon time.Duration) resumption.View
+	Clock clock.Clock
+
+	mu       sync.Mutex
+	memory   memory              // guarded by mu
+	pending  map[string][]Record // guarded by mu; by address of the witness
+	flushing map[string]bool     // guarded by mu; whether flush runs, by address
+}
+
+// Record records a stream's first event, before it is sent to the caller. horizon is that of
+// the route.
+func (o *Origins) Record(r Record, horizon time.Duration) {
+	o.store([]Record{r})
+	if o.View(r.Service, horizon).Sole() && r.Version != "" {
+		return
+	}
+	for _, address := range o.recipients(r.Attempt) {
+		o.send(address, r)
+	}
+}
+
+// store keeps records in memory.
+func (o *Origins) store(list []Record) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.Clock.Now()
+	for _, r := range list {
+		o.memory.put(r, now)
+	}
+}
+
+// key returns the key that ranks the witnesses of an attempt.
+func (o *Origins) key(attempt string) string {
+	shards := uint64(1 + o.Directory.Size()/vmsPerShard)
+	return "streams/" + strconv.FormatUint(xxhash.Sum64String(attempt)%shards, 10)
+}
+
+// recipients returns the witnesses that are told of an attempt: of this VM's data centre and
+// of others, one of each, the first that is not suspected.
+func (o *Origins) recipients(attempt string) []string {
+	var list []string
+	for _, dc := range o.Directory.Witnesses(o.key(attempt)) {
+		i := slices.IndexFunc(dc, func(address string) bool { return !o.Suspects.Suspected(address) })
+		if i >= 0 && len(list) < witnesses {
+			list = append(list, dc[i])
+		}
+	}
+	return list
+}
+
+// send sends a record in the background. Records to one witness that are recorded while a
+// message to it is under way go with the next one.
+func (o *Origins) send(address string, r Record) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.pending == nil {
+		o.pending, o.flushing = make(map[string][]Record), make(map[string]bool)
+	}
+	if len(o.pending[address]) >= maxPending {
+		return // the witness doesn't answer
+	}
+	o.pending[address] = append(o.pending[address], r)
+	if !o.flushing[address] {
+		o.flushing[address] = true
+		go o.flush(address)
+	}
+}
+
+// flush sends the pending records to a witness until none are left.
+func (o *Origins) flush(address string) {
+	for {
+		o.mu.Lock()
+		list := o.pending[address]
+		delete(o.pending, address)
+		if len(list) == 0 {
+			delete(o.flushing, address)
+			o.mu.Unlock()
+			return
+		}
+		o.mu.Unlock()
+		ctx, cancel := o.replyContext(context.Background())
+		var ok bool
+		if err := o.Mesh.Call(ctx, address, serviceName+".Record", list, &ok); err != nil {
+			o.Suspects.Suspect(address, err)
+		}
+		cancel()
+	}
+}
+
+func (o *Origins) replyContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, replyTimeout+o.Suspects.Lag.TimeoutExtension())
+}
+
+// Resolve returns the version of the first event of a stream that a caller takes up, and how
+// it was found out.
+func (o *Origins) Resolve(ctx context.Context, q Query) (string, resumption.Origin) {
+	own := o.answer(q)
+	if own.Known && own.Version != "" {
+		return own.Version, resumption.Remembered
+	}
+	return resumption.Resolve(own, o.ask(ctx, q), o.Directory.Size() == 1)
+}
+
+// answer returns what this VM knows.
+func (o *Origins) answer(q Query) resumption.Answer {
+	view := o.View(q.Service, q.Horizon)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	version, known := o.memory.get(q.Service, q.Attempt, o.Clock.Now())
+	return resumption.Answer{Known: known, Version: version, View: view}
+}
+
+// ask returns the answers of the witnesses, until one of them knows the version.
+func (o *Origins) ask(ctx context.Context, q Query) []resumption.Answer {
+	ctx, cancel := o.replyContext(ctx)
+	defer cancel()
+	type reply struct {
+		resumption.Answer
+		err error
+	}
+	var addresses []string
+	for _, dc := range o.Directory.Witnesses(o.key(q.Attempt)) {
+		for _, address := range dc {
+			if !o.Suspects.Suspected(address) {
+				addresses = append(addresses, address)
+			}
+		}
+	}
+	replies := make(chan reply, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			var r reply
+			if r.err = o.Mesh.Call(ctx, address, serviceName+".Query", q, &r.Answer); r.err != nil && ctx.Err() == nil {
+				o.Suspects.Suspect(address, r.err)
+			}
+			replies <- r
+		}()
+	}
+	var answers []resumption.Answer
+	for range addresses {
+		r := <-replies
+		if r.err != nil {
+			continue
+		}
+		answers = append(answers, r.Answer)
+		if r.Known && r.Version != "" {
+			break
+		}
+	}
+	return answers
+}
+
+// service exposes Origins over net/rpc.
+type service struct{ origins *Origins }
+
+// Register registers the origins for calls by other VMs.
+func Register(server *mesh.Server, o *Origins) error {
+	return server.Register(serviceName, &service{o})
+}
+
+// Record keeps records of another VM.
+func (s *service) Record(list []Record, _ *bool) error {
+	s.origins.store(list)
+	return nil
+}
+
+// Query returns what this VM knows about a stream.
+func (s *service) Query(q Query, out *resumption.Answer) error {
+	*out = s.origins.answer(q)
+	return nil
+}
--- /dev/null
+++ b/internal/system/streams/streams_test.go
@@ -0,0 +1,146 @@
+package streams
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"ibisstall.example/ibisstall/internal/clock"
+	"ibisstall.example/ibisstall/internal/mesh"
+	"ibisstall.example/ibisstall/internal/policy/resumption"
+)
+
+// testDirectory is a list of the VMs of each data centre, the own one first.
+type testDirectory struct{ dcs [][]string }
+
+func (d *testDirectory) Witnesses(string) [][]string { return d.dcs }
+func (d *testDirectory) Size() int                   { return 100 }
+
+// testVM is the Origins of a VM with a mesh server.
+type testVM struct {
+	*Origins
+	directory testDirectory
+	view      resumption.View
+	address   string
+	stop      func()
+}
+
+var (
+	soleView  = resumption.View{Versions: 1, Version: "v1", Whole: true, Current: true}
+	mixedView = resumption.View{Versions: 2, Whole: true, Current: true}
+)
+
+func newTestVM(t *testing.T) *testVM {
+	t.Helper()
+	is := is.New(t)
+	client := mesh.NewClient(mesh.ClientOptions{LocalIP: net.IPv4(127, 0, 0, 1), SilenceTimeout: time.Minute, DialTimeout: time.Minute})
+	t.Cleanup(func() { client.Close() })
+	vm := &testVM{view: mixedView}
+	vm.Origins = &Origins{
+		Mesh: client, Suspects: &mesh.Suspects{Client: client, Lag: &clock.Lag{}, Log: zap.NewNop()}, Directory: &vm.directory,
+		View: func(string, time.Duration) resumption.View { return vm.view }, Clock: clock.System{},
+	}
+	server, err := mesh.Listen(mesh.ServerOptions{Addr: "127.0.0.1:0", SilenceTimeout: time.Minute})
+	is.NoErr(err)
+	is.NoErr(Register(server, vm.Origins))
+	go server.Serve()
+	vm.address, vm.stop = server.Addr(), func() { server.Close() }
+	t.Cleanup(vm.stop)
+	return vm
+}
+
+const (
+	testService = "model"
+	horizon     = time.Second
+)
+
+func (vm *testVM) resolve(t *testing.T, attempt string) (string, resumption.Origin) {
+	return vm.Resolve(t.Context(), Query{Service: testService, Attempt: attempt, Horizon: horizon})
+}
+
+// eventually waits until a VM remembers an attempt.
+func (vm *testVM) eventually(t *testing.T, attempt string) {
+	t.Helper()
+	for deadline := time.Now().Add(15 * time.Second); !vm.answer(Query{Service: testService, Attempt: attempt}).Known; {
+		if time.Now().After(deadline) {
+			t.Fatal("record did not arrive")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// The version of a stream was known to nobody once the VM that had begun it was lost.
+func TestOrigins_VersionIsKnownAtAnyVMAfterTheLossOfTheVMThatBeganTheStream(t *testing.T) {
+	is := is.New(t)
+	front, near, far, back := newTestVM(t), newTestVM(t), newTestVM(t), newTestVM(t)
+	front.directory.dcs = [][]string{{near.address}, {far.address, back.address}}
+	back.directory.dcs = [][]string{{far.address}, {front.address, near.address}}
+	front.Record(Record{testService, "a1", "v2"}, horizon)
+	near.eventually(t, "a1")
+	far.eventually(t, "a1")
+	front.stop()
+	near.stop()
+	version, origin := back.resolve(t, "a1")
+	is.Equal(version, "v2")
+	is.Equal(origin, resumption.Remembered)
+	version, _ = front.resolve(t, "a1") // without asking anybody
+	is.Equal(version, "v2")
+	_, origin = back.resolve(t, "a2")
+	is.Equal(origin, resumption.Unknown)
+	is.True(!back.answer(Query{Service: "other", Attempt: "a1"}).Known)
+}
+
+func TestOrigins_WitnessesAreToldOnlyIfSeveralVersionsServe(t *testing.T) {
+	is := is.New(t)
+	front, witness := newTestVM(t), newTestVM(t)
+	front.directory.dcs = [][]string{{witness.address}}
+	front.view = soleView
+	front.Record(Record{testService, "a1", "v1"}, horizon)
+	front.view = mixedView
+	front.Record(Record{testService, "a2", "v1"}, horizon)
+	witness.eventually(t, "a2")
+	is.True(!witness.answer(Query{Service: testService, Attempt: "a1"}).Known)
+	is.True(front.answer(Query{Service: testService, Attempt: "a1"}).Known)
+}
+
+// A VM that had not read of a second version took the only one that it knew for that of any stream.
+func TestOrigins_AVMThatKnowsOneVersionBelievesAnotherThatKnowsTwo(t *testing.T) {
+	is := is.New(t)
+	behind, ahead := newTestVM(t), newTestVM(t)
+	behind.view = soleView
+	behind.directory.dcs = [][]string{{ahead.address}}
+	_, origin := behind.resolve(t, "a1")
+	is.Equal(origin, resumption.Unknown)
+	ahead.view = soleView
+	version, origin := behind.resolve(t, "a1")
+	is.Equal(version, "v1")
+	is.Equal(origin, resumption.OnlyOne)
+}
+
+func TestMemory_IsBoundedInTimeAndSize(t *testing.T) {
+	is := is.New(t)
+	var m memory
+	put := func(attempt string, now time.Duration) { m.put(Record{testService, attempt, "v1"}, now) }
+	known := func(attempt string, now time.Duration) bool {
+		_, ok := m.get(testService, attempt, now)
+		return ok
+	}
+	put("a", 0)
+	put("b", retention-1)
+	is.True(known("a", retention-1))
+	is.True(known("b", 2*retention-2))
+	is.True(!known("a", 3*retention))
+	for i := range 5 * maxGeneration {
+		put(fmt.Sprint(i), 4*retention)
+	}
+	is.True(len(m.newer)+len(m.older) <= 2*maxGeneration)
+	is.True(known(fmt.Sprint(5*maxGeneration-1), 4*retention))
+	for i := range 3 * maxNames {
+		m.put(Record{fmt.Sprint("s", i), "a", fmt.Sprint("v", i)}, 4*retention)
+	}
+	is.True(len(m.names) <= maxNames)
+}
