owner: a model call that crashes engines is rejected after three

The engine client now says when an engine's process has ended (endpoint.ErrEnded: connection refused when the stream is resumed); the VM that owns the program remembers under which prompts engines ended, with the decision of policy/quarantine, and refuses the call as not run, with the time of the next trial.

TestOwner_CallThatCrashesEnginesReachesNoFourthOne failed before (24 prompts where 3 are allowed).

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -19,6 +19,9 @@
 	// ErrUnanswered means that no complete response was received, and that the
 	// request may have run.
 	ErrUnanswered = errors.New("request sent, no whole answer")
+	// ErrEnded means that the runner's process ended while it may have been running the
+	// request. It comes with ErrUnanswered.
+	ErrEnded = errors.New("runner has ended")
 	// ErrMismatch means that the response belongs to another request. The
 	// request itself may have run. The connection was closed.
 	ErrMismatch = errors.New("answer belongs to another request")
--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -205,7 +205,7 @@
 		return fmt.Errorf("%w: not resumable, status %d", ErrUnanswered, status.Status)
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) { // the process has ended, and the stream is lost
-		return fmt.Errorf("%w: not resumable: %s", ErrUnanswered, err) // without wrapping ErrNotSent: the call itself was sent
+		return fmt.Errorf("%w: %w: not resumable: %s", ErrUnanswered, ErrEnded, err) // without wrapping ErrNotSent: the call itself was sent
 	}
 	if errors.Is(err, ErrNotSent) {
 		return &interruption{cause: errors.New(err.Error())} // without wrapping ErrNotSent, as above
--- a/internal/policy/quarantine/memory.go
+++ b/internal/policy/quarantine/memory.go
@@ -12,7 +12,7 @@
 
 // Run is a request that may have been running at an endpoint that ended.
 type Run struct {
-	Request, Path uint64 // fingerprints
+	Request, Path uint64 // fingerprints; Path is 0 if the request belongs to no group
 	Started       time.Duration
 }
 
@@ -83,7 +83,9 @@
 		guilty = runs[0].Request
 	}
 	for _, run := range runs {
-		record(run.Path, true, guilty, run.Started)
+		if run.Path != 0 {
+			record(run.Path, true, guilty, run.Started)
+		}
 	}
 	return rejected
 }
--- a/internal/system/owner/chat.go
+++ b/internal/system/owner/chat.go
@@ -43,17 +43,32 @@
 	if answer, callID, ok := r.resumeInherited(ctx); ok {
 		return r.recordAnswer(ctx, callID, answer)
 	}
+	fingerprint, err := promptFingerprint(c.args.Target, r.prompt)
+	if err != nil {
+		return Result{}, mesh.NewFault(mesh.CodeBadRequest, "the messages can't be encoded: %v", err)
+	}
+	crashes := &f.owner.crashes
+	if left := crashes.heldFor(fingerprint, f.owner.options.Now()); left > 0 {
+		fault := mesh.NewFault(mesh.CodeNotRun, "engines ended while they ran this call")
+		fault.RetryAfter = left
+		return Result{}, fault
+	}
 	epoch := f.rootRow().Epoch
 	for attempt := 1; ; attempt++ {
 		callID := attemptCallID(c, p, epoch, attempt)
+		started := f.owner.options.Now()
 		answer, err := r.attempt(ctx, callID)
+		if errors.Is(err, endpoint.ErrEnded) {
+			crashes.recordEnd(callID, fingerprint, started, f.owner.options.Now())
+		}
 		if err == nil {
+			crashes.recordCompletion(fingerprint)
 			return r.recordAnswer(ctx, callID, answer)
 		}
 		if rejectsRequest(err) {
 			return Result{}, mesh.NewFault(mesh.CodeBadRequest, "the engine refuses the request: %v", err)
 		}
-		if !f.mayRetryChat(ctx, err, attempt) {
+		if crashes.heldFor(fingerprint, f.owner.options.Now()) > 0 || !f.mayRetryChat(ctx, err, attempt) {
 			return Result{}, err
 		}
 		c.restart()
--- a/internal/system/owner/owner.go
+++ b/internal/system/owner/owner.go
@@ -89,6 +89,7 @@
 type Owner struct {
 	options     Options
 	retryBudget *retryBudget
+	crashes     crashMemory
 
 	mu       sync.Mutex
 	families map[entity.ProgramID]*family // guarded by mu
--- a/internal/system/owner/owner_test.go
+++ b/internal/system/owner/owner_test.go
@@ -444,3 +444,27 @@
 		is.Equal(f.call(a, toolCall(fmt.Sprint(i), "lookup", "{}")).Fault.Code, mesh.CodeNone)
 	}
 }
+
+// A call that crashed engine after engine was sent on by each of its attempts, and by each program that made it again.
+func TestOwner_CallThatCrashesEnginesReachesNoFourthOne(t *testing.T) {
+	const crashesAllowed = 3
+	is := is.New(t)
+	f := newFixture(t)
+	a := f.startOwner("a")
+	f.create(a, ampleBudget)
+	ended := fmt.Errorf("%w: %w", endpoint.ErrUnanswered, endpoint.ErrEnded)
+	f.runners.update(func(r *fakeRunners) {
+		for range 100 {
+			r.chatErrs = append(r.chatErrs, ended)
+		}
+	})
+	is.Equal(f.call(a, chatCall("r1", "deadly")).Fault.Code, mesh.CodeOutcomeUnknown)
+	for i := range 5 {
+		again := f.call(a, chatCall(fmt.Sprint("again-", i), "deadly"))
+		is.Equal(again.Fault.Code, mesh.CodeNotRun)
+		is.True(again.Fault.RetryAfter > 0)
+	}
+	f.runners.update(func(r *fakeRunners) { r.chatErrs = nil })
+	is.Equal(len(f.runners.prompts), crashesAllowed)
+	is.Equal(f.call(a, chatCall("r2", "harmless")).Fault.Code, mesh.CodeNone)
+}
