--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -245,7 +245,8 @@
 	promptCache      *promptCache
 	limit            endpointLimit
 	ended            bool // its process is known to have ended
-	suspects         int  // running requests that are to be spread over endpoints
+	endedAt          time.Duration
+	suspects         int // running requests that are to be spread over endpoints
 	recent           []endedRun
 }
 
@@ -636,6 +637,7 @@
 	}
 	for service, p := range s.pools {
 		p.dropIdlePrograms(now)
+		s.reviveListed(p, now)
 		s.updateLimits(p, service, now)
 		s.assignSlots(p)
 		s.shed(p, now)
--- a/internal/system/dispatch/endings.go
+++ b/internal/system/dispatch/endings.go
@@ -20,6 +20,8 @@
 	recentRunTime = time.Second
 	// maxRecentRuns bounds the broken-off runs that are remembered for an endpoint.
 	maxRecentRuns = 64
+	// endedEntryTime is how long after the end of a process its entry may still be listed.
+	endedEntryTime = 10 * time.Second
 	// expiryInterval is the time between two removals of expired records.
 	expiryInterval = 10 * time.Second
 )
@@ -41,9 +43,25 @@
 	case Silent:
 		e.ended = e.ended || e.recordConnectTimeout(r.args.VM, now)
 	}
+	if e.ended && !known {
+		e.endedAt = now
+	}
 	return e.ended && !known
 }
 
+// reviveListed forgets the ends of endpoints that are still listed long after: they refused
+// connections, but live, since the entries of ended processes lapse within seconds.
+func (s *Scheduler) reviveListed(p *pool, now time.Duration) {
+	if s.outdated {
+		return
+	}
+	for _, e := range p.sortedEndpoints {
+		if e.ended && now-e.endedAt > endedEntryTime {
+			e.ended = false
+		}
+	}
+}
+
 // softwareVersion returns the version of the endpoint's software. It is unknown once the
 // process has ended: another one may have started under its id, whose entry is not read yet.
 func (e *endpoint) softwareVersion() string {
--- a/internal/system/dispatch/versions_test.go
+++ b/internal/system/dispatch/versions_test.go
@@ -38,6 +38,18 @@
 		s.SetEndpoints(list, nil)
 		is.Equal(s.Submit(pinned).Endpoint, "a")
 	})
+	t.Run("one that is still listed long after has not ended", func(t *testing.T) {
+		is := is.New(t)
+		e := s.pools["model"].endpoints["a"]
+		e.ended, e.endedAt = true, c.now
+		s.SetOutdated(true)
+		c.now += 2 * endedEntryTime
+		s.Tick()
+		is.Equal(e.softwareVersion(), "") // the list may be old
+		s.SetOutdated(false)
+		s.Tick()
+		is.Equal(e.softwareVersion(), "v1")
+	})
 	t.Run("a request whose version has left is refused at once", func(t *testing.T) {
 		is := is.New(t)
 		pinned.SoftwareVersion = "v0"
