dispatch: requests that run alone are spaced while endpoints end under them

An endpoint needs some 3 s to start again.

After an endpoint has ended under a request that ran alone, the service's next such request waits 0.5 s, doubled with each further end up to 4 s; one that can't wait is refused with that time. A served one ends the pause. Endpoints that have ended come last for such requests.

An interrupted request that isn't resent is now diagnosed before its caller is answered, with one connection attempt: before, its caller could come back before the end was known, and the fourth endpoint ended in some runs of TestProcess_RequestThatCrashesEndpointsReachesNoFourthOne (4 != 3) once runs were spaced.

--- a/internal/system/dispatch/assign.go
+++ b/internal/system/dispatch/assign.go
@@ -260,8 +260,9 @@
 		wait := capacity.EstimateWait(len(kept))
 		if r.level == quarantine.Alone {
 			alone++
-			if p.aloneWait(alone) > scheduling.MaxWait(s.cfg, withoutAdmission(r), now, p.meanRun) {
+			if wait := p.aloneWait(alone, now); wait > scheduling.MaxWait(s.cfg, withoutAdmission(r), now, p.meanRun) {
 				s.refuse(r, capacity, now, reasonOverloaded)
+				r.response.RetryAfter = max(r.response.RetryAfter, wait)
 			} else {
 				kept = append(kept, r)
 			}
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -225,6 +225,7 @@
 	limits          poolLimits
 	// reserved is the endpoint that is kept for requests that run alone; nil if there are none.
 	reserved *endpoint
+	alone    alonePause
 }
 
 // endpoint is the scheduling state of one endpoint.
--- a/internal/system/dispatch/endings.go
+++ b/internal/system/dispatch/endings.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"time"
 
 	"ibisstall.example/ibisstall/internal/logging/tag"
@@ -84,6 +85,9 @@
 		if r.endpoint != e {
 			continue
 		}
+		if r.level == quarantine.Alone {
+			r.pool.alone.recordEnd(now)
+		}
 		if r.args.Fingerprint != 0 {
 			runs = append(runs, r.run())
 		}
@@ -115,6 +119,9 @@
 	}
 	switch {
 	case release.Served:
+		if r.level == quarantine.Alone {
+			r.pool.alone = alonePause{}
+		}
 		s.quarantine.RecordCompletion(r.args.Fingerprint, r.args.PathFingerprint)
 	case release.Result == Failed || release.Result == Canceled:
 		if e := r.endpoint; !e.ended {
@@ -245,28 +252,54 @@
 		reserved = s.leastBusy(p, next, now)
 	}
 	p.reserved = reserved
-	if reserved == nil || reserved.running > 0 {
+	if reserved == nil || reserved.running > 0 || now < p.alone.until {
 		return
 	}
 	p.waiting = append(p.waiting[:index], p.waiting[index+1:]...)
 	s.assign(next, reserved, now)
 }
 
-// leastBusy returns the usable endpoint with the fewest running requests, nil if there is
-// none. Schedulers that are cut off from each other prefer different ones.
+// leastBusy returns the usable endpoint that suits a request that runs alone best, nil if
+// there is none. Schedulers that are cut off from each other prefer different ones.
 func (s *Scheduler) leastBusy(p *pool, r *request, now time.Duration) *endpoint {
 	var best *endpoint
 	for _, e := range p.sortedEndpoints {
-		if e.usable(r, now) && (best == nil || e.running < best.running || e.running == best.running && s.prefers(e, best)) {
+		if e.usable(r, now) && (best == nil || s.compareForAlone(e, best) < 0) {
 			best = e
 		}
 	}
 	return best
 }
 
-// prefers ranks endpoints by rendezvous hashing.
-func (s *Scheduler) prefers(a, b *endpoint) bool {
-	return ownership.RendezvousScore(s.VM, a.ID) > ownership.RendezvousScore(s.VM, b.ID)
+// compareForAlone orders endpoints by how well they suit a request that runs alone: those
+// that have not ended first, then those with fewer running requests, then by rendezvous hashing.
+func (s *Scheduler) compareForAlone(a, b *endpoint) int {
+	ended := func(e *endpoint) int {
+		if e.ended {
+			return 1
+		}
+		return 0
+	}
+	score := func(e *endpoint) uint64 { return ownership.RendezvousScore(s.VM, e.ID) }
+	return cmp.Or(cmp.Compare(ended(a), ended(b)), cmp.Compare(a.running, b.running), cmp.Compare(score(b), score(a)))
+}
+
+const (
+	// initialAlonePause is how long no request runs alone after an endpoint ended under one
+	// that did. It doubles with each further end, up to maxAlonePause.
+	initialAlonePause = 500 * time.Millisecond
+	maxAlonePause     = 4 * time.Second
+)
+
+// alonePause spaces the requests of a service that run alone while endpoints end under them:
+// others need the endpoints that are left, and those that ended need seconds to start again.
+type alonePause struct {
+	length, until time.Duration
+}
+
+func (p *alonePause) recordEnd(now time.Duration) {
+	p.length = min(max(initialAlonePause, 2*p.length), maxAlonePause)
+	p.until = now + p.length
 }
 
 // aloneRunFactor is the time, in mean run times, that a request that runs alone takes up its
@@ -274,7 +307,9 @@
 const aloneRunFactor = 2
 
 // aloneWait returns the estimated wait of the n-th request in the queue that runs alone.
-func (p *pool) aloneWait(n int) time.Duration { return time.Duration(n*aloneRunFactor) * p.meanRun }
+func (p *pool) aloneWait(n int, now time.Duration) time.Duration {
+	return max(0, p.alone.until-now) + time.Duration(n*aloneRunFactor)*p.meanRun
+}
 
 // withoutAdmission returns the request as one that isn't subject to the admission of new
 // programs.
--- a/internal/system/dispatch/endings_test.go
+++ b/internal/system/dispatch/endings_test.go
@@ -99,6 +99,32 @@
 		is.Equal(s.Submit(suspectCall(sibling)).State, Assigned)
 		is.Equal(s.Submit(suspectCall(harmless)).State, Assigned)
 	})
+	t.Run("requests that run alone are spaced while endpoints end under them", func(t *testing.T) {
+		is := is.New(t)
+		s, c := newTestScheduler(3, 4)
+		for range 2 {
+			endUnder(s, c, suspectCall(deadly))
+		}
+		resp := s.Submit(suspectCall(deadly))
+		c.now += ms
+		s.Release(SlotRelease{Ticket: resp.Ticket, Result: Unreachable, Loss: Ended})
+		waiting := s.Submit(suspectCall(sibling))
+		is.Equal(waiting.State, Queued)
+		is.Equal(s.Submit(plainCall()).State, Assigned)
+		impatient := suspectCall(sibling)
+		impatient.Deadline = initialAlonePause / 2
+		refused := s.Submit(impatient)
+		is.Equal(refused.State, Refused)
+		is.True(refused.RetryAfter >= initialAlonePause/2)
+		for end := c.now + initialAlonePause; c.now < end; c.now += pollTimeout / 2 {
+			is.Equal(s.Poll(waiting.Ticket).State, Queued)
+			s.Tick()
+		}
+		s.Tick()
+		is.Equal(s.Poll(waiting.Ticket).State, Assigned)
+		s.Release(SlotRelease{Ticket: waiting.Ticket, Result: Completed, Served: true})
+		is.Equal(s.pools["model"].alone, alonePause{})
+	})
 	t.Run("the ends that a VM has seen count at another scheduler", func(t *testing.T) {
 		is := is.New(t)
 		s, _ := newTestScheduler(3, 4)
--- a/internal/system/forwarder/delays.go
+++ b/internal/system/forwarder/delays.go
@@ -127,16 +127,16 @@
 		return errResponseOverdue
 	}
 	if silence >= probeAfterSilence {
-		return x.f.probe(x.ctx, address)
+		return x.f.probe(x.ctx, address, connectAttempts)
 	}
 	return nil
 }
 
 // probe returns errEndpointLost if an endpoint has ended or is unreachable: its
-// address refuses connections, or connectAttempts attempts time out while this VM
-// isn't lagging.
-func (f *Forwarder) probe(ctx context.Context, address string) error {
-	for range connectAttempts {
+// address refuses connections, or a number of attempts time out while this VM isn't
+// lagging.
+func (f *Forwarder) probe(ctx context.Context, address string, attempts int) error {
+	for range attempts {
 		err := f.Pool.Probe(ctx, address)
 		switch {
 		case err == nil || ctx.Err() != nil:
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -129,9 +129,7 @@
 	for {
 		outcome, err := x.attempt(slot)
 		if outcome == interrupted {
-			if x.mayResend() {
-				err = x.diagnoseInterruption(x.ctx, slot, err)
-			}
+			err = x.diagnoseInterruption(slot, err)
 			x.recordInterruption(slot.Endpoint, err)
 			if !mayHaveRun {
 				mayHaveRun = true
@@ -156,36 +154,28 @@
 		if release.Loss == dispatch.Ended {
 			x.endedUnder = append(x.endedUnder, slot.Process)
 		}
-		if outcome == interrupted && !x.mayResend() {
-			go x.releaseAfterDiagnosis(slot, release, err) // the caller doesn't wait for it
-		} else {
-			slot.Release(release)
-		}
+		slot.Release(release)
 		return x.tryAnotherEndpoint(outcome, slot.Endpoint, err)
 	}
 }
 
 // diagnoseInterruption probes the endpoint of an interrupted attempt, unless its response
-// is merely overdue. It returns err, wrapped together with errEndpointLost if the probe
-// failed.
-func (x *exchange) diagnoseInterruption(ctx context.Context, slot *dispatch.Slot, err error) error {
+// is merely overdue, once only if the caller waits for nothing else. It returns err, wrapped
+// together with errEndpointLost if the probe failed.
+func (x *exchange) diagnoseInterruption(slot *dispatch.Slot, err error) error {
 	if errors.Is(err, errResponseOverdue) || errors.Is(err, errEndpointLost) {
 		return err
 	}
-	if lost := x.f.probe(ctx, slot.Address); lost != nil {
+	attempts := connectAttempts
+	if !x.mayResend() {
+		attempts = 1
+	}
+	if lost := x.f.probe(x.ctx, slot.Address, attempts); lost != nil {
 		return fmt.Errorf("%w: %w", lost, err)
 	}
 	return err
 }
 
-// releaseAfterDiagnosis releases the slot of an interrupted attempt that is not resent,
-// after it has found out whether the endpoint ended.
-func (x *exchange) releaseAfterDiagnosis(slot *dispatch.Slot, release dispatch.SlotRelease, err error) {
-	err = x.diagnoseInterruption(context.Background(), slot, err)
-	release.Result, release.Loss = resultOf(interrupted, true, err), lossOf(true, err)
-	slot.Release(release)
-}
-
 // lossOf returns what an attempt's error says about the end of an endpoint that may have
 // run the request.
 func lossOf(mayHaveRun bool, err error) dispatch.EndpointLoss {
@@ -226,7 +216,7 @@
 	case !x.f.Endpoints.MayResend(slot.Endpoint, slot.EntryVersion, time.Now()) || x.versionOf(slot) != x.softwareVersion:
 		return false
 	case o == interrupted && x.mayResend() && !x.preferOtherEndpoint(err):
-		if errors.Is(err, errEndpointLost) || errors.Is(err, errResponseOverdue) && x.f.probe(x.ctx, slot.Address) != nil || !slot.AllowResend(x.ctx) {
+		if errors.Is(err, errEndpointLost) || errors.Is(err, errResponseOverdue) && x.f.probe(x.ctx, slot.Address, connectAttempts) != nil || !slot.AllowResend(x.ctx) {
 			return false
 		}
 		x.resends++
