forwarder: refused connections don't count against a data centre

Callers got 503 although endpoints were free: after two endpoints of a data centre refused connections, since their processes had ended, the VM avoided all endpoints there for a second. Found by TestProcess_RequestThatCrashesEndpointsReachesNoFourthOne (503 != 200 in /get/x and /once/x). The data centre was reached: it answered. Timeouts count as before. TestReachability_RefusedConnectionsDoNotCountAgainstTheDataCentre fails without the change (it doesn't compile).

--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -144,7 +144,7 @@
 			x.liveRuns++
 		}
 		if outcome == unreachable {
-			x.f.reachability.recordFailure(slot.Endpoint, slot.DC, time.Now())
+			x.f.reachability.recordFailure(slot.Endpoint, slot.DC, errors.Is(err, syscall.ECONNREFUSED), time.Now())
 		}
 		release := dispatch.SlotRelease{
 			Result: resultOf(outcome, mayHaveRun, err), Run: time.Since(start), First: x.timeToFirstEvent, Tokens: x.events * x.service.TokensPerEvent,
--- a/internal/system/forwarder/forwarder_test.go
+++ b/internal/system/forwarder/forwarder_test.go
@@ -90,3 +90,20 @@
 	is.True(!x.preferOtherEndpoint(errResponseOverdue)) // a stream is resumed at its endpoint
 	is.True(!x.preferOtherEndpoint(errBudgetSpent))
 }
+
+// Two endpoints of a data centre that had ended made a VM avoid all others there.
+func TestReachability_RefusedConnectionsDoNotCountAgainstTheDataCentre(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var r reachability
+	for _, id := range []string{"a", "b", "c"} {
+		r.recordFailure(id, "dc-1", true, now)
+	}
+	endpoints, dcs := r.excluded(now)
+	is.Equal(len(endpoints), 3)
+	is.Equal(len(dcs), 0)
+	r.recordFailure("a", "dc-1", false, now)
+	r.recordFailure("b", "dc-1", false, now)
+	_, dcs = r.excluded(now)
+	is.Equal(dcs, []string{"dc-1"})
+}
--- a/internal/system/forwarder/reachability.go
+++ b/internal/system/forwarder/reachability.go
@@ -34,8 +34,9 @@
 	backoffUntil time.Time            // zero while the data centre is considered reachable
 }
 
-// recordFailure records a failed connection to an endpoint.
-func (r *reachability) recordFailure(endpoint, dc string, now time.Time) {
+// recordFailure records a failed connection to an endpoint. One that was refused says
+// nothing against the data centre: it was reached.
+func (r *reachability) recordFailure(endpoint, dc string, refused bool, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.endpointBackoffs == nil {
@@ -43,6 +44,9 @@
 		r.dcs = make(map[string]*dcReachability)
 	}
 	r.endpointBackoffs[endpoint] = now.Add(endpointBackoff)
+	if refused {
+		return
+	}
 	d := r.dcs[dc]
 	if d == nil {
 		d = &dcReachability{failed: make(map[string]time.Time)}
