load: engines have ten real seconds to release, whatever the scale

TestRunScenario_BothPoliciesFinishEveryProgram failed once beside heavy load (8880 tokens held, load_test.go:76). At a scale of 60 the ten seconds of workload time for the releases are 167 ms, in which calls of real duration have to end. What has to hold is unchanged: no token is held at the end, and the wait ends as soon as that is so.

--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -85,6 +85,9 @@
 	// the KV cache of the programs, in workload time. What they still hold then
 	// is reported as Summary.HeldAfter.
 	releaseTimeout = 10 * time.Second
+	// minReleaseTimeout is the least of it in real time: releasing takes calls, whose
+	// time the scale doesn't shorten.
+	minReleaseTimeout = 10 * time.Second
 	// drainTimeout is the time after the last arrival for programs to finish,
 	// in workload time.
 	drainTimeout = 3 * time.Minute
@@ -135,7 +138,7 @@
 	summary := out.Summary()
 	summary.RetryRatio = target.RetryRatio()
 	summary.Imports = target.imports.Load()
-	releaseCtx, cancel := context.WithTimeout(ctx, clock.toReal(releaseTimeout))
+	releaseCtx, cancel := context.WithTimeout(ctx, max(minReleaseTimeout, clock.toReal(releaseTimeout)))
 	defer cancel()
 	summary.HeldAfter = target.SessionTokens(releaseCtx)
 	return &summary, ctx.Err()
