--- a/internal/system/dispatch/bench_test.go
+++ b/internal/system/dispatch/bench_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ibisstall.example/ibisstall/internal/forward"
+	"ibisstall.example/ibisstall/internal/policy/quarantine"
 	"ibisstall.example/ibisstall/internal/policy/scheduling"
 )
 
@@ -114,3 +115,76 @@
 	}
 	b.ReportMetric(float64(extra), "bytes/request")
 }
+
+// largeScheduler returns a scheduler of 2,000 endpoints.
+func largeScheduler() (*Scheduler, *manualClock) {
+	c := &manualClock{now: time.Second}
+	s := NewScheduler(c, scheduling.DefaultConfig())
+	var list []forward.Endpoint
+	for i := range 2000 {
+		list = append(list, forward.Endpoint{ID: fmt.Sprint(i), Service: "model", Address: "x", DC: "dc-1", Slots: 6, SoftwareVersion: []string{"v1", "v2"}[i%2]})
+	}
+	s.SetEndpoints(list, nil)
+	return s, c
+}
+
+// BenchmarkScheduler_Suspects measures the scheduling work per request at 2,000 endpoints
+// while it remembers a number of requests under which endpoints ended, and for requests that
+// are pinned to one of two software versions.
+func BenchmarkScheduler_Suspects(b *testing.B) {
+	for _, tt := range []struct {
+		name     string
+		suspects uint64
+		adjust   func(*SlotRequest)
+	}{
+		{"suspects=0", 0, func(*SlotRequest) {}},
+		{"suspects=1000", 1000, func(*SlotRequest) {}},
+		{"spread", 1000, func(r *SlotRequest) { r.Fingerprint = 7 }},
+		{"pinned", 0, func(r *SlotRequest) { r.Pinned, r.SoftwareVersion = true, "v1" }},
+	} {
+		b.Run(tt.name, func(b *testing.B) {
+			s, c := largeScheduler()
+			for i := range tt.suspects {
+				s.quarantine.RecordEnd("x", []quarantine.Run{{Request: i, Path: 1_000_000 + i, Started: c.now}}, c.now)
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				c.now += 300 * time.Microsecond
+				r := call(false)
+				r.Fingerprint, r.PathFingerprint = 1_000_000_000+uint64(i), 2_000_000_000
+				tt.adjust(&r)
+				resp := s.Submit(r)
+				s.Release(SlotRelease{Ticket: resp.Ticket, Result: Completed, Run: 100 * ms})
+			}
+		})
+	}
+}
+
+// BenchmarkScheduler_ObserveEnd measures the end of an endpoint with six requests while 12,000
+// run at 2,000 endpoints.
+func BenchmarkScheduler_ObserveEnd(b *testing.B) {
+	s, c := largeScheduler()
+	for i := range uint64(12000) {
+		r := call(false)
+		r.Fingerprint, r.PathFingerprint = 1+i, 1_000_000+i
+		s.Submit(r)
+	}
+	endpoints := s.pools["model"].sortedEndpoints
+	for i := range b.N {
+		c.now += time.Second
+		s.observeEnd(endpoints[i%len(endpoints)], c.now)
+	}
+}
+
+// BenchmarkDirectory_Witnesses measures the ranking of 350 VMs after a change of their list.
+func BenchmarkDirectory_Witnesses(b *testing.B) {
+	d := Directory{Self: VM{Name: "0", DC: "0"}}
+	var all []VM
+	for i := range 350 {
+		all = append(all, VM{Name: fmt.Sprint(i), Address: fmt.Sprint(i), DC: fmt.Sprint(i % 12)})
+	}
+	for b.Loop() {
+		d.Replace(all)
+		d.Witnesses("key")
+	}
+}
