dispatch: the pause between requests that run alone starts with the second end

The tests' schedulers now tick, as real ones do: without, the third request of TestClient_KnowsWhatItsSchedulersKnow… waited for ever.

--- a/internal/system/dispatch/client_test.go
+++ b/internal/system/dispatch/client_test.go
@@ -15,6 +15,9 @@
 	"ibisstall.example/ibisstall/internal/policy/scheduling"
 )
 
+// tickTime is the time between two ticks of a scheduler that is served to other VMs.
+const tickTime = 5 * time.Millisecond
+
 // serveScheduler serves a scheduler with the given endpoints to other VMs and
 // returns its address.
 func serveScheduler(t *testing.T, list []forward.Endpoint) (*Scheduler, string) {
@@ -27,6 +30,11 @@
 	s.SetEndpoints(list, nil)
 	is.NoErr(Register(server, s))
 	go server.Serve()
+	go func() {
+		for ; t.Context().Err() == nil; time.Sleep(tickTime) {
+			s.Tick()
+		}
+	}()
 	return s, server.Addr()
 }
 
--- a/internal/system/dispatch/endings.go
+++ b/internal/system/dispatch/endings.go
@@ -81,13 +81,12 @@
 func (s *Scheduler) observeEnd(e *endpoint, now time.Duration) {
 	var runs []quarantine.Run
 	var ids []string
+	underSuspect := false
 	for _, r := range s.requests {
 		if r.endpoint != e {
 			continue
 		}
-		if r.level == quarantine.Alone {
-			r.pool.alone.recordEnd(now)
-		}
+		underSuspect = underSuspect || r.level != quarantine.Free
 		if r.args.Fingerprint != 0 {
 			runs = append(runs, r.run())
 		}
@@ -101,6 +100,9 @@
 		}
 	}
 	e.recent = nil
+	if underSuspect {
+		s.poolOf(e.Service).alone.recordEnd(now)
+	}
 	rejected := s.quarantine.RecordEnd(e.Process(), runs, now)
 	if s.Log == nil {
 		return
@@ -285,14 +287,15 @@
 }
 
 const (
-	// initialAlonePause is how long no request runs alone after an endpoint ended under one
-	// that did. It doubles with each further end, up to maxAlonePause.
+	// initialAlonePause is how long no request runs alone after an endpoint ended under a
+	// suspect. It doubles with each further end, up to maxAlonePause.
 	initialAlonePause = 500 * time.Millisecond
 	maxAlonePause     = 4 * time.Second
 )
 
-// alonePause spaces the requests of a service that run alone while endpoints end under them:
-// others need the endpoints that are left, and those that ended need seconds to start again.
+// alonePause spaces the requests of a service that run alone while endpoints end under
+// suspects: others need the endpoints that are left, and those that ended need seconds to
+// start again.
 type alonePause struct {
 	length, until time.Duration
 }
--- a/internal/system/dispatch/endings_test.go
+++ b/internal/system/dispatch/endings_test.go
@@ -116,7 +116,7 @@
 		refused := s.Submit(impatient)
 		is.Equal(refused.State, Refused)
 		is.True(refused.RetryAfter >= initialAlonePause/2)
-		for end := c.now + initialAlonePause; c.now < end; c.now += pollTimeout / 2 {
+		for end := c.now + 2*initialAlonePause; c.now < end; c.now += pollTimeout / 2 { // the second end under a suspect
 			is.Equal(s.Poll(waiting.Ticket).State, Queued)
 			s.Tick()
 		}
