forwarder: an overdue response is diagnosed before it counts as one of a live endpoint

Found by reading the diff: since the ends of endpoints are logged, an overdue response of an endpoint that had ended counted as a run at a live endpoint, so that a route of one endpoint answered 502 instead of trying the next one.

An interrupted attempt is probed as before: always, but for an overdue response after which another endpoint is tried anyway.

--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -129,12 +129,12 @@
 	for {
 		outcome, err := x.attempt(slot)
 		if outcome == interrupted {
-			err = x.diagnoseInterruption(slot, err)
-			x.recordInterruption(slot.Endpoint, err)
 			if !mayHaveRun {
 				mayHaveRun = true
 				x.possibleRuns++
 			}
+			err = x.diagnoseInterruption(slot, err)
+			x.recordInterruption(slot.Endpoint, err)
 		}
 		x.cause = err
 		if x.resendToSameEndpoint(outcome, err, mayHaveRun, slot) {
@@ -159,11 +159,11 @@
 	}
 }
 
-// diagnoseInterruption probes the endpoint of an interrupted attempt, unless its response
-// is merely overdue, once only if the caller waits for nothing else. It returns err, wrapped
-// together with errEndpointLost if the probe failed.
+// diagnoseInterruption probes the endpoint of an interrupted attempt, once only if the
+// caller waits for nothing else, and not if the response is overdue and another endpoint is
+// tried anyway. It returns err, wrapped together with errEndpointLost if the probe failed.
 func (x *exchange) diagnoseInterruption(slot *dispatch.Slot, err error) error {
-	if errors.Is(err, errResponseOverdue) || errors.Is(err, errEndpointLost) {
+	if errors.Is(err, errEndpointLost) || x.preferOtherEndpoint(err) {
 		return err
 	}
 	attempts := connectAttempts
@@ -216,7 +216,7 @@
 	case !x.f.Endpoints.MayResend(slot.Endpoint, slot.EntryVersion, time.Now()) || x.versionOf(slot) != x.softwareVersion:
 		return false
 	case o == interrupted && x.mayResend() && !x.preferOtherEndpoint(err):
-		if errors.Is(err, errEndpointLost) || errors.Is(err, errResponseOverdue) && x.f.probe(x.ctx, slot.Address, connectAttempts) != nil || !slot.AllowResend(x.ctx) {
+		if errors.Is(err, errEndpointLost) || !slot.AllowResend(x.ctx) {
 			return false
 		}
 		x.resends++
