--- a/internal/system/streams/memory.go
+++ b/internal/system/streams/memory.go
@@ -3,16 +3,13 @@
 import "time"
 
 const (
-	// retention is how long a version is remembered at least. A stream that lasts longer
-	// is recorded again (forwarder).
-	retention = time.Minute
+	// Retention is how long a version is remembered at least. A stream that lasts longer
+	// has to be recorded again.
+	Retention = time.Minute
 	// maxGeneration bounds the records of one generation, and so those of a VM.
 	maxGeneration = 1 << 15
 )
 
-// Retention is how long a version is remembered at least.
-const Retention = retention
-
 // memory keeps versions by attempt in two generations: when the newer one is old or large, it
 // becomes the older one, whose records are dropped. Its zero value is empty.
 type memory struct {
@@ -39,7 +36,7 @@
 }
 
 func (m *memory) rotate(now time.Duration) {
-	if m.newer == nil || now-m.rotated >= retention || len(m.newer) >= maxGeneration {
+	if m.newer == nil || now-m.rotated >= Retention || len(m.newer) >= maxGeneration {
 		m.newer, m.older, m.rotated = make(map[attemptKey]string), m.newer, now
 	}
 }
--- a/internal/system/streams/streams_test.go
+++ b/internal/system/streams/streams_test.go
@@ -130,17 +130,17 @@
 		return ok
 	}
 	put("a", 0)
-	put("b", retention-1)
-	is.True(known("a", retention-1))
-	is.True(known("b", 2*retention-2))
-	is.True(!known("a", 3*retention))
+	put("b", Retention-1)
+	is.True(known("a", Retention-1))
+	is.True(known("b", 2*Retention-2))
+	is.True(!known("a", 3*Retention))
 	for i := range 5 * maxGeneration {
-		put(fmt.Sprint(i), 4*retention)
+		put(fmt.Sprint(i), 4*Retention)
 	}
 	is.True(len(m.newer)+len(m.older) <= 2*maxGeneration)
-	is.True(known(fmt.Sprint(5*maxGeneration-1), 4*retention))
+	is.True(known(fmt.Sprint(5*maxGeneration-1), 4*Retention))
 	for i := range 3 * maxNames {
-		m.put(Record{fmt.Sprint("s", i), "a", fmt.Sprint("v", i)}, 4*retention)
+		m.put(Record{fmt.Sprint("s", i), "a", fmt.Sprint("v", i)}, 4*Retention)
 	}
 	is.True(len(m.names) <= maxNames)
 }
