dispatch: no endpoint is kept for a request that waits out the pause

Others waited up to 4 s for an endpoint that nobody used: one was reserved for a request that runs alone while the pause after an end went on; with one usable endpoint all callers waited. The endpoint is now reserved once the pause is over. The new case of TestScheduler_RequestsUnderWhichEndpointsEnded failed before (0 != 1: queued).

--- a/internal/system/dispatch/alone.go
+++ b/internal/system/dispatch/alone.go
@@ -19,7 +19,7 @@
 
 // assignAlone assigns a slot to the first waiting request that has to run alone, one at a
 // time for each service. It reserves an endpoint for such requests, which gets no others
-// while one of them waits or runs.
+// while one of them runs, or waits for it to be free.
 func (s *Scheduler) assignAlone(p *pool, now time.Duration) {
 	var next *request
 	index := -1
@@ -33,7 +33,7 @@
 	if reserved != nil && p.endpoints[reserved.ID] != reserved {
 		reserved = nil
 	}
-	if next == nil {
+	if next == nil || now < p.alone.until {
 		if reserved != nil && reserved.running == 0 {
 			reserved = nil
 		}
@@ -44,7 +44,7 @@
 		reserved = s.leastBusy(p, next, now)
 	}
 	p.reserved = reserved
-	if reserved == nil || reserved.running > 0 || now < p.alone.until {
+	if reserved == nil || reserved.running > 0 {
 		return
 	}
 	p.waiting = append(p.waiting[:index], p.waiting[index+1:]...)
--- a/internal/system/dispatch/endings_test.go
+++ b/internal/system/dispatch/endings_test.go
@@ -125,6 +125,19 @@
 		s.Release(SlotRelease{Ticket: waiting.Ticket, Result: Completed, Served: true})
 		is.Equal(s.pools["model"].alone, alonePause{})
 	})
+	t.Run("no endpoint is kept for them meanwhile", func(t *testing.T) {
+		is := is.New(t)
+		s, c := newTestScheduler(2, 1)
+		for range 2 {
+			endUnder(s, c, suspectCall(deadly))
+		}
+		s.pools["model"].alone.recordEnd(c.now)
+		waiting := s.Submit(suspectCall(deadly))
+		is.Equal(waiting.State, Queued)
+		for range 2 {
+			is.Equal(s.Submit(plainCall()).State, Assigned)
+		}
+	})
 	t.Run("the ends that a VM has seen count at another scheduler", func(t *testing.T) {
 		is := is.New(t)
 		s, _ := newTestScheduler(3, 4)
