quarantine: a saved record expires with the one in memory

A VM that started deleted the row of a request 10 min after its last hold, also if it had been held three times and the running VMs remembered it for hours: the number of holds was left out of the comparison. Found by reading. TestShared_ExpiresWithTheRecord failed before.

--- a/internal/policy/quarantine/memory.go
+++ b/internal/policy/quarantine/memory.go
@@ -26,7 +26,8 @@
 
 // Expired reports whether the record can be forgotten.
 func (s *Shared) Expired() bool {
-	r := Record{Last: -s.Age, HeldUntil: s.HeldFor}
+	r := s.Record
+	r.Last, r.HeldUntil = -s.Age, s.HeldFor
 	return r.expired(0)
 }
 
--- a/internal/policy/quarantine/quarantine_test.go
+++ b/internal/policy/quarantine/quarantine_test.go
@@ -145,6 +145,17 @@
 	is.Equal(len(m.records), 0)
 }
 
+// A saved record counted as expired before the one in memory.
+func TestShared_ExpiresWithTheRecord(t *testing.T) {
+	is := is.New(t)
+	r := Record{Endpoints: []string{"a", "b", "c"}, Holds: 3, Last: 0, HeldUntil: time.Hour}
+	for _, now := range []time.Duration{0, time.Hour, time.Hour + 2*retention, 24 * time.Hour} {
+		e := entry{Record: r}
+		shared := e.share(1, now)
+		is.Equal(shared.Expired(), r.expired(now))
+	}
+}
+
 func TestMemory_RecordsSpreadToOtherMemories(t *testing.T) {
 	const clockOffset = time.Hour
 	is := is.New(t)
