quarantine: keys that wait to be saved are bounded

While the store was away, each request that ended two endpoints left a key behind for good, also once its record was dropped. Found by reading. TestMemory_KeysThatWaitToBeSavedAreBounded failed before.

--- a/internal/policy/quarantine/memory.go
+++ b/internal/policy/quarantine/memory.go
@@ -197,12 +197,15 @@
 	return put, deleted
 }
 
-// MarkUnsaved records that the record of a key has to be saved, or its saved one deleted.
+// MarkUnsaved records that the record of a key has to be saved, or its saved one deleted. It
+// keeps no more keys than records: what it leaves out is deleted once it has expired.
 func (m *Memory) MarkUnsaved(key uint64) {
 	if m.unsaved == nil {
 		m.unsaved = make(map[uint64]bool)
 	}
-	m.unsaved[key] = true
+	if len(m.unsaved) < maxRecords {
+		m.unsaved[key] = true
+	}
 }
 
 // share returns the record for another VM.
--- a/internal/policy/quarantine/quarantine_test.go
+++ b/internal/policy/quarantine/quarantine_test.go
@@ -145,6 +145,19 @@
 	is.Equal(len(m.records), 0)
 }
 
+// Keys of dropped records were kept for ever while nothing could be saved.
+func TestMemory_KeysThatWaitToBeSavedAreBounded(t *testing.T) {
+	is := is.New(t)
+	var m Memory
+	for i := range uint64(2 * maxRecords) {
+		for n := range 2 {
+			now := time.Duration(10*i+uint64(n)) + 10
+			m.RecordEnd(fmt.Sprint(n), []Run{{Request: 1 + i, Started: now}}, now)
+		}
+	}
+	is.True(len(m.unsaved) <= maxRecords)
+}
+
 // A saved record counted as expired before the one in memory.
 func TestShared_ExpiresWithTheRecord(t *testing.T) {
 	is := is.New(t)
