dispatch, quarantine: the ends that several schedulers saw count together

Cause: each scheduler counted ends for itself. It told others only of requests under which two had ended, and of two records the longer one counted, so that three schedulers with an end each never knew of three. A scheduler that died took what it had seen with it, and those of data centres whose VMs ask different ones never heard of each other.

Change: a record names each end with the start of its run and when it became known. Merging is the union; the longest series of ends that came one after the other counts, so that ends of equal requests that ran together still count once. A served run clears a record everywhere. A VM remembers the ends under its own requests.

The rows' old fields stay; rows without the new one are read as before.

Checks changed: 'one end is no news' asserted the fault, now one end is told; a merged record of three ends on each side, two of them common, now holds all four instead of three.

--- a/internal/policy/quarantine/memory.go
+++ b/internal/policy/quarantine/memory.go
@@ -19,15 +19,14 @@
 // Shared is a record for another VM, whose clock has another origin.
 type Shared struct {
 	Key     uint64
-	Record  Record        // without times
-	Age     time.Duration // since the last endpoint ended
+	Record  Record        // its times are relative to the moment at which it was shared
 	HeldFor time.Duration // time left of the hold; negative after it
 }
 
 // Expired reports whether the record can be forgotten.
 func (s *Shared) Expired() bool {
 	r := s.Record
-	r.Last, r.HeldUntil = -s.Age, s.HeldFor
+	r.HeldUntil = s.HeldFor
 	return r.expired(0)
 }
 
@@ -69,7 +68,7 @@
 	record := func(key uint64, group bool, guilty uint64, started time.Duration) {
 		e := m.entryFor(key, group, now)
 		before := e.LevelAt(now)
-		if e.recordEnd(endpoint, guilty, started, now) {
+		if e.recordEnd(End{Process: endpoint, Started: started, Known: now}, guilty, now) {
 			m.noteOwnChange(key, e)
 			if e.LevelAt(now) == Rejected && before != Rejected {
 				rejected = append(rejected, key)
@@ -91,23 +90,50 @@
 	return rejected
 }
 
+// RecordOwnRun records that an endpoint ended during a run of this VM. What else ran there
+// is known to the scheduler that assigned the slot.
+func (m *Memory) RecordOwnRun(endpoint string, run Run, now time.Duration) {
+	for key, group := range map[uint64]bool{run.Request: false, run.Path: true} {
+		if key == 0 {
+			continue
+		}
+		if e := m.entryFor(key, group, now); e.recordEnd(End{Process: endpoint, Started: run.Started, Known: now}, 0, now) {
+			m.noteOwnChange(key, e)
+		}
+	}
+}
+
 // RecordChain records endpoints that ended one after the other under one request, which
-// is sent once more.
-func (m *Memory) RecordChain(endpoints []string, request, path uint64, now time.Duration) {
+// is sent once more. It reports whether that is news.
+func (m *Memory) RecordChain(endpoints []string, request, path uint64, now time.Duration) bool {
 	if len(endpoints) == 0 {
-		return
+		return false
 	}
+	changed := false
 	for key, group := range map[uint64]bool{request: false, path: true} {
 		if e := m.entryFor(key, group, now); e.recordChain(endpoints, now) {
 			m.noteOwnChange(key, e)
+			changed = true
 		}
 	}
+	return changed
 }
 
-// RecordCompletion clears a request that completed, and its group.
-func (m *Memory) RecordCompletion(request, path uint64) {
-	m.drop(request)
-	m.drop(path)
+// RecordCompletion clears a request that completed, and its group. That stays known, so that
+// other VMs clear them, too.
+func (m *Memory) RecordCompletion(request, path uint64, now time.Duration) {
+	for _, key := range [...]uint64{request, path} {
+		e := m.records[key]
+		if e == nil || len(e.Ends) == 0 {
+			continue
+		}
+		e.clear(now)
+		m.noteChange(e)
+		if e.saved {
+			e.saved = false
+			m.MarkUnsaved(key)
+		}
+	}
 }
 
 // drop deletes a record, also the saved one.
@@ -158,22 +184,20 @@
 		}
 		return 0
 	}
-	return cmp.Or(cmp.Compare(rejects(e), rejects(other)), cmp.Compare(e.Last, other.Last))
+	return cmp.Or(cmp.Compare(rejects(e), rejects(other)), cmp.Compare(e.last(), other.last()))
 }
 
-// noteChange marks a record for other VMs once it is reason to run requests alone: what
-// ran beside a request once is cleared long before another VM needs to know.
+// noteChange marks a record for other VMs: several schedulers may each see a part of the ends.
 func (m *Memory) noteChange(e *entry) {
-	if len(e.Endpoints) >= aloneAfter {
-		m.version++
-		e.version = m.version
-	}
+	m.version++
+	e.version = m.version
 }
 
-// noteOwnChange is noteChange for a change that this Memory is the first to know.
+// noteOwnChange is noteChange for a change that this Memory is the first to know. It is saved
+// once it is reason to run requests alone: what ran beside a request once is cleared soon.
 func (m *Memory) noteOwnChange(key uint64, e *entry) {
 	m.noteChange(e)
-	if e.version == 0 {
+	if len(e.chain()) < aloneAfter {
 		return
 	}
 	e.saved = true
@@ -188,7 +212,7 @@
 			break
 		}
 		delete(m.unsaved, key)
-		if e := m.records[key]; e != nil {
+		if e := m.records[key]; e != nil && e.saved {
 			put = append(put, e.share(key, now))
 		} else {
 			deleted = append(deleted, key)
@@ -210,9 +234,22 @@
 
 // share returns the record for another VM.
 func (e *entry) share(key uint64, now time.Duration) Shared {
-	r := e.Record
-	r.Endpoints, r.Guilty, r.Last, r.HeldUntil = slices.Clone(r.Endpoints), slices.Clone(r.Guilty), 0, 0
-	return Shared{Key: key, Age: now - e.Last, HeldFor: e.HeldUntil - now, Record: r}
+	r := e.Record.shifted(-now)
+	r.Guilty, r.HeldUntil = slices.Clone(r.Guilty), 0
+	return Shared{Key: key, HeldFor: e.HeldUntil - now, Record: r}
+}
+
+// shifted returns the record with other times for its ends and served runs.
+func (r Record) shifted(by time.Duration) Record {
+	r.Ends = slices.Clone(r.Ends)
+	for i := range r.Ends {
+		r.Ends[i].Started += by
+		r.Ends[i].Known += by
+	}
+	if r.Cleared {
+		r.Served += by
+	}
+	return r
 }
 
 // Expire drops the records that can be forgotten.
@@ -265,8 +302,8 @@
 // Merge adds the records of another VM.
 func (m *Memory) Merge(list []Shared, now time.Duration) {
 	for _, shared := range list {
-		r := shared.Record
-		r.Last, r.HeldUntil = now-shared.Age, now+shared.HeldFor
+		r := shared.Record.shifted(now)
+		r.HeldUntil = now + shared.HeldFor
 		if r.expired(now) {
 			continue
 		}
--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -9,6 +9,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -42,24 +43,59 @@
 	// retention is how long a record is kept at least after its last endpoint ended or
 	// its hold.
 	retention = 10 * time.Minute
-	// maxEndpoints bounds the endpoints that a record names.
-	maxEndpoints = 2 * rejectAfter
+	// clockSlack is more than a time moves when VMs tell it to each other as an age.
+	clockSlack = time.Second
+	// maxEnds bounds the ends that a record names, and maxChain those of them that came one
+	// after the other.
+	maxEnds  = 16
+	maxChain = 2 * rejectAfter
 )
 
+// End is the end of an endpoint's process during a run of the request.
+type End struct {
+	Process string
+	Started time.Duration // of the run
+	Known   time.Duration // when the end became known
+}
+
 // Record is what is known about a request or a group of requests. The zero value is no
 // suspicion.
 type Record struct {
-	Group     bool
-	Endpoints []string      // processes that ended while it ran, the last one last
+	Group bool
+	// Ends is sorted by the time at which they became known. Several schedulers may have
+	// seen them.
+	Ends      []End
 	Guilty    []uint64      // of a group: requests that ended an endpoint on which nothing else ran
-	Last      time.Duration // when the last endpoint ended
+	Served    time.Duration // when a run was last served; valid if Cleared
+	Cleared   bool          // a run was served, so that ends known before it don't count
 	HeldUntil time.Duration // valid if Holds > 0
 	Holds     int           // how often it was rejected for a time
 }
 
+// last returns when the last endpoint ended.
+func (r *Record) last() time.Duration {
+	if len(r.Ends) == 0 {
+		return 0
+	}
+	return r.Ends[len(r.Ends)-1].Known
+}
+
+// chain returns the longest series of ends that came one after the other: each run started
+// after the end before it had become known. Endpoints that end together, under many equal
+// requests, say no more than one.
+func (r *Record) chain() []End {
+	var chain []End
+	for _, e := range r.Ends {
+		if len(chain) == 0 || e.Started > chain[len(chain)-1].Known {
+			chain = append(chain, e)
+		}
+	}
+	return chain
+}
+
 // LevelAt returns how the requests may run at a time.
 func (r *Record) LevelAt(now time.Duration) Level {
-	ends := len(r.Endpoints)
+	ends := len(r.chain())
 	switch {
 	case r.Holds > 0 && now < r.HeldUntil:
 		return Rejected
@@ -71,29 +107,65 @@
 	return Free
 }
 
-// recordEnd records that an endpoint ended during a run that started at started. Runs that
-// started before the last end became known count as one with it: endpoints that end
-// together, under many equal requests, say no more than one. guilty is the request of a
-// group that ended the endpoint, 0 if that is uncertain.
-func (r *Record) recordEnd(endpoint string, guilty uint64, started, now time.Duration) bool {
-	if slices.Contains(r.Endpoints, endpoint) || len(r.Endpoints) > 0 && started <= r.Last {
+// recordEnd records the end of an endpoint and reports whether it counts: it is new and came
+// after those that count already. guilty is the request of a group that ended the endpoint, 0
+// if that is uncertain.
+func (r *Record) recordEnd(e End, guilty uint64, now time.Duration) bool {
+	before := len(r.chain())
+	if !r.addEnd(e) || len(r.chain()) == before {
 		return false
 	}
-	r.Endpoints = append(r.Endpoints, endpoint)
-	if len(r.Endpoints) > maxEndpoints {
-		r.Endpoints = slices.Delete(r.Endpoints, 0, 1)
-	}
 	if r.Group && guilty != 0 && len(r.Guilty) < minGuilty && !slices.Contains(r.Guilty, guilty) {
 		r.Guilty = append(r.Guilty, guilty)
 	}
-	r.Last = now
 	r.hold(now)
+	r.trim()
+	return true
+}
+
+// addEnd adds an end and reports whether it is new.
+func (r *Record) addEnd(e End) bool {
+	known := func(other End) bool { return other.Process == e.Process }
+	if slices.ContainsFunc(r.Ends, known) || r.Cleared && e.Known <= r.Served {
+		return false
+	}
+	at, _ := slices.BinarySearchFunc(r.Ends, e.Known, func(other End, t time.Duration) int { return cmp.Compare(other.Known, t) })
+	r.Ends = slices.Insert(r.Ends, at, e)
 	return true
 }
 
+// trim keeps the latest ends that came one after the other, and of the others what maxEnds
+// leaves room for.
+func (r *Record) trim() {
+	chain := r.chain()
+	chain = chain[max(0, len(chain)-maxChain):]
+	others := max(0, maxEnds-len(chain))
+	for i := len(r.Ends) - 1; i >= 0; i-- {
+		switch {
+		case slices.Contains(chain, r.Ends[i]):
+		case others > 0:
+			others--
+		default:
+			r.Ends = slices.Delete(r.Ends, i, i+1)
+		}
+	}
+}
+
+// clear records that a run was served: what ended before counts no longer.
+func (r *Record) clear(served time.Duration) {
+	if r.Cleared && served <= r.Served {
+		return
+	}
+	r.Served, r.Cleared = served, true
+	r.Ends = slices.DeleteFunc(r.Ends, func(e End) bool { return e.Known <= served })
+	if len(r.Ends) == 0 {
+		r.Guilty, r.Holds, r.HeldUntil = nil, 0, 0
+	}
+}
+
 // hold starts to reject the requests if the record is reason enough.
 func (r *Record) hold(now time.Duration) {
-	if len(r.Endpoints) < rejectAfter || r.Group && len(r.Guilty) < minGuilty {
+	if len(r.chain()) < rejectAfter || r.Group && len(r.Guilty) < minGuilty {
 		return
 	}
 	r.Holds++
@@ -114,7 +186,9 @@
 
 // expired reports whether the record can be forgotten.
 func (r *Record) expired(now time.Duration) bool {
-	return now > max(r.Last+retention, r.HeldUntil+max(retention, r.holdTime()))
+	return (len(r.Ends) == 0 || now > r.last()+retention) &&
+		(!r.Cleared || now > r.Served+retention) &&
+		(r.Holds == 0 || now > r.HeldUntil+max(retention, r.holdTime()))
 }
 
 // recordChain records endpoints that ended one after the other under one request. They
@@ -122,32 +196,43 @@
 // together with them.
 func (r *Record) recordChain(endpoints []string, now time.Duration) bool {
 	changed := false
-	for _, e := range endpoints {
-		if len(r.Endpoints) < len(endpoints) && !slices.Contains(r.Endpoints, e) {
-			changed = r.recordEnd(e, 0, r.Last+1, now) || changed
+	for i, process := range endpoints {
+		if len(r.chain()) >= len(endpoints) {
+			break
 		}
+		// The times are unknown; what counts is their order.
+		known := now - time.Duration(len(endpoints)-i-1)
+		changed = r.recordEnd(End{Process: process, Started: max(r.last()+1, known), Known: max(r.last()+1, known)}, 0, now) || changed
 	}
 	return changed
 }
 
-// merge adds what another VM knows and reports whether that changed the record. Of the
-// endpoints that the two know, the longer list counts: some may have ended together.
+// merge adds what another VM knows and reports whether that changed the record.
 func (r *Record) merge(other *Record, now time.Duration) bool {
 	changed := false
-	if len(other.Endpoints) > len(r.Endpoints) {
-		r.Endpoints, changed = other.Endpoints, true
+	r.Group = other.Group
+	if other.Cleared && (!r.Cleared || other.Served > r.Served+clockSlack || len(r.Ends) > 0 && r.Ends[0].Known <= other.Served) {
+		r.clear(other.Served)
+		changed = true
+	}
+	if r.Cleared && other.last() <= r.Served {
+		return changed
+	}
+	before := len(r.chain())
+	for _, e := range other.Ends {
+		changed = r.addEnd(e) || changed
 	}
 	for _, g := range other.Guilty {
 		if !slices.Contains(r.Guilty, g) && len(r.Guilty) < minGuilty {
 			r.Guilty, changed = append(r.Guilty, g), true
 		}
 	}
-	r.Group, r.Last = other.Group, max(r.Last, other.Last)
 	switch {
 	case other.Holds > r.Holds:
 		r.Holds, r.HeldUntil, changed = other.Holds, other.HeldUntil, true
-	case changed && r.Holds == 0:
+	case len(r.chain()) > before && r.Holds == 0:
 		r.hold(now)
 	}
+	r.trim()
 	return changed
 }
--- a/internal/policy/quarantine/quarantine_test.go
+++ b/internal/policy/quarantine/quarantine_test.go
@@ -66,7 +66,7 @@
 	var m Memory
 	end(&m, "a", 10, deadly, beside)
 	end(&m, "b", 20, deadly, beside)
-	m.RecordCompletion(beside, path)
+	m.RecordCompletion(beside, path, 25)
 	end(&m, "c", 30, deadly)
 	is.Equal(level(&m, beside, 30), Free)
 	is.Equal(level(&m, deadly, 30), Rejected)
@@ -123,7 +123,7 @@
 		end(&m, fmt.Sprint(10+i), now, deadly)
 		hold = min(holdGrowth*hold, maxHold)
 	}
-	m.RecordCompletion(deadly, path)
+	m.RecordCompletion(deadly, path, now+1)
 	is.Equal(level(&m, deadly, now), Free)
 }
 
@@ -161,7 +161,7 @@
 // A saved record counted as expired before the one in memory.
 func TestShared_ExpiresWithTheRecord(t *testing.T) {
 	is := is.New(t)
-	r := Record{Endpoints: []string{"a", "b", "c"}, Holds: 3, Last: 0, HeldUntil: time.Hour}
+	r := Record{Ends: []End{{Process: "a", Known: 1}, {Process: "b", Started: 2, Known: 3}, {Process: "c", Started: 4, Known: 5}}, Holds: 3, HeldUntil: time.Hour}
 	for _, now := range []time.Duration{0, time.Hour, time.Hour + 2*retention, 24 * time.Hour} {
 		e := entry{Record: r}
 		shared := e.share(1, now)
@@ -169,13 +169,107 @@
 	}
 }
 
+// Schedulers that were cut off from each other counted the ends under a request each for itself.
+func TestMemory_EndsThatSeveralSchedulersSawCountTogether(t *testing.T) {
+	const origin = time.Hour // of the clock of the VM that learns from all
+	schedulers := make([]Memory, 3)
+	learn := func() *Memory {
+		var all Memory
+		for i := range schedulers {
+			list, _ := schedulers[i].Since(0, 10, 100)
+			all.Merge(list, origin)
+		}
+		return &all
+	}
+	t.Run("if they came one after the other", func(t *testing.T) {
+		is := is.New(t)
+		for i := range schedulers {
+			schedulers[i] = Memory{}
+			end(&schedulers[i], fmt.Sprint(i), time.Duration(10*i+10), deadly)
+		}
+		is.Equal(level(learn(), deadly, origin), Rejected)
+	})
+	t.Run("but as one if their runs overlapped", func(t *testing.T) {
+		is := is.New(t)
+		for i := range schedulers {
+			schedulers[i] = Memory{}
+			schedulers[i].RecordEnd(fmt.Sprint(i), []Run{{Request: deadly, Path: path, Started: 5}}, time.Duration(10*i+10))
+		}
+		is.Equal(level(learn(), deadly, origin), Spread)
+	})
+	t.Run("as often as endpoints ended, whoever saw it", func(t *testing.T) {
+		is := is.New(t)
+		for i := range schedulers {
+			schedulers[i] = Memory{}
+			schedulers[i].RecordOwnRun("a", Run{Request: deadly, Path: path, Started: time.Duration(10 * i)}, time.Duration(10*i+5))
+		}
+		is.Equal(level(learn(), deadly, origin), Spread)
+	})
+	t.Run("and not if a run was served since, wherever", func(t *testing.T) {
+		is := is.New(t)
+		for i := range schedulers {
+			schedulers[i] = Memory{}
+			end(&schedulers[i], fmt.Sprint(i), time.Duration(10*i+10), deadly)
+		}
+		schedulers[0].RecordCompletion(deadly, path, 50)
+		all := learn()
+		is.Equal(level(all, deadly, origin), Free)
+		l, _ := all.Level(other, path, origin)
+		is.Equal(l, Free)
+	})
+}
+
+// What VMs tell each other again and again, each time a little later, is no news.
+func TestMemory_ExchangesComeToAnEnd(t *testing.T) {
+	is := is.New(t)
+	const delay = 100 * time.Millisecond // of a message
+	var a, b Memory
+	now := time.Duration(0)
+	for i := range 4 {
+		now += delay
+		end(&a, fmt.Sprint(i), now, deadly, beside)
+	}
+	a.RecordCompletion(beside, 0, now+1)
+	var told, seen uint64
+	for range 20 {
+		list, upTo := a.Since(told, 10, now)
+		now += delay
+		b.Merge(list, now)
+		list, version := b.Since(seen, 10, now)
+		now += delay
+		a.Merge(list, now)
+		told, seen = upTo, version
+	}
+	aVersion, bVersion := a.Version(), b.Version()
+	list, _ := a.Since(0, 10, now)
+	b.Merge(list, now+delay)
+	list, _ = b.Since(0, 10, now)
+	a.Merge(list, now+delay)
+	is.Equal(a.Version(), aVersion)
+	is.Equal(b.Version(), bVersion)
+	is.Equal(level(&b, beside, now), Free)
+	is.Equal(level(&b, deadly, now), Rejected)
+}
+
+func TestMemory_EndsOfARecordAreBounded(t *testing.T) {
+	is := is.New(t)
+	var m Memory
+	end(&m, "first", 10, deadly)
+	for i := range 100 { // together with each other
+		m.RecordEnd(fmt.Sprint(i), []Run{{Request: deadly, Started: 20}}, time.Duration(30+i))
+	}
+	end(&m, "last", 1000, deadly)
+	is.Equal(level(&m, deadly, 1000), Rejected)
+	is.True(len(m.records[deadly].Ends) <= maxEnds)
+}
+
 func TestMemory_RecordsSpreadToOtherMemories(t *testing.T) {
 	const clockOffset = time.Hour
 	is := is.New(t)
 	var a, b Memory
 	end(&a, "a", 10, deadly)
 	list, version := a.Since(0, 10, 20)
-	is.Equal(len(list), 0) // one end is no news
+	is.Equal(len(list), 2) // other schedulers may have seen the other ends
 	end(&a, "b", 20, deadly)
 	list, version = a.Since(version, 10, 20)
 	is.Equal(len(list), 2)
@@ -187,7 +281,7 @@
 	end(&a, "d", 30, deadly)
 	back, _ := b.Since(0, 10, clockOffset+10)
 	a.Merge(back, 40)
-	is.Equal(len(a.records[deadly].Endpoints), 3) // the same number of ends, of others
+	is.Equal(len(a.records[deadly].Ends), 4) // those that either has seen
 	var c Memory
 	c.Merge(back, 40)
 	_, left := c.Level(deadly, otherPath, 40)
--- a/internal/system/crashrecords/crashrecords.go
+++ b/internal/system/crashrecords/crashrecords.go
@@ -51,12 +51,19 @@
 type row struct {
 	Group         bool     `json:"group,omitempty"`
 	Endpoints     []string `json:"endpoints"`
+	Ends          []end    `json:"ends,omitempty"` // of the same endpoints; absent in rows of earlier releases
 	Guilty        []uint64 `json:"guilty,omitempty"`
 	Holds         int      `json:"holds,omitempty"`
 	LastUnixMilli int64    `json:"last"`
 	HeldUnixMilli int64    `json:"held_until"`
 }
 
+// end is when the run of an endpoint that ended started, and when the end became known.
+type end struct {
+	StartedUnixNano int64 `json:"started_ns"`
+	KnownUnixNano   int64 `json:"known_ns"`
+}
+
 const keyBase = 16 // of the fingerprint in a row's key
 
 func keyOf(fingerprint uint64) platform.Key {
@@ -145,10 +152,13 @@
 }
 
 func encode(s quarantine.Shared, now time.Time) ([]byte, error) {
-	return json.Marshal(row{
-		Group: s.Record.Group, Endpoints: s.Record.Endpoints, Guilty: s.Record.Guilty, Holds: s.Record.Holds,
-		LastUnixMilli: now.Add(-s.Age).UnixMilli(), HeldUnixMilli: now.Add(s.HeldFor).UnixMilli(),
-	})
+	w := row{Group: s.Record.Group, Guilty: s.Record.Guilty, Holds: s.Record.Holds, HeldUnixMilli: now.Add(s.HeldFor).UnixMilli()}
+	for _, e := range s.Record.Ends {
+		started, known := now.Add(e.Started), now.Add(e.Known)
+		w.Endpoints, w.LastUnixMilli = append(w.Endpoints, e.Process), known.UnixMilli()
+		w.Ends = append(w.Ends, end{started.UnixNano(), known.UnixNano()})
+	}
+	return json.Marshal(w)
 }
 
 func decode(r platform.Row, now time.Time) (quarantine.Shared, error) {
@@ -160,8 +170,16 @@
 	if err != nil {
 		return quarantine.Shared{}, fmt.Errorf("row %s: %w", r.Key.ID, err)
 	}
-	return quarantine.Shared{
-		Key: fingerprint, Age: now.Sub(time.UnixMilli(w.LastUnixMilli)), HeldFor: time.UnixMilli(w.HeldUnixMilli).Sub(now),
-		Record: quarantine.Record{Group: w.Group, Endpoints: w.Endpoints, Guilty: w.Guilty, Holds: w.Holds},
-	}, nil
+	record := quarantine.Record{Group: w.Group, Guilty: w.Guilty, Holds: w.Holds}
+	for i, process := range w.Endpoints {
+		e := quarantine.End{Process: process}
+		if len(w.Ends) == len(w.Endpoints) {
+			e.Started, e.Known = time.Unix(0, w.Ends[i].StartedUnixNano).Sub(now), time.Unix(0, w.Ends[i].KnownUnixNano).Sub(now)
+		} else { // they ended one after the other
+			e.Known = time.UnixMilli(w.LastUnixMilli).Sub(now) - time.Duration(len(w.Endpoints)-1-i)
+			e.Started = e.Known
+		}
+		record.Ends = append(record.Ends, e)
+	}
+	return quarantine.Shared{Key: fingerprint, HeldFor: time.UnixMilli(w.HeldUnixMilli).Sub(now), Record: record}, nil
 }
--- a/internal/system/crashrecords/crashrecords_test.go
+++ b/internal/system/crashrecords/crashrecords_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -115,7 +116,7 @@
 	is.Equal(level, quarantine.Rejected)
 	is.True(left > 0 && left <= time.Minute)
 
-	restarted.RecordCompletion(request, path)
+	restarted.RecordCompletion(request, path, restarted.now)
 	next.save(t.Context())
 	is.Equal(len(store.rows), 1) // the malformed one
 }
@@ -135,3 +136,19 @@
 	is.Equal(level, quarantine.Free)
 	is.Equal(len(store.rows), 0)
 }
+
+// Rows of a release that didn't save when endpoints ended are read as ends one after the other.
+func TestKeeper_LoadsRowsOfEarlierReleases(t *testing.T) {
+	is := is.New(t)
+	store, c := &fakeTable{rows: make(map[platform.Key]platform.Row)}, &wallClock{time.Unix(1_000_000, 0)}
+	value := fmt.Sprintf(`{"endpoints":["a","b","c"],"holds":1,"last":%d,"held_until":%d}`, c.wall.UnixMilli(), c.wall.Add(time.Minute).UnixMilli())
+	store.rows[keyOf(request)] = platform.Row{Key: keyOf(request), Version: 1, Value: []byte(value)}
+	k, s := newKeeper(store, c)
+	is.True(k.load(t.Context()))
+	level, left := s.Level(request, 0, 0)
+	is.Equal(level, quarantine.Rejected)
+	is.Equal(left, time.Minute)
+	s.now = 2 * time.Minute
+	level, _ = s.Level(request, 0, s.now)
+	is.Equal(level, quarantine.Alone)
+}
--- a/internal/system/dispatch/client.go
+++ b/internal/system/dispatch/client.go
@@ -55,6 +55,9 @@
 	Suspects   *mesh.Suspects
 	Local      *Scheduler
 	Schedulers SchedulerList
+	// SchedulersByDC returns the addresses of the first VMs that schedule a service in each
+	// data centre, in order of preference, without this VM.
+	SchedulersByDC func(service string) [][]string
 
 	limits     knownLimits
 	quarantine quarantineSync
@@ -79,6 +82,8 @@
 	limit             LimitState // of the endpoint, as far as the scheduler knows
 	ticket            uint64
 	client            *Client
+	// fingerprint and pathFingerprint are those of the request.
+	fingerprint, pathFingerprint uint64
 }
 
 // Acquire acquires a slot, waiting until one is assigned or the request is
@@ -155,7 +160,9 @@
 	req.Limits = c.limits.toSend(req.Service, addr, time.Now())
 	var toldUpTo uint64
 	if addr != "" {
-		toldUpTo = c.quarantine.addNews(addr, &req, c.Local)
+		var news QuarantineExchange
+		news, toldUpTo = c.quarantine.newsFor(addr, c.Local)
+		req.Quarantine, req.QuarantineSeen = news.Records, news.Seen
 	}
 	if err := c.callScheduler(ctx, addr, "Ask", req, &resp); err != nil {
 		return nil, err
@@ -163,7 +170,7 @@
 	if resp.State != NotReady {
 		c.limits.recordScheduler(req.Service, addr, resp.Instance)
 		if addr != "" {
-			c.quarantine.recordAnswer(addr, &resp, toldUpTo, c.Local)
+			c.quarantine.recordAnswer(addr, resp.quarantineReply(), toldUpTo, c.Local)
 		}
 	}
 	for resp.State == Queued {
@@ -185,6 +192,7 @@
 	return &Slot{
 		Endpoint: resp.Endpoint, Address: resp.Address, DC: resp.DC, EntryVersion: resp.EntryVersion, QueueWait: resp.Waited,
 		Scheduler: addr, Process: resp.Process, SoftwareVersion: resp.SoftwareVersion, service: req.Service, limit: resp.Limit, ticket: resp.Ticket, client: c,
+		fingerprint: req.Fingerprint, pathFingerprint: req.PathFingerprint,
 	}, nil
 }
 
@@ -270,6 +278,9 @@
 		s.client.queueRelease(s.Scheduler, r)
 		return
 	}
+	if r.Loss == Ended && s.fingerprint != 0 {
+		s.client.Local.RecordOwnEnd(s.Process, s.fingerprint, s.pathFingerprint, r.Run)
+	}
 	s.client.sendReleases(s.Scheduler, []SlotRelease{r})
 }
 
--- a/internal/system/dispatch/directory.go
+++ b/internal/system/dispatch/directory.go
@@ -33,6 +33,7 @@
 	orderCache map[string][]string   // guarded by mu, by service
 	fleetCache map[string]Fleet      // guarded by mu, by service
 	witnesses  map[string][][]string // guarded by mu, by key
+	schedulers map[string][][]string // guarded by mu, by service
 }
 
 // Replace replaces the whole list.
@@ -47,7 +48,9 @@
 }
 
 // dropCaches drops what follows from the list of VMs. The caller holds mu.
-func (d *Directory) dropCaches() { d.orderCache, d.fleetCache, d.witnesses = nil, nil, nil }
+func (d *Directory) dropCaches() {
+	d.orderCache, d.fleetCache, d.witnesses, d.schedulers = nil, nil, nil, nil
+}
 
 // Update adds or replaces VMs and deletes the removed ones by name.
 func (d *Directory) Update(list []VM, removed []string) {
@@ -147,9 +150,9 @@
 	return others + 1
 }
 
-// witnessesPerDC is the number of VMs of each data centre that Witnesses returns: the first
-// one may be the VM that asks itself, or be lost.
-const witnessesPerDC = 2
+// rankedPerDC is the number of VMs of each data centre that Witnesses and SchedulersByDC
+// return: the first one may be lost.
+const rankedPerDC = 2
 
 // Witnesses returns the mesh addresses of the VMs ranked first by rendezvous hashing of a key
 // in each data centre, without this VM: those of its own data centre first, then the others
@@ -163,30 +166,57 @@
 	score := func(vm VM) uint64 { return ownership.RendezvousScore(vm.Name, key) }
 	var ranked []VM
 	for _, vm := range d.vms {
-		if vm.Name != d.Self.Name && !vm.Draining {
+		if !vm.Draining {
 			ranked = append(ranked, vm)
 		}
 	}
 	slices.SortFunc(ranked, func(a, b VM) int {
 		return cmp.Or(cmp.Compare(dcDistance(a.DC, d.Self.DC), dcDistance(b.DC, d.Self.DC)), cmp.Compare(score(b), score(a)), cmp.Compare(a.Name, b.Name))
 	})
+	list := d.byDC(ranked)
+	if d.witnesses == nil {
+		d.witnesses = make(map[string][][]string)
+	}
+	d.witnesses[key] = list
+	return list
+}
+
+// SchedulersByDC returns the mesh addresses of the VMs of each data centre that rank first
+// as schedulers of a service, without this VM. Those of its own data centre are followed by
+// the others. The caller must not modify the result.
+func (d *Directory) SchedulersByDC(service string) [][]string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if list, ok := d.schedulers[service]; ok {
+		return list
+	}
+	list := d.byDC(d.ranked(service))
+	if d.schedulers == nil {
+		d.schedulers = make(map[string][][]string)
+	}
+	d.schedulers[service] = list
+	return list
+}
+
+// byDC returns the addresses of the first rankedPerDC VMs of each data centre of a ranked
+// list, without this VM.
+func (d *Directory) byDC(ranked []VM) [][]string {
 	var list [][]string
 	index := make(map[string]int) // of a data centre in list
 	for _, vm := range ranked {
+		if vm.Name == d.Self.Name {
+			continue
+		}
 		i, seen := index[vm.DC]
 		if !seen {
 			i = len(list)
 			index[vm.DC] = i
 			list = append(list, nil)
 		}
-		if len(list[i]) < witnessesPerDC {
+		if len(list[i]) < rankedPerDC {
 			list[i] = append(list[i], vm.Address)
 		}
 	}
-	if d.witnesses == nil {
-		d.witnesses = make(map[string][][]string)
-	}
-	d.witnesses[key] = list
 	return list
 }
 
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -203,6 +203,7 @@
 	lastTicket uint64
 	instance   uint64
 	quarantine quarantine.Memory
+	endSeen    uint64 // version of quarantine at which this scheduler last saw an end
 	// quarantineExpired is when expired records of quarantine were last dropped.
 	quarantineExpired time.Duration
 	ready             bool // SetEndpoints was called
--- a/internal/system/dispatch/endings.go
+++ b/internal/system/dispatch/endings.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"ibisstall.example/ibisstall/internal/logging/tag"
@@ -101,6 +103,7 @@
 		s.poolOf(e.Service).alone.recordEnd(now)
 	}
 	rejected := s.quarantine.RecordEnd(e.Process(), runs, now)
+	s.endSeen = s.quarantine.Version()
 	if s.Log == nil {
 		return
 	}
@@ -121,7 +124,7 @@
 		if r.level == quarantine.Alone {
 			r.pool.alone = alonePause{}
 		}
-		s.quarantine.RecordCompletion(r.args.Fingerprint, r.args.PathFingerprint)
+		s.quarantine.RecordCompletion(r.args.Fingerprint, r.args.PathFingerprint, now)
 	case release.Result == Failed || release.Result == Canceled:
 		if e := r.endpoint; !e.ended {
 			if len(e.recent) >= maxRecentRuns || len(e.recent) > 0 && now-e.recent[len(e.recent)-1].at > recentRunTime {
@@ -135,11 +138,41 @@
 // learnFromRequest adopts what a request tells about requests that crash endpoints.
 func (s *Scheduler) learnFromRequest(args *SlotRequest, now time.Duration) {
 	s.quarantine.Merge(args.Quarantine, now)
-	if args.Fingerprint != 0 {
-		s.quarantine.RecordChain(args.EndedUnder, args.Fingerprint, args.PathFingerprint, now)
+	if args.Fingerprint != 0 && s.quarantine.RecordChain(args.EndedUnder, args.Fingerprint, args.PathFingerprint, now) {
+		s.endSeen = s.quarantine.Version()
 	}
 }
 
+// quarantineReply returns what the response tells about requests that crash endpoints.
+func (r *SlotResponse) quarantineReply() QuarantineReply {
+	return QuarantineReply{Records: r.Quarantine, Version: r.QuarantineVersion, Instance: r.Instance}
+}
+
+// ExchangeQuarantine adopts what another VM knows about requests that crash endpoints, and
+// returns what that VM doesn't know.
+func (s *Scheduler) ExchangeQuarantine(x QuarantineExchange) QuarantineReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	s.quarantine.Merge(x.Records, now)
+	list, version := s.quarantine.Since(x.Seen, maxSharedRecords, now)
+	return QuarantineReply{Records: list, Version: version, Instance: s.instance}
+}
+
+// lastEndSeen returns the version of the memory at which this scheduler last saw an end.
+func (s *Scheduler) lastEndSeen() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endSeen
+}
+
+// services returns the names of the services that this VM knows.
+func (s *Scheduler) services() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.pools))
+}
+
 // answerWithNews adds to a response what the requesting VM has not learned yet.
 func (s *Scheduler) answerWithNews(r *request, now time.Duration) {
 	r.response.Quarantine, r.response.QuarantineVersion = s.quarantine.Since(r.args.QuarantineSeen, maxSharedRecords, now)
@@ -156,6 +189,7 @@
 		return false
 	}
 	r.response.State, r.response.Reason, r.response.RetryAfter = Refused, reasonQuarantined, left
+	r.response.Waited = now - r.policyRequest.Arrived
 	close(r.decided)
 	return true
 }
@@ -169,6 +203,15 @@
 	return left
 }
 
+// RecordOwnEnd records that an endpoint ended while it ran a request of this VM whose slot
+// another VM assigned: that scheduler may end before it has told anybody.
+func (s *Scheduler) RecordOwnEnd(process string, fingerprint, path uint64, ran time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	s.quarantine.RecordOwnRun(process, quarantine.Run{Request: fingerprint, Path: path, Started: now - ran}, now)
+}
+
 // LearnQuarantine adopts what other VMs know about requests that crash endpoints. It returns
 // the versions of this scheduler's memory before and after that.
 func (s *Scheduler) LearnQuarantine(list []quarantine.Shared) (before, after uint64) {
--- a/internal/system/dispatch/endings_test.go
+++ b/internal/system/dispatch/endings_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"flag"
 	"fmt"
 	"maps"
 	"slices"
@@ -248,6 +249,34 @@
 	}
 }
 
+// exchange lets VMs tell each other of the ends that they have seen, as ShareQuarantine does.
+func (f *crashFleet) exchange() {
+	if f.clock.now%exchangeInterval != 0 {
+		return
+	}
+	for _, v := range f.vms {
+		if !v.up {
+			continue
+		}
+		byAddress := make(map[string]*limitVM)
+		var addresses []string
+		for _, dc := range v.directory.SchedulersByDC("model") {
+			for _, other := range f.vms {
+				if other.up && other.partition == v.partition && slices.Contains(dc, other.Address) {
+					byAddress[other.Address] = other
+				}
+			}
+			if i := slices.IndexFunc(dc, func(address string) bool { return byAddress[address] != nil }); i >= 0 {
+				addresses = append(addresses, dc[i])
+			}
+		}
+		for _, address := range v.crashes.due(addresses, v.scheduler) {
+			news, upTo := v.crashes.newsFor(address, v.scheduler)
+			v.crashes.recordAnswer(address, byAddress[address].scheduler.ExchangeQuarantine(news), upTo, v.scheduler)
+		}
+	}
+}
+
 // crash ends an endpoint; a new one comes seconds later.
 func (f *crashFleet) crash(id string) {
 	if f.ended[id] {
@@ -280,13 +309,14 @@
 	for i, scheduler := range candidates {
 		address := scheduler.Address
 		r.ListCurrent = !v.outdated && scheduler != v
-		upTo := v.crashes.addNews(address, &r, v.scheduler)
+		news, upTo := v.crashes.newsFor(address, v.scheduler)
+		r.Quarantine, r.QuarantineSeen = news.Records, news.Seen
 		resp := scheduler.scheduler.Submit(r)
 		if resp.State == NotReady && i < len(candidates)-1 {
 			continue
 		}
 		if resp.State != NotReady {
-			v.crashes.recordAnswer(address, &resp, upTo, v.scheduler)
+			v.crashes.recordAnswer(address, resp.quarantineReply(), upTo, v.scheduler)
 		}
 		if resp.Reason == reasonQuarantined {
 			f.noteRefusal(r)
@@ -340,10 +370,13 @@
 		}
 		release := SlotRelease{Ticket: resp.Ticket, Result: Completed, Served: true, Run: 40 * ms}
 		if f.ended[resp.Endpoint] {
-			release = SlotRelease{Ticket: resp.Ticket, Result: Unreachable, Loss: Ended}
+			release = SlotRelease{Ticket: resp.Ticket, Result: Unreachable, Loss: Ended, Run: 40 * ms}
 			f.under[r.Fingerprint]++
 			r.EndedUnder = append(slices.Clone(r.EndedUnder), resp.Process)
 		}
+		if release.Loss == Ended && scheduler != v {
+			v.scheduler.RecordOwnEnd(resp.Process, r.Fingerprint, r.PathFingerprint, release.Run)
+		}
 		if connected() {
 			scheduling.Release(release)
 		}
@@ -362,6 +395,8 @@
 	}
 }
 
+var crashSeeds = flag.Uint64("crash.seeds", 20, "number of seeds of the random play of a request that crashes endpoints")
+
 // A request that crashes endpoints was sent on by VMs that knew nothing of the ends that others had seen.
 func TestScheduler_RequestThatCrashesEndpointsIsStoppedAtAllVMs(t *testing.T) {
 	const (
@@ -370,7 +405,7 @@
 		maxLate     = 3
 	)
 	seeds := []uint64{31, 165}
-	for seed := range uint64(20) {
+	for seed := range *crashSeeds {
 		seeds = append(seeds, seed)
 	}
 	for _, seed := range seeds {
@@ -381,6 +416,7 @@
 			for start := f.clock.now; f.clock.now-start < length; {
 				f.advance()
 				f.save()
+				f.exchange()
 				v := f.vms[f.random.IntN(len(f.vms))]
 				if v.up && f.random.IntN(2) == 0 {
 					r := suspectCall(innocent)
--- a/internal/system/dispatch/service.go
+++ b/internal/system/dispatch/service.go
@@ -47,6 +47,12 @@
 	return nil
 }
 
+// ExchangeQuarantine exchanges what two VMs know about requests that crash endpoints.
+func (v *service) ExchangeQuarantine(x QuarantineExchange, out *QuarantineReply) error {
+	*out = v.scheduler.ExchangeQuarantine(x)
+	return nil
+}
+
 // Release returns slots.
 func (v *service) Release(list []SlotRelease, _ *bool) error {
 	for _, r := range list {
--- a/internal/system/dispatch/versions_test.go
+++ b/internal/system/dispatch/versions_test.go
@@ -68,7 +68,7 @@
 	asked := func(d *Directory, key string) map[string]bool {
 		set := make(map[string]bool)
 		for _, dc := range d.Witnesses(key) {
-			is.True(len(dc) <= witnessesPerDC)
+			is.True(len(dc) <= rankedPerDC)
 			for _, address := range dc {
 				set[address] = true
 			}
--- a/internal/system/owner/chat.go
+++ b/internal/system/owner/chat.go
@@ -62,7 +62,7 @@
 			crashes.recordEnd(callID, fingerprint, started, f.owner.options.Now())
 		}
 		if err == nil {
-			crashes.recordCompletion(fingerprint)
+			crashes.recordCompletion(fingerprint, f.owner.options.Now())
 			return r.recordAnswer(ctx, callID, answer)
 		}
 		if rejectsRequest(err) {
--- a/internal/system/owner/crashes.go
+++ b/internal/system/owner/crashes.go
@@ -47,8 +47,8 @@
 }
 
 // recordCompletion clears a call that was answered.
-func (m *crashMemory) recordCompletion(call uint64) {
+func (m *crashMemory) recordCompletion(call uint64, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.memory.RecordCompletion(call, 0)
+	m.memory.RecordCompletion(call, 0, sinceEpoch(now))
 }
