dispatch: a waiting request is refused once it is quarantined

Callers saw: copies of a request that crashes endpoints that waited for their turn to run alone ran one after the other, though it had been rejected meanwhile.

Cause: whether a request may run was decided when it was submitted only.

The new subtest "also if it waits already" fails without the change.

Change: the levels of waiting requests are determined anew when the records have changed, and those that may not run any more are refused at once.

--- a/internal/system/dispatch/assign.go
+++ b/internal/system/dispatch/assign.go
@@ -51,6 +51,7 @@
 // its prompt at another one.
 func (s *Scheduler) assignSlots(p *pool) {
 	now := s.clock.Now()
+	s.reviewWaiting(p, now)
 	s.assignAlone(p, now)
 	if len(p.waiting) == 0 || len(p.waiting) >= batchThreshold && now-p.lastAssigned < batchInterval {
 		return
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -227,6 +227,9 @@
 	// reserved is the endpoint that is kept for requests that run alone; nil if there are none.
 	reserved *endpoint
 	alone    alonePause
+	// reviewedVersion is the version of the quarantine when the waiting requests were last
+	// checked against it.
+	reviewedVersion uint64
 }
 
 // endpoint is the scheduling state of one endpoint.
--- a/internal/system/dispatch/endings.go
+++ b/internal/system/dispatch/endings.go
@@ -194,6 +194,16 @@
 	return true
 }
 
+// reviewWaiting determines anew how the waiting requests may run, and refuses those that may
+// not, if something has become known since the last time.
+func (s *Scheduler) reviewWaiting(p *pool, now time.Duration) {
+	if p.reviewedVersion == s.quarantine.Version() {
+		return
+	}
+	p.reviewedVersion = s.quarantine.Version()
+	p.waiting = slices.DeleteFunc(p.waiting, func(r *request) bool { return s.refuseQuarantined(r, now) })
+}
+
 // Quarantined returns for how long a request is rejected as far as this scheduler knows; 0
 // if it isn't.
 func (s *Scheduler) Quarantined(fingerprint, path uint64) time.Duration {
--- a/internal/system/dispatch/endings_test.go
+++ b/internal/system/dispatch/endings_test.go
@@ -100,6 +100,20 @@
 		is.Equal(s.Submit(suspectCall(sibling)).State, Assigned)
 		is.Equal(s.Submit(suspectCall(harmless)).State, Assigned)
 	})
+	t.Run("also if it waits already", func(t *testing.T) {
+		is := is.New(t)
+		s, c := newTestScheduler(3, 4)
+		for range 2 {
+			endUnder(s, c, suspectCall(deadly))
+		}
+		runs, waits, waitsToo := s.Submit(suspectCall(deadly)), s.Submit(suspectCall(deadly)), s.Submit(suspectCall(harmless))
+		is.Equal(waits.State, Queued)
+		is.Equal(waitsToo.State, Assigned)
+		c.now += ms
+		s.Release(SlotRelease{Ticket: runs.Ticket, Result: Unreachable, Loss: Ended})
+		s.Tick()
+		is.Equal(s.Poll(waits.Ticket).Reason, reasonQuarantined)
+	})
 	t.Run("requests that run alone are spaced while endpoints end under them", func(t *testing.T) {
 		is := is.New(t)
 		s, c := newTestScheduler(3, 4)
