forward, resumption: a VM vouches for one version only if it missed none

Callers could see: a stream joined from two versions, if the only VM that had kept running had been cut off for a while: an endpoint of another version was listed, began the stream and was removed meanwhile, and that VM said that one version alone had served. The same on a route without a timeout after two seconds of one version, however long streams last.

Cause: a VM counted the time for which it knew all versions from its first reading, also across gaps in which rows came and went; and the horizon of a route without a timeout was 2 s.

Evidence: found by reading; TestRegistry_VersionsThatMayHaveComeAndGoneUnread and TestHorizon_ fail without the change.

Change: the time starts anew when the whole list is read again after a gap in which entries can lapse, and when the removal of an endpoint is read that was never listed. A route without a timeout counts as one of an hour; beyond what is remembered nothing is certain.

--- a/internal/forward/registry.go
+++ b/internal/forward/registry.go
@@ -183,7 +183,7 @@
 // Replace replaces the whole list.
 func (r *Registry) Replace(list []Endpoint, reading Reading) {
 	r.mu.Lock()
-	r.versions.readFirst(reading.At)
+	r.versions.readWhole(reading.At, r.mayHaveLapsed(reading))
 	listed := make(map[string]bool, len(list))
 	for _, e := range list {
 		listed[e.ID] = true
@@ -255,9 +255,12 @@
 // after a long gap can show that. The caller holds mu.
 func (r *Registry) remove(id string, reading Reading) {
 	if _, known := r.endpoints[id]; !known {
+		if _, departed := r.departures[id]; !departed {
+			r.versions.readRemovalOfUnknown(reading.At)
+		}
 		return
 	}
-	if r.LapseTime <= 0 || reading.Gap < r.LapseTime {
+	if !r.mayHaveLapsed(reading) {
 		r.drop(id, reading.At)
 		return
 	}
@@ -267,6 +270,11 @@
 	}
 }
 
+// mayHaveLapsed reports whether entries of live endpoints may have lapsed before a reading.
+func (r *Registry) mayHaveLapsed(reading Reading) bool {
+	return r.LapseTime > 0 && reading.Gap >= r.LapseTime
+}
+
 // drop removes an endpoint from the list. The caller holds mu.
 func (r *Registry) drop(id string, now time.Time) {
 	if _, departed := r.departures[id]; !departed {
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -12,17 +12,22 @@
 
 // softwareVersions remembers the software versions whose endpoints have left.
 type softwareVersions struct {
-	firstRead time.Time                       // of the list of endpoints; zero before
-	leftAt    map[string]map[string]time.Time // when an endpoint of a version last left, by service and version
+	wholeSince time.Time                       // since when all listed versions are known; zero before the first reading
+	leftAt     map[string]map[string]time.Time // when an endpoint of a version last left, by service and version
 }
 
-// readFirst records that the list was read.
-func (v *softwareVersions) readFirst(now time.Time) {
-	if v.firstRead.IsZero() {
-		v.firstRead = now
+// readWhole records that the whole list was read. With missed set, endpoints may have been
+// listed and removed since the reading before.
+func (v *softwareVersions) readWhole(now time.Time, missed bool) {
+	if v.wholeSince.IsZero() || missed {
+		v.wholeSince = now
 	}
 }
 
+// readRemovalOfUnknown records that an endpoint was removed that has not been read: it was
+// listed for a while, with an unknown version.
+func (v *softwareVersions) readRemovalOfUnknown(now time.Time) { v.wholeSince = now }
+
 // left records that an endpoint has left or has another version now.
 func (v *softwareVersions) left(e Endpoint, now time.Time) {
 	if v.leftAt == nil {
@@ -64,8 +69,9 @@
 			listed[version] = true
 		}
 	}
-	first := r.versions.firstRead
-	view := resumption.View{Versions: len(listed), Whole: !first.IsZero() && now.Sub(first) >= horizon, Current: !r.feedLost}
+	since := r.versions.wholeSince
+	whole := !since.IsZero() && now.Sub(since) >= horizon && horizon <= versionRetention
+	view := resumption.View{Versions: len(listed), Whole: whole, Current: !r.feedLost}
 	if len(listed) == 1 {
 		for version := range listed {
 			view.Version = version
--- a/internal/forward/versions_test.go
+++ b/internal/forward/versions_test.go
@@ -38,6 +38,10 @@
 		is.Equal(view(40*time.Second+horizon).Versions, 2)
 		is.Equal(view(40*time.Second+horizon+1).Version, "v3")
 	})
+	t.Run("nothing is certain about longer than versions are remembered", func(t *testing.T) {
+		is := is.New(t)
+		is.True(!r.VersionView("s", versionRetention+1, start.Add(3*versionRetention)).Whole)
+	})
 	t.Run("a list that can't be read is not current", func(t *testing.T) {
 		is := is.New(t)
 		r.FeedLost(start.Add(time.Minute))
@@ -52,6 +56,34 @@
 	})
 }
 
+// A VM that had been cut off for a while knew nothing of a version that came and went meanwhile,
+// but vouched for the only one that it listed.
+func TestRegistry_VersionsThatMayHaveComeAndGoneUnread(t *testing.T) {
+	const horizon = 8 * time.Second
+	start := time.Unix(1000, 0)
+	for _, tt := range []struct {
+		name  string
+		read  func(*Registry, Reading)
+		gap   time.Duration
+		whole bool
+	}{
+		{"the whole list is read again after a long gap", func(r *Registry, g Reading) { r.Replace([]Endpoint{{ID: "a", Service: "s", SoftwareVersion: "v1"}}, g) }, 3 * time.Second, false},
+		{"the whole list is read again at once", func(r *Registry, g Reading) { r.Replace([]Endpoint{{ID: "a", Service: "s", SoftwareVersion: "v1"}}, g) }, time.Second, true},
+		{"the removal of an endpoint is read that was never listed", func(r *Registry, g Reading) { r.Update(nil, []string{"b"}, g) }, 3 * time.Second, false},
+		{"nothing is read that was removed", func(r *Registry, g Reading) { r.Update(nil, nil, g) }, 3 * time.Second, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := &Registry{LapseTime: 2 * time.Second}
+			r.Replace([]Endpoint{{ID: "a", Service: "s", SoftwareVersion: "v1"}}, Reading{At: start})
+			later := start.Add(time.Minute)
+			tt.read(r, Reading{At: later, Gap: tt.gap})
+			is.Equal(r.VersionView("s", horizon, later.Add(horizon-1)).Whole, tt.whole)
+			is.True(r.VersionView("s", horizon, later.Add(horizon)).Whole)
+		})
+	}
+}
+
 // A scheduler with an old list took an endpoint that had started again for the version that it had.
 func TestRegistry_SoftwareVersionOfAnAssignedEndpointThatStartedAgain(t *testing.T) {
 	is := is.New(t)
--- a/internal/policy/resumption/resumption.go
+++ b/internal/policy/resumption/resumption.go
@@ -10,10 +10,18 @@
 // listLag is how old a VM's list of endpoints may be while it can read changes.
 const listLag = 2 * time.Second
 
+// maxStreamTime is how long streams last at most on a route without a timeout.
+const maxStreamTime = time.Hour
+
 // Horizon returns for how long only one version must have served for a stream of unknown
 // beginning to be of that version: the stream's first response and the one that is resumed
-// each last no longer than the route's timeout.
-func Horizon(routeTimeout time.Duration) time.Duration { return 2*routeTimeout + listLag }
+// each last no longer than the route's timeout, which is 0 if there is none.
+func Horizon(routeTimeout time.Duration) time.Duration {
+	if routeTimeout <= 0 {
+		routeTimeout = maxStreamTime
+	}
+	return 2*routeTimeout + listLag
+}
 
 // View is what a VM knows about the software versions of a service.
 type View struct {
--- a/internal/policy/resumption/resumption_test.go
+++ b/internal/policy/resumption/resumption_test.go
@@ -58,3 +58,10 @@
 func TestHorizon_CoversTwoResponsesAndTheLagOfTheList(t *testing.T) {
 	is.New(t).Equal(Horizon(3*time.Second), 8*time.Second)
 }
+
+// On a route without a timeout a stream of another version counted as ended after two seconds.
+func TestHorizon_CoversTheLongestStreamAndItsResumption(t *testing.T) {
+	is := is.New(t)
+	is.True(Horizon(3*time.Second) >= 6*time.Second)
+	is.True(Horizon(0) >= 2*maxStreamTime)
+}
