forwarder: a connection isn't used again after a rejection without a request id

Callers could get: 'not run' for a request that was running, or a second run of it at another endpoint. An endpoint that sends a second copy of a rejection, late, on a connection that is in use again has it taken for the answer to the next request.

Cause: responses are told apart by the id of their request, but rejections need none, and any rejection without an id counted as one of the request that was waiting.

Evidence: TestProcess_SecondCopyOfARejectionIsNotTheAnswerToTheNextRequest/without_an_id: the second caller got 503 while its request ran.

Change: the connection is closed after such a rejection. A request that is sent to an endpoint again uses a new connection, since a late copy of its earlier answer bears the same id.

A second copy of any other answer was passed over before, by its id.

--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -49,12 +49,13 @@
 	lateFinish time.Time // time after which finishing the program has no more value; zero without an objective
 	firstTurn  bool      // the request uses a token budget, and no turn of its program has reserved tokens through this VM
 
-	excluded       []string // ids of endpoints that are not tried any more
-	endedUnder     []string // processes of endpoints that ended while they may have been running the request
-	notRunAttempts int      // attempts that are known not to have run the request
-	possibleRuns   int      // endpoints that may have run the request
-	liveRuns       int      // endpoints that may have run the request and are still alive; at most the route's MaxEndpoints
-	resends        int      // attempts made because a response was interrupted
+	excluded       []string        // ids of endpoints that are not tried any more
+	endedUnder     []string        // processes of endpoints that ended while they may have been running the request
+	sentTo         map[string]bool // addresses that the request was sent to
+	notRunAttempts int             // attempts that are known not to have run the request
+	possibleRuns   int             // endpoints that may have run the request
+	liveRuns       int             // endpoints that may have run the request and are still alive; at most the route's MaxEndpoints
+	resends        int             // attempts made because a response was interrupted
 
 	stream         streamVersion
 	reservations   []*tokenbudget.Reservation
@@ -441,7 +442,9 @@
 // attempt sends the request once and forwards the response. The error is nil if
 // the outcome is completed.
 func (x *exchange) attempt(slot *dispatch.Slot) (outcome, error) {
-	conn, err := x.f.Pool.Get(x.ctx, slot.Address, x.resends > 0)
+	// A late second copy of an earlier answer would bear the id of this request, too.
+	again := x.sentTo[slot.Address]
+	conn, err := x.f.Pool.Get(x.ctx, slot.Address, x.resends > 0 || again)
 	if err != nil {
 		if x.ctx.Err() != nil {
 			return canceled, x.ctx.Err()
@@ -456,6 +459,10 @@
 	conn.InactivityTimeout = min(probeAfterSilence, x.overdueAfter())
 	conn.OnInactive = func(silence time.Duration) error { return x.checkSilence(silence, slot.Address) }
 	x.sentAt = time.Now()
+	if x.sentTo == nil {
+		x.sentTo = make(map[string]bool, 1)
+	}
+	x.sentTo[slot.Address] = true
 	x.framing, x.unfinishedBytes = "", 0
 	err = conn.Send(x.endpointRequest(slot))
 	if err == nil {
@@ -606,11 +613,12 @@
 }
 
 // handleRejection consumes a response that guarantees that the request has not run.
-// It returns misdirected or endpointFull.
+// It returns misdirected or endpointFull. The connection is not used again after a rejection
+// without a request id: a second copy of it couldn't be told from an answer to the next request.
 func (x *exchange) handleRejection(conn *httpconn.Conn, resp *http.Response) (outcome, error) {
 	conn.Deadline = earlier(x.deadline, time.Now().Add(rejectionBodyTimeout))
-	if err := conn.Discard(resp, maxRejectionBody); err != nil {
-		conn.Close() // the caller doesn't wait for the end of the body
+	if err := conn.Discard(resp, maxRejectionBody); err != nil || resp.Header.Get(x.f.Headers.RequestID) == "" {
+		conn.Close() // also if the body has not ended: the caller doesn't wait for that
 	} else {
 		conn.Release(resp)
 	}
