forwarder: a stream that stalls without being silent is resumed

Callers saw: a stream that got no event until the request's time was over, though it could have gone on, if its endpoint hung but sent a byte now and then; and one that was cut as over its token budget if its endpoint sent comments.

Cause: a response is overdue only after a silence, which any byte ends. A block of comments counted as an event, in the budget and as progress.

Evidence: TestProcess_StreamThatStallsWithoutSilenceIsResumed fails without the change after 8 s (a byte of an event) and 2.5 s (comments).

Change: a stream that has completed no event for 2 s, or four times what counts as overdue silence if that is longer, is resumed if its route allows that, within the budget of resends. Comments are passed on but are no events. TestProcess_SlowStreamIsNotResumed: events that arrive byte by byte over 0.7 s are left alone.

Check changed: TestCompleteEvents_ResultDoesNotDependOnHowTheStreamArrives counted a comment as an event (3); the number is exact as before (2), and comments have a case of their own.

TestProcess_PlannedStopUnderLoadAnswersEachRequestThatItAccepted looks for requests that are cut off by a planned stop; it finds none, before and after.

--- a/internal/system/forwarder/delays.go
+++ b/internal/system/forwarder/delays.go
@@ -132,6 +132,19 @@
 	return nil
 }
 
+const (
+	// minEventTime is how long an event may take at least while its bytes arrive, and
+	// slowEventFactor the same in the time after which a silent response is overdue.
+	minEventTime    = 2 * time.Second
+	slowEventFactor = 4
+)
+
+// stalled reports whether a stream whose endpoint still sends bytes, but has completed no
+// event for a time, is to be resumed.
+func (x *exchange) stalled(sinceEvent time.Duration) bool {
+	return sinceEvent >= max(minEventTime, slowEventFactor*x.overdueAfter()) && x.mayResend() && x.f.delays.withdrawResend()
+}
+
 // probe returns errEndpointLost if an endpoint has ended or is unreachable: its
 // address refuses connections, or a number of attempts time out while this VM isn't
 // lagging.
--- a/internal/system/forwarder/events.go
+++ b/internal/system/forwarder/events.go
@@ -26,7 +26,7 @@
 			start++
 		}
 		if len(line) > 0 {
-			hasLines = true
+			hasLines = hasLines || line[0] != ':' // a comment is no event
 			if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 				id = string(bytes.TrimSpace(value))
 			}
--- a/internal/system/forwarder/response.go
+++ b/internal/system/forwarder/response.go
@@ -130,6 +130,7 @@
 func (x *exchange) forwardStream(conn *httpconn.Conn, resp *http.Response) error {
 	flusher := http.NewResponseController(x.w)
 	eventsBefore := x.events
+	lastEvent := x.sentAt
 	var buf []byte
 	chunk := make([]byte, readBufferSize)
 	for {
@@ -139,7 +140,10 @@
 			if err := x.reserveEvents(block.events); err != nil {
 				return fmt.Errorf("%w: %w", errBudgetSpent, err)
 			}
-			x.observeDelay()
+			if block.events > 0 {
+				lastEvent = time.Now()
+				x.observeDelay()
+			}
 			x.recordFirstEvent()
 			x.sendStreamHeader(resp)
 			x.recordEvents(block)
@@ -160,6 +164,8 @@
 			return nil
 		case err != nil:
 			return err
+		case x.stalled(time.Since(lastEvent)):
+			return errResponseOverdue
 		case len(buf) > maxEventSize:
 			return errors.New("event of the stream exceeds the maximum size")
 		}
