forwarder: a VM that was suspended acts on no slot or deadline that has expired

Callers could see: a request that reaches its endpoint after its time is over, with a Deadline-Ms that says otherwise, or an endpoint that left or filled up meanwhile, if the VM was paused for seconds between the assignment of the slot and the sending.

Cause: nothing looked at the time between the two; and deadlines are kept on a clock that stops while a VM is suspended.

Change: right before it is sent, a request's deadline is corrected for suspensions, and a slot whose scheduler was last asked over 2 s ago is given back and asked for anew.

--- a/internal/system/dispatch/client.go
+++ b/internal/system/dispatch/client.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"ibisstall.example/ibisstall/internal/clock"
 	"ibisstall.example/ibisstall/internal/mesh"
 )
 
@@ -82,6 +83,9 @@
 	limit             LimitState // of the endpoint, as far as the scheduler knows
 	ticket            uint64
 	client            *Client
+	// AskedAt is when the scheduler was last asked before it assigned the slot, on
+	// clock.System. The assignment may rest on what was known then.
+	AskedAt time.Duration
 	// fingerprint and pathFingerprint are those of the request.
 	fingerprint, pathFingerprint uint64
 }
@@ -164,6 +168,7 @@
 		news, toldUpTo = c.quarantine.newsFor(addr, c.Local)
 		req.Quarantine, req.QuarantineSeen = news.Records, news.Seen
 	}
+	asked := clock.System{}.Now()
 	if err := c.callScheduler(ctx, addr, "Ask", req, &resp); err != nil {
 		return nil, err
 	}
@@ -174,6 +179,7 @@
 		}
 	}
 	for resp.State == Queued {
+		asked = clock.System{}.Now()
 		err := c.callScheduler(ctx, addr, "Await", resp.Ticket, &resp)
 		if err != nil {
 			c.queueRelease(addr, SlotRelease{Ticket: resp.Ticket, Result: Canceled})
@@ -192,7 +198,7 @@
 	return &Slot{
 		Endpoint: resp.Endpoint, Address: resp.Address, DC: resp.DC, EntryVersion: resp.EntryVersion, QueueWait: resp.Waited,
 		Scheduler: addr, Process: resp.Process, SoftwareVersion: resp.SoftwareVersion, service: req.Service, limit: resp.Limit, ticket: resp.Ticket, client: c,
-		fingerprint: req.Fingerprint, pathFingerprint: req.PathFingerprint,
+		AskedAt: asked, fingerprint: req.Fingerprint, pathFingerprint: req.PathFingerprint,
 	}, nil
 }
 
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -31,6 +31,9 @@
 // is outdated.
 var errEndpointLeft = errors.New("assigned endpoint is leaving or gone")
 
+// errSlotExpired means that the assignment of the slot is older than maxSlotAge.
+var errSlotExpired = errors.New("slot assigned too long ago")
+
 // errBudgetSpent means that the program's token budget ran out during the turn.
 var errBudgetSpent = errors.New("token budget spent during the turn")
 
@@ -45,12 +48,16 @@
 	ctx        context.Context
 	route      *forward.Route
 	service    *forward.Service
-	deadline   time.Time // the earlier of the caller's deadline and the route's timeout
-	lateFinish time.Time // time after which finishing the program has no more value; zero without an objective
-	firstTurn  bool      // the request uses a token budget, and no turn of its program has reserved tokens through this VM
+	deadline   time.Time     // the earlier of the caller's deadline and the route's timeout
+	lateFinish time.Time     // time after which finishing the program has no more value; zero without an objective
+	received   time.Time     // when Serve was called, on the clock that stops while the VM is suspended
+	receivedAt time.Duration // the same on Forwarder.Clock
+	suspended  time.Duration // of that, how long the VM was suspended; deadline is corrected for it
+	firstTurn  bool          // the request uses a token budget, and no turn of its program has reserved tokens through this VM
 
 	excluded       []string        // ids of endpoints that are not tried any more
 	endedUnder     []string        // processes of endpoints that ended while they may have been running the request
+	usedSlot       bool            // the request was sent with the current slot
 	sentTo         map[string]bool // addresses that the request was sent to
 	notRunAttempts int             // attempts that are known not to have run the request
 	possibleRuns   int             // endpoints that may have run the request
@@ -125,7 +132,7 @@
 func (x *exchange) useSlot(slot *dispatch.Slot) bool {
 	start := time.Now()
 	mayHaveRun := false
-	x.endpointLeaves = false
+	x.endpointLeaves, x.usedSlot = false, false
 	x.f.delays.recordRequest()
 	for {
 		outcome, err := x.attempt(slot)
@@ -199,7 +206,7 @@
 		return dispatch.Completed
 	case o == endpointFull:
 		return dispatch.Full
-	case o == canceled:
+	case o == canceled, o == expired:
 		return dispatch.Canceled
 	case o == unreachable && !errors.Is(err, syscall.ECONNREFUSED):
 		return dispatch.ConnectTimeout
@@ -268,9 +275,11 @@
 	case canceled:
 		x.fail(err)
 		return false
-	case endpointFull, unreachable, misdirected:
+	case endpointFull, unreachable, misdirected, expired:
 		x.notRunAttempts++
-		x.excluded = append(x.excluded, endpoint)
+		if o != expired {
+			x.excluded = append(x.excluded, endpoint)
+		}
 		if x.notRunAttempts >= maxNotRunAttempts || x.liveRuns >= x.maxEndpoints() {
 			x.fail(err)
 			return false
@@ -437,6 +446,7 @@
 	unreachable          // request not sent
 	misdirected          // another endpoint has the address; not run
 	canceled             // caller disconnected, deadline passed or token budget spent
+	expired              // request not sent, since the slot's assignment is too old
 )
 
 // attempt sends the request once and forwards the response. The error is nil if
@@ -458,6 +468,10 @@
 	conn.Deadline = x.deadline
 	conn.InactivityTimeout = min(probeAfterSilence, x.overdueAfter())
 	conn.OnInactive = func(silence time.Duration) error { return x.checkSilence(silence, slot.Address) }
+	if o, err := x.checkPermission(slot); err != nil {
+		conn.Close()
+		return o, err
+	}
 	x.sentAt = time.Now()
 	if x.sentTo == nil {
 		x.sentTo = make(map[string]bool, 1)
@@ -489,6 +503,25 @@
 	}
 }
 
+// checkPermission returns an error if the request must not be sent: its deadline has passed or
+// the slot's assignment is outdated, since this VM was paused or suspended. A slot that was used
+// before stays assigned.
+func (x *exchange) checkPermission(slot *dispatch.Slot) (outcome, error) {
+	now := x.f.Clock.Now()
+	if suspended := now - x.receivedAt - time.Since(x.received); suspended-x.suspended >= minSuspension {
+		x.deadline = x.deadline.Add(x.suspended - suspended)
+		x.suspended = suspended
+	}
+	if !time.Now().Before(x.deadline) {
+		return canceled, context.DeadlineExceeded
+	}
+	if now-slot.AskedAt > maxSlotAge && !x.usedSlot {
+		return expired, errSlotExpired
+	}
+	x.usedSlot = true
+	return completed, nil
+}
+
 // observeLeaving records whether the response says that its endpoint is leaving. A
 // misdirected request was answered by another endpoint.
 func (x *exchange) observeLeaving(resp *http.Response, endpoint string) {
--- a/internal/system/forwarder/forwarder.go
+++ b/internal/system/forwarder/forwarder.go
@@ -35,6 +35,12 @@
 	// fullRetryPause is the delay before a request is resent to a full endpoint if
 	// it may use no other one. It is as long as a few decoding steps of a batch.
 	fullRetryPause = 60 * time.Millisecond
+	// maxSlotAge is how old the assignment of a slot may be when the request is sent: after
+	// a pause of this VM the endpoint may have left, or have no room.
+	maxSlotAge = 2 * time.Second
+	// minSuspension is the shortest suspension of the VM that is told from the inaccuracy of
+	// its clocks.
+	minSuspension = 100 * time.Millisecond
 	// minAttemptTime is the time to the deadline below which no attempt is made.
 	minAttemptTime = 10 * time.Millisecond
 	// defaultRetryAfter is the retry-after of refusals without an estimate of the queue wait.
@@ -109,7 +115,8 @@
 	Budgets   Budgets
 	Streams   StreamOrigins
 	Pool      *httpconn.Pool
-	Lag       *clock.Lag // scheduling lag of this VM
+	Clock     clock.Clock // that of the slots
+	Lag       *clock.Lag  // scheduling lag of this VM
 	Log       *zap.Logger
 	Metrics   *Metrics
 
@@ -126,7 +133,7 @@
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, req *forward.Request) {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
-	x := &exchange{f: f, w: w, request: req}
+	x := &exchange{f: f, w: w, request: req, received: time.Now(), receivedAt: f.Clock.Now()}
 	defer x.logAndMeasure()
 	cfg := f.Config()
 	if cfg == nil {
