tokenbudget: quotas that are withheld are no spent budget

Callers saw: after the loss of all VMs programs, also new ones, were told 402 "token budget spent" with most of the budget left, for 90 s, while endpoints were free; in an outage of the store in that time nobody was served.

Cause: the keepers' quotas count as used for 90 s, which keepers answered as "spent". The home took that for the end of the budget, and refused each turn for which less than its maximum was left of the recorded three fifths, though turns generate a quarter of that in the mean.

Change: a keeper says that it withholds a quota. While some do, a turn may start with what is left of the recorded quota, at least a step; a program is never told that its budget is spent; and blocks cover three turns, so that programs under way go on without the store. What may be granted is the same as before, so the budget holds as it did (TestLedger_BudgetHoldsUnderKillsAndOutages).

Check changed: the successor of a killed keeper answers errWithheld instead of ErrSpent; the test also asserts that it isn't ErrSpent.

--- a/internal/system/tokenbudget/home.go
+++ b/internal/system/tokenbudget/home.go
@@ -52,6 +52,10 @@
 		// A block of a turn and a step needs few writes, and few tokens are
 		// lost with a VM.
 		block := min(free, req.Turn+req.Step)
+		if l.Quotas.withheld() {
+			// While the table service is out of reach nothing else is left to the program.
+			block = min(free, withheldBlockTurns*req.Turn)
+		}
 		if err := l.commitBlock(ctx, a, req.Program, row, version, block); err != nil {
 			return nil, err
 		}
@@ -59,51 +63,62 @@
 	return nil, fmt.Errorf("%w: too many conflicts", ErrUnavailable)
 }
 
+// withheldBlockTurns is the number of turns that a block covers while quotas are withheld.
+const withheldBlockTurns = 3
+
 // borrow moves tokens of the data centres' quotas to the home's account until
 // the account covers the turn, so that the whole budget can be reserved at the
 // home. attempted is false if the keepers were not called although they may have
 // tokens: the account covers the turn, or the last attempt returned no tokens and
-// was made within borrowRetryInterval. complete is true if no quota has tokens
-// left.
-func (l *Ledger) borrow(ctx context.Context, a *account, req ReserveRequest) (attempted, complete bool) {
+// was made within borrowRetryInterval. The loan is that of the last attempt.
+func (l *Ledger) borrow(ctx context.Context, a *account, req ReserveRequest) (attempted bool, last Loan) {
 	l.mu.Lock()
 	need := req.Turn - a.unused
-	if a.borrowedAll || need <= 0 || time.Since(a.borrowFailedAt) < borrowRetryInterval {
+	if a.lastLoan.Complete || need <= 0 || time.Since(a.borrowFailedAt) < borrowRetryInterval {
 		defer l.mu.Unlock()
-		return a.borrowedAll, a.borrowedAll
+		return a.lastLoan.Complete, a.lastLoan
 	}
 	l.mu.Unlock()
-	borrowed, complete := l.Quotas.Borrow(ctx, req, need)
+	loan := l.Quotas.Borrow(ctx, req, need)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	a.unused += borrowed
-	a.borrowed += borrowed
-	a.borrowedAll = complete
-	if borrowed == 0 {
+	a.unused += loan.Tokens
+	a.borrowed += loan.Tokens
+	a.lastLoan = loan
+	if loan.Tokens == 0 {
 		a.borrowFailedAt = time.Now()
 	}
-	return true, complete
+	return true, loan
 }
 
 // borrowOrWait makes a reservation after the whole recorded quota has been
 // withdrawn: it borrows from the data centres' quotas, and waits until deadline
 // for tokens that running turns return, since refusing the turn ends the program.
-// Errors wrap ErrSpent or ErrUnavailable.
+// If quotas are withheld, the turn may start with what is left, as most turns
+// generate far less than their maximum. Errors wrap ErrSpent or ErrUnavailable.
 func (l *Ledger) borrowOrWait(ctx context.Context, a *account, req ReserveRequest, deadline time.Time) (*Reservation, error) {
 	for {
 		if r := l.reserveFromBalance(a, req); r != nil {
 			return r, nil
 		}
-		attempted, complete := l.borrow(ctx, a, req)
+		attempted, loan := l.borrow(ctx, a, req)
 		if r := l.reserveFromBalance(a, req); r != nil {
 			return r, nil
 		}
+		if loan.Withheld {
+			if r := l.reserveRest(a, req); r != nil {
+				return r, nil
+			}
+		}
 		unused, reserved := l.balance(a)
-		insufficient := reserved == 0 || unused+reserved < req.Turn
+		insufficient := reserved == 0 || unused+reserved < req.Turn && !loan.Withheld
 		if attempted && insufficient || !time.Now().Before(deadline) {
 			l.Log.Info("token budget is too small for the turn", tag.ForwardedProgram(req.Program), tag.Budget(req.Budget),
-				tag.Remaining(unused), tag.Reserved(reserved), tag.Complete(complete))
-			if !complete {
+				tag.Remaining(unused), tag.Reserved(reserved), tag.Complete(loan.Complete))
+			switch {
+			case loan.Withheld:
+				return nil, errQuotasWithheld
+			case !loan.Complete:
 				return nil, errQuotasUnreachable
 			}
 			return nil, ErrSpent
@@ -114,18 +129,32 @@
 	}
 }
 
-// reserveFromBalance reserves a turn's tokens from the account, or returns nil
-// if it has too few.
-func (l *Ledger) reserveFromBalance(a *account, req ReserveRequest) *Reservation {
+// reserveRest reserves what is left in the account for a turn, at least req.Least. It returns
+// nil if there is less.
+func (l *Ledger) reserveRest(a *account, req ReserveRequest) *Reservation {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if a.unused < req.Turn {
+	return l.reserve(a, min(a.unused, req.Turn), max(1, req.Least))
+}
+
+// reserve reserves tokens from the account, or returns nil if these are less than least.
+// l.mu is held.
+func (l *Ledger) reserve(a *account, tokens, least int64) *Reservation {
+	if tokens < least {
 		return nil
 	}
-	a.unused -= req.Turn
-	a.reserved += req.Turn
+	a.unused -= tokens
+	a.reserved += tokens
 	a.hasRun = true
-	return &Reservation{ledger: l, account: a, tokens: req.Turn}
+	return &Reservation{ledger: l, account: a, tokens: tokens}
+}
+
+// reserveFromBalance reserves a turn's tokens from the account, or returns nil
+// if it has too few.
+func (l *Ledger) reserveFromBalance(a *account, req ReserveRequest) *Reservation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reserve(a, min(a.unused, req.Turn), req.Turn)
 }
 
 // balance returns the unused and the reserved tokens of the account.
--- a/internal/system/tokenbudget/tokenbudget.go
+++ b/internal/system/tokenbudget/tokenbudget.go
@@ -56,6 +56,14 @@
 // that some quotas of the budget can't be reached.
 var errQuotasUnreachable = fmt.Errorf("%w: some quotas can't be reached", ErrUnavailable)
 
+// errWithheld means that a keeper grants nothing of a quota, which counts as used for a
+// while: its previous keeper died, and nobody knows what that granted.
+var errWithheld = fmt.Errorf("%w: the quota counts as used since its keeper died", ErrUnavailable)
+
+// errQuotasWithheld means that the home has too few tokens for the turn, and that quotas of
+// the budget are withheld. Whether the budget is spent is unknown.
+var errQuotasWithheld = fmt.Errorf("%w: quotas are withheld since their keepers died", ErrUnavailable)
+
 // errNotHome means that another VM is the program's home.
 var errNotHome = errors.New("program has another home")
 
@@ -145,7 +153,7 @@
 	rowStale       bool      // the row may have changed since
 	unused         int64     // tokens withdrawn or borrowed and not reserved; below 0 after an overrun
 	borrowed       int64     // tokens borrowed from data centres' quotas, used ones included
-	borrowedAll    bool      // no quota has tokens left to borrow
+	lastLoan       Loan      // the last attempt to borrow
 	borrowFailedAt time.Time // when an attempt to borrow last returned no tokens
 	reserved       int64     // by running turns
 	lastUsed       time.Time
@@ -214,7 +222,7 @@
 	}
 	// A turn that starts with less than its maximum may have to be cut off,
 	// which is worse than refusing it while the table service can be reached.
-	if errors.Is(err, ErrSpent) || errors.Is(err, errQuotasUnreachable) {
+	if errors.Is(err, ErrSpent) || errors.Is(err, errQuotasUnreachable) || errors.Is(err, errQuotasWithheld) {
 		return nil, err
 	}
 	r, quotaErr := l.reserveFromQuotas(ctx, req)
