tokenbudget: a turn starts with half of its maximum at least while quotas are withheld

Cause: a turn could start with a sixth of what it may generate, and a program that had used up the recorded quota was told to come back for 90 s, also one without end.

Change: such a turn needs half of its maximum (nine turns in ten generate less), and once less is left the program is told that its budget is spent, as before the change. A new program that nobody can vouch for in an outage still gets 503.

--- a/internal/system/tokenbudget/home.go
+++ b/internal/system/tokenbudget/home.go
@@ -94,8 +94,8 @@
 // borrowOrWait makes a reservation after the whole recorded quota has been
 // withdrawn: it borrows from the data centres' quotas, and waits until deadline
 // for tokens that running turns return, since refusing the turn ends the program.
-// If quotas are withheld, the turn may start with what is left, as most turns
-// generate far less than their maximum. Errors wrap ErrSpent or ErrUnavailable.
+// If quotas are withheld, the turn may start with half of its maximum, as most turns
+// generate less than that. Errors wrap ErrSpent or ErrUnavailable.
 func (l *Ledger) borrowOrWait(ctx context.Context, a *account, req ReserveRequest, deadline time.Time) (*Reservation, error) {
 	for {
 		if r := l.reserveFromBalance(a, req); r != nil {
@@ -106,7 +106,10 @@
 			return r, nil
 		}
 		if loan.Withheld {
-			if r := l.reserveRest(a, req); r != nil {
+			l.mu.Lock()
+			r := l.reserve(a, min(a.unused, req.Turn), (req.Turn+1)/2)
+			l.mu.Unlock()
+			if r != nil {
 				return r, nil
 			}
 		}
@@ -115,13 +118,10 @@
 		if attempted && insufficient || !time.Now().Before(deadline) {
 			l.Log.Info("token budget is too small for the turn", tag.ForwardedProgram(req.Program), tag.Budget(req.Budget),
 				tag.Remaining(unused), tag.Reserved(reserved), tag.Complete(loan.Complete))
-			switch {
-			case loan.Withheld:
-				return nil, errQuotasWithheld
-			case !loan.Complete:
+			if !loan.Complete && !loan.Withheld {
 				return nil, errQuotasUnreachable
 			}
-			return nil, ErrSpent
+			return nil, ErrSpent // what is withheld counts as used for longer than the turn can wait
 		}
 		if !clock.Sleep(ctx, settlePollInterval) {
 			return nil, fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
@@ -129,14 +129,6 @@
 	}
 }
 
-// reserveRest reserves what is left in the account for a turn, at least req.Least. It returns
-// nil if there is less.
-func (l *Ledger) reserveRest(a *account, req ReserveRequest) *Reservation {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.reserve(a, min(a.unused, req.Turn), max(1, req.Least))
-}
-
 // reserve reserves tokens from the account, or returns nil if these are less than least.
 // l.mu is held.
 func (l *Ledger) reserve(a *account, tokens, least int64) *Reservation {
--- a/internal/system/tokenbudget/peers.go
+++ b/internal/system/tokenbudget/peers.go
@@ -70,7 +70,6 @@
 	Unavailable bool // ErrUnavailable
 	Elsewhere   bool // errNotHome
 	Short       bool // errQuotasUnreachable
-	Withheld    bool // errQuotasWithheld
 }
 
 // Reserve makes a reservation for another VM.
@@ -82,8 +81,7 @@
 	out.Spent = errors.Is(err, ErrSpent)
 	out.Elsewhere = errors.Is(err, errNotHome)
 	out.Short = errors.Is(err, errQuotasUnreachable)
-	out.Withheld = errors.Is(err, errQuotasWithheld)
-	out.Unavailable = err != nil && !out.Spent && !out.Elsewhere && !out.Short && !out.Withheld
+	out.Unavailable = err != nil && !out.Spent && !out.Elsewhere && !out.Short
 	return nil
 }
 
@@ -198,8 +196,6 @@
 		return 0, 0, errNotHome
 	case resp.Short:
 		return 0, 0, errQuotasUnreachable
-	case resp.Withheld:
-		return 0, 0, errQuotasWithheld
 	case resp.Unavailable:
 		return 0, 0, ErrUnavailable
 	}
