forward, quarantine: what the reading of the change found

- An entry that can't be read counts as a removal.
One of another writer made each VM distrust its knowledge of software versions for the length of two streams, in which take-ups of streams of unknown beginning are refused.
Only after a gap in which an endpoint can come, serve and go does it do that now; a case of TestRegistry_VersionsThatMayHaveComeAndGoneUnread fails without it.
- Ends that came together were kept without a bound until one came after them; the test of the bound checks each step now, and fails without it.

--- a/internal/forward/registry.go
+++ b/internal/forward/registry.go
@@ -255,7 +255,7 @@
 // after a long gap can show that. The caller holds mu.
 func (r *Registry) remove(id string, reading Reading) {
 	if _, known := r.endpoints[id]; !known {
-		if _, departed := r.departures[id]; !departed {
+		if _, departed := r.departures[id]; !departed && r.mayHaveLapsed(reading) {
 			r.versions.readRemovalOfUnknown(reading.At)
 		}
 		return
--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -24,8 +24,8 @@
 	}
 }
 
-// readRemovalOfUnknown records that an endpoint was removed that has not been read: it was
-// listed for a while, with an unknown version.
+// readRemovalOfUnknown records that an endpoint was removed that has not been read: it may have
+// been listed since the reading before, with an unknown version.
 func (v *softwareVersions) readRemovalOfUnknown(now time.Time) { v.wholeSince = now }
 
 // left records that an endpoint has left or has another version now.
--- a/internal/forward/versions_test.go
+++ b/internal/forward/versions_test.go
@@ -70,6 +70,7 @@
 		{"the whole list is read again after a long gap", func(r *Registry, g Reading) { r.Replace([]Endpoint{{ID: "a", Service: "s", SoftwareVersion: "v1"}}, g) }, 3 * time.Second, false},
 		{"the whole list is read again at once", func(r *Registry, g Reading) { r.Replace([]Endpoint{{ID: "a", Service: "s", SoftwareVersion: "v1"}}, g) }, time.Second, true},
 		{"the removal of an endpoint is read that was never listed", func(r *Registry, g Reading) { r.Update(nil, []string{"b"}, g) }, 3 * time.Second, false},
+		{"the same at once: it was no endpoint, or not for long enough to serve", func(r *Registry, g Reading) { r.Update(nil, []string{"b"}, g) }, time.Second, true},
 		{"nothing is read that was removed", func(r *Registry, g Reading) { r.Update(nil, nil, g) }, 3 * time.Second, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -112,6 +112,7 @@
 // if that is uncertain.
 func (r *Record) recordEnd(e End, guilty uint64, now time.Duration) bool {
 	before := len(r.chain())
+	defer r.trim()
 	if !r.addEnd(e) || len(r.chain()) == before {
 		return false
 	}
@@ -119,7 +120,6 @@
 		r.Guilty = append(r.Guilty, guilty)
 	}
 	r.hold(now)
-	r.trim()
 	return true
 }
 
--- a/internal/policy/quarantine/quarantine_test.go
+++ b/internal/policy/quarantine/quarantine_test.go
@@ -257,6 +257,7 @@
 	end(&m, "first", 10, deadly)
 	for i := range 100 { // together with each other
 		m.RecordEnd(fmt.Sprint(i), []Run{{Request: deadly, Started: 20}}, time.Duration(30+i))
+		is.True(len(m.records[deadly].Ends) <= maxEnds)
 	}
 	end(&m, "last", 1000, deadly)
 	is.Equal(level(&m, deadly, 1000), Rejected)
