tokenbudget: a budget isn't spent while quotas can't be reached, also if others are withheld

Callers could see: 402 for a program with tokens left in a data centre that was cut off for a while, if the quota of another one was withheld at the same time.

--- a/internal/system/tokenbudget/home.go
+++ b/internal/system/tokenbudget/home.go
@@ -118,7 +118,7 @@
 		if attempted && insufficient || !time.Now().Before(deadline) {
 			l.Log.Info("token budget is too small for the turn", tag.ForwardedProgram(req.Program), tag.Budget(req.Budget),
 				tag.Remaining(unused), tag.Reserved(reserved), tag.Complete(loan.Complete))
-			if !loan.Complete && !loan.Withheld {
+			if loan.Unreachable || !loan.Complete && !loan.Withheld {
 				return nil, errQuotasUnreachable
 			}
 			return nil, ErrSpent // what is withheld counts as used for longer than the turn can wait
--- a/internal/system/tokenbudget/quotas.go
+++ b/internal/system/tokenbudget/quotas.go
@@ -169,8 +169,9 @@
 type Loan struct {
 	Tokens int64
 	// Complete is true if the keepers of all data centres responded and none withholds its
-	// quota, so that no quota has tokens left. Withheld is true if some do that.
-	Complete, Withheld bool
+	// quota, so that no quota has tokens left. Withheld is true if some do that, and
+	// Unreachable if some did not respond.
+	Complete, Withheld, Unreachable bool
 }
 
 // Borrow obtains all that is left of the data centres' quotas, one after the
@@ -192,7 +193,7 @@
 			q.withheldSeen = time.Now()
 			q.mu.Unlock()
 		case !errors.Is(err, ErrSpent):
-			loan.Complete = false
+			loan.Complete, loan.Unreachable = false, true
 		}
 	}
 	return loan
--- a/internal/system/tokenbudget/tokenbudget_test.go
+++ b/internal/system/tokenbudget/tokenbudget_test.go
@@ -418,6 +418,17 @@
 		is.True(sum > recordedQuota(budget)-maxTurnTokens/2)
 		is.True(sum <= recordedQuota(budget))
 	})
+	t.Run("but not while other quotas can't be reached, which may have tokens", func(t *testing.T) {
+		is := is.New(t)
+		f, vms := start(t)
+		f.kill(vms[2])
+		var err error
+		for err == nil {
+			_, err = vms[0].runTurn("p", budget, maxTurnTokens)
+		}
+		is.True(errors.Is(err, ErrUnavailable))
+		is.True(!errors.Is(err, ErrSpent))
+	})
 	t.Run("programs under way go on while the table service is out of reach", func(t *testing.T) {
 		is := is.New(t)
 		f, vms := start(t)
