dispatch: a VM of an earlier release isn't suspected since it refuses an exchange

Callers would have seen: slots assigned by each data centre for itself, on and off, while VMs of this release and of one before serve side by side.

Cause: an earlier release answers the new call with an error, which counted as no answer: the VM was suspected, and not asked for slots until it answered a probe, four times a second.

Evidence: found by reading; TestClient_SchedulerOfAnEarlierReleaseIsNotSuspected fails without the change.

Change: such a VM is not asked again until another process answers at its address.

--- a/internal/system/dispatch/endings_test.go
+++ b/internal/system/dispatch/endings_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"ibisstall.example/ibisstall/internal/forward"
+	"ibisstall.example/ibisstall/internal/mesh"
 	"ibisstall.example/ibisstall/internal/policy/quarantine"
 )
 
@@ -220,6 +221,31 @@
 	is.True(ok && refused.Quarantined())
 }
 
+// earlierRelease is a scheduler without ExchangeQuarantine.
+type earlierRelease struct{}
+
+func (earlierRelease) Release(_ []SlotRelease, _ *bool) error { return nil }
+
+// A VM of an earlier release was suspected, and not asked for slots, each time that it refused an
+// exchange.
+func TestClient_SchedulerOfAnEarlierReleaseIsNotSuspected(t *testing.T) {
+	is := is.New(t)
+	server, err := mesh.Listen(mesh.ServerOptions{Addr: "127.0.0.1:0", SilenceTimeout: time.Minute})
+	is.NoErr(err)
+	t.Cleanup(func() { server.Close() })
+	is.NoErr(server.Register(serviceName, earlierRelease{}))
+	go server.Serve()
+	c := newTestClient(t, engines(1, 4))
+	list := []string{server.Addr()}
+	is.Equal(c.quarantine.due(list, c.Local), list)
+	c.exchangeQuarantine(t.Context(), server.Addr())
+	is.True(!c.Suspects.Suspected(server.Addr()))
+	is.Equal(len(c.quarantine.due(list, c.Local)), 0) // until another process answers there
+	c.quarantine.recordAnswer(server.Addr(), QuarantineReply{Instance: 1}, 0, c.Local)
+	endUnder(c.Local, &manualClock{}, suspectCall(deadly))
+	is.Equal(c.quarantine.due(list, c.Local), list)
+}
+
 // crashFleet is a fleet to which a request comes again and again that crashes endpoints.
 type crashFleet struct {
 	*limitFleet
--- a/internal/system/dispatch/quarantinesync.go
+++ b/internal/system/dispatch/quarantinesync.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ibisstall.example/ibisstall/internal/clock"
+	"ibisstall.example/ibisstall/internal/mesh"
 	"ibisstall.example/ibisstall/internal/policy/quarantine"
 )
 
@@ -25,6 +26,7 @@
 	instance uint64 // of the scheduler; 0 until it has answered
 	told     uint64 // version of this VM's memory up to which the scheduler knows it
 	seen     uint64 // version of the scheduler's memory up to which this VM knows it
+	refuses  bool   // its release knows no exchanges
 }
 
 // maxSyncedSchedulers bounds the schedulers that a VM keeps in step with. VMs ask few
@@ -71,6 +73,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	p := q.peer(address)
+	p.refuses = p.refuses && p.instance == reply.Instance
 	before, after := own.LearnQuarantine(reply.Records)
 	if p.instance != 0 && p.instance != reply.Instance {
 		*p = syncedScheduler{instance: reply.Instance}
@@ -90,10 +93,17 @@
 	defer q.mu.Unlock()
 	return slices.DeleteFunc(slices.Clone(addresses), func(address string) bool {
 		p := q.peer(address)
-		return p.instance != 0 && p.told >= seen
+		return p.refuses || p.instance != 0 && p.told >= seen
 	})
 }
 
+// recordRefusal records that the process at an address knows no exchanges.
+func (q *quarantineSync) recordRefusal(address string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.peer(address).refuses = true
+}
+
 // exchangeInterval is the time between two checks of whether an exchange is due.
 const exchangeInterval = 250 * time.Millisecond
 
@@ -129,7 +139,12 @@
 	defer cancel()
 	news, upTo := c.quarantine.newsFor(address, c.Local)
 	var reply QuarantineReply
-	if err := c.Mesh.Call(ctx, address, serviceName+".ExchangeQuarantine", news, &reply); err != nil {
+	err := c.Mesh.Call(ctx, address, serviceName+".ExchangeQuarantine", news, &reply)
+	switch {
+	case mesh.HasCode(err, mesh.CodeInternal): // it answers, but its release lacks the method
+		c.quarantine.recordRefusal(address)
+		return
+	case err != nil:
 		c.Suspects.Suspect(address, err)
 		return
 	}
