tokenbudget: one spent quota isn't a spent budget

Callers saw: 402 for new programs in an outage or a cut, where the quota of one data centre was used up and others could not be reached; before they got 503 and could come back.

Cause: wrapped the errors of the data centres, so that the answer counted as ErrSpent if a single one said so.

The new case of TestLedger_DuringTableServiceOutage fails without the change.

Change: the errors of single data centres are not wrapped; a withheld quota is told apart.

--- a/internal/system/tokenbudget/quotas.go
+++ b/internal/system/tokenbudget/quotas.go
@@ -149,7 +149,7 @@
 // of this one, or else of the others in turn. Errors wrap ErrSpent, if all
 // quotas are spent, or ErrUnavailable.
 func (q *Quotas) Reserve(ctx context.Context, req ReserveRequest) (Grant, error) {
-	allSpent := true
+	allSpent, reason := true, ErrUnavailable
 	var errs []error
 	for _, dc := range q.dcsLocalFirst() {
 		g, err := q.requestGrantIn(ctx, dc, req, false)
@@ -157,12 +157,15 @@
 			return g, nil
 		}
 		allSpent = allSpent && errors.Is(err, ErrSpent)
-		errs = append(errs, fmt.Errorf("%s: %w", dc, err))
+		if errors.Is(err, errWithheld) {
+			reason = errWithheld
+		}
+		errs = append(errs, fmt.Errorf("%s: %v", dc, err)) // not wrapped: one spent quota isn't the budget
 	}
 	if allSpent {
 		return Grant{}, ErrSpent
 	}
-	return Grant{}, fmt.Errorf("%w: keepers: %w", ErrUnavailable, errors.Join(errs...))
+	return Grant{}, fmt.Errorf("%w: keepers: %w", reason, errors.Join(errs...))
 }
 
 // Loan is what Borrow has obtained.
--- a/internal/system/tokenbudget/tokenbudget_test.go
+++ b/internal/system/tokenbudget/tokenbudget_test.go
@@ -126,6 +126,20 @@
 		is.True(errors.Is(err, ErrUnavailable))
 		is.True(!errors.Is(err, ErrSpent))
 	})
+	t.Run("a spent quota says nothing about those that can't be reached", func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, "dc-1", "dc-2")
+		a, b := f.start("a", "dc-1"), f.start("b", "dc-2")
+		f.assignKeepers()
+		f.store.setDown(true)
+		f.kill(b)
+		var err error
+		for err == nil {
+			_, err = a.runTurn("p", 1300, maxTurnTokens)
+		}
+		is.True(errors.Is(err, ErrUnavailable))
+		is.True(!errors.Is(err, ErrSpent))
+	})
 	t.Run("grants are bounded over all data centres", func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, "dc-1", "dc-2", "dc-3")
