--- a/review/standins/deployment.go
+++ b/review/standins/deployment.go
@@ -24,6 +24,7 @@
 	dir      string
 	store    *store
 	record   *record
+	engines  []*engine
 	machines map[string][]*machine // by zone
 }
 
@@ -37,27 +38,9 @@
 	if d.store, err = startStore(); err != nil {
 		return d, err
 	}
-	d.store.put("op", "config", map[string]any{
-		"version": 7,
-		"routes": []map[string]any{{
-			"name": "r-turns", "host": routeHost, "prefix": routePrefix, "kind": "streaming", "timeout_ms": 3000, "target_latency_ms": 200,
-			"priority": 0, "service": modelService, "max_attempts": 1, "retain": false, "retention_s": 60.0, "sticky": true,
-			"resumable": true, "gap_target_ms": 200,
-		}},
-		"services": []map[string]any{{
-			"name": modelService, "health_path": "/health", "max_conns": 360, "protocol": "h1", "tls": false,
-			"engine": map[string]any{
-				"slots": engineSlots, "kv_capacity": 112077, "token_kv_bytes": 262144, "link_mbps": 530000.0, "moves": true, "backups": true,
-				"tokens_per_event": tokensPerEvent, "most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0,
-				"models": []map[string]any{{"name": "m"}},
-			},
-		}},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
-	for i, zone := range zones {
-		if _, err := startEngine(fmt.Sprintf("i-%d", i+1), zone, d.store, r); err != nil {
-			return d, err
-		}
+	d.putConfig(7)
+	if err := d.addEngines(); err != nil {
+		return d, err
 	}
 	// Loopback addresses that depend on the process id, so that scripts beside each other
 	// don't collide.
@@ -79,8 +62,34 @@
 	return d, d.await()
 }
 
+// addEngines starts a model runner in each zone.
+func (d *deployment) addEngines() error {
+	for _, zone := range zones {
+		e, err := startEngine(fmt.Sprintf("i-%d", len(d.engines)+1), zone, d.store, d.record)
+		if err != nil {
+			return err
+		}
+		d.engines = append(d.engines, e)
+	}
+	return nil
+}
+
 // await waits until all machines are ready and the system's table of keepers is complete.
 func (d *deployment) await() error {
+	if err := d.awaitReady(); err != nil {
+		return err
+	}
+	deadline := time.Now().Add(startTimeout)
+	for d.store.count("keepers") < bucketsPerZone*len(zones) && time.Now().Before(deadline) {
+		time.Sleep(50 * time.Millisecond)
+	}
+	time.Sleep(1500 * time.Millisecond) // traffic starts some time after the machines do
+	d.record.printf("all machines are ready")
+	return nil
+}
+
+// awaitReady waits until all machines are ready.
+func (d *deployment) awaitReady() error {
 	deadline := time.Now().Add(startTimeout)
 	for _, m := range d.all() {
 		for !m.ready() {
@@ -90,11 +99,6 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
-	for d.store.count("keepers") < bucketsPerZone*len(zones) && time.Now().Before(deadline) {
-		time.Sleep(50 * time.Millisecond)
-	}
-	time.Sleep(1500 * time.Millisecond) // traffic starts some time after the machines do
-	d.record.printf("all machines are ready")
 	return nil
 }
 
@@ -117,3 +121,24 @@
 	}
 	os.RemoveAll(d.dir)
 }
+
+// putConfig writes a version of the configuration, as the operator does.
+func (d *deployment) putConfig(version int) {
+	d.store.put("op", "config", map[string]any{
+		"version": version,
+		"routes": []map[string]any{{
+			"name": "r-turns", "host": routeHost, "prefix": routePrefix, "kind": "streaming", "timeout_ms": 3000, "target_latency_ms": 200,
+			"priority": 0, "service": modelService, "max_attempts": 1, "retain": false, "retention_s": 60.0, "sticky": true,
+			"resumable": true, "gap_target_ms": 200,
+		}},
+		"services": []map[string]any{{
+			"name": modelService, "health_path": "/health", "max_conns": 360, "protocol": "h1", "tls": false,
+			"engine": map[string]any{
+				"slots": engineSlots, "kv_capacity": 112077, "token_kv_bytes": 262144, "link_mbps": 530000.0, "moves": true, "backups": true,
+				"tokens_per_event": tokensPerEvent, "most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0,
+				"models": []map[string]any{{"name": "m"}},
+			},
+		}},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+}
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -34,6 +34,8 @@
 	"grants-forgotten":  grantsForgotten,
 	"account-forgotten": accountForgotten,
 	"turn-cut":          turnCut,
+	"never-recovers":    neverRecovers,
+	"versions-joined":   versionsJoined,
 }
 
 func main() {
--- a/review/standins/program.go
+++ b/review/standins/program.go
@@ -25,7 +25,9 @@
 	id, session string
 	record      *record
 	finish      time.Time
-	tokens      int // handed to the client in all turns, client attempts that broke off included
+	budget      int                        // tokens that all turns may generate
+	onEvent     func(attempt, data string) // called for each event; may be nil
+	tokens      int                        // handed to the client in all turns, client attempts that broke off included
 }
 
 func newID() string {
@@ -35,7 +37,7 @@
 }
 
 func newProgram(r *record) *program {
-	return &program{id: newID()[:6], session: newID()[:6], record: r, finish: time.Now().Add(finishTime)}
+	return &program{id: newID()[:6], session: newID()[:6], record: r, finish: time.Now().Add(finishTime), budget: tokenBudget}
 }
 
 // attempt makes one client attempt at a turn through a machine. It returns the status, 0 if
@@ -52,7 +54,7 @@
 	attempt := newID()
 	for name, value := range map[string]string{
 		"Attempt-Id": attempt, "Program-Id": p.id, "Session-Id": p.session, "Model": "m",
-		"Finish-Ms": strconv.FormatInt(time.Until(p.finish).Milliseconds(), 10), "Token-Budget": strconv.Itoa(tokenBudget),
+		"Finish-Ms": strconv.FormatInt(time.Until(p.finish).Milliseconds(), 10), "Token-Budget": strconv.Itoa(p.budget),
 		"Token-Count": "1840," + strconv.Itoa(turnTokens), "Prompt-Prefix": "5c1e07a2:512," + p.session + ":1328",
 		"Deadline-Ms": strconv.FormatInt(turnDeadline.Milliseconds(), 10),
 	} {
@@ -70,8 +72,11 @@
 	if resp.StatusCode == http.StatusOK {
 		lines := bufio.NewScanner(resp.Body)
 		for lines.Scan() {
-			if strings.HasPrefix(lines.Text(), "data:") {
+			if data, ok := strings.CutPrefix(lines.Text(), "data:"); ok {
 				received++
+				if p.onEvent != nil {
+					p.onEvent(attempt, strings.TrimSpace(data))
+				}
 			}
 		}
 		complete = lines.Err() == nil
--- a/review/standins/runner.go
+++ b/review/standins/runner.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -27,9 +28,15 @@
 	listener net.Listener
 	store    *store
 	record   *record
-	born     int64
 	sequence atomic.Int64
 	stamps   atomic.Int64
+
+	mu      sync.Mutex
+	born    int64               // guarded by mu; start of the process, Unix milliseconds
+	version string              // guarded by mu; of the software
+	conns   map[net.Conn]bool   // guarded by mu
+	running map[string]struct{} // guarded by mu; attempts
+	down    chan struct{}       // guarded by mu; closed at the next start; nil while the process runs
 }
 
 func startEngine(id, zone string, s *store, r *record) (*engine, error) {
@@ -37,8 +44,9 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{id: id, zone: zone, listener: l, store: s, record: r, born: time.Now().UnixMilli()}
-	go http.Serve(l, http.HandlerFunc(e.serve))
+	e := &engine{id: id, zone: zone, listener: l, store: s, record: r, born: time.Now().UnixMilli(), version: softwareVersion, conns: make(map[net.Conn]bool), running: make(map[string]struct{})}
+	server := &http.Server{Handler: http.HandlerFunc(e.serve), ConnState: e.trackConn}
+	go server.Serve(&heldListener{l, e})
 	e.register()
 	go func() {
 		for range time.Tick(heartbeat) {
@@ -48,16 +56,86 @@
 	return e, nil
 }
 
-// register writes the runner's entry.
+// register writes the runner's entry, unless its process is down.
 func (e *engine) register() {
+	e.mu.Lock()
+	born, version, down := e.born, e.version, e.down
+	e.mu.Unlock()
+	if down != nil {
+		return
+	}
 	e.store.put("servers", e.id, map[string]any{
-		"service": modelService, "address": e.listener.Addr().String(), "zone": e.zone, "version": softwareVersion,
+		"service": modelService, "address": e.listener.Addr().String(), "zone": e.zone, "version": version,
 		"slots": engineSlots, "state": "ready", "cold_left_ms": 0, "stage": "both",
 		"models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}},
-		"seq_no": e.sequence.Add(1), "born": e.born,
+		"seq_no": e.sequence.Add(1), "born": born,
 	})
 }
 
+func (e *engine) trackConn(c net.Conn, state http.ConnState) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(e.conns, c)
+		return
+	}
+	e.conns[c] = true
+}
+
+// restart ends the runner's process, which resets its connections, and starts it again after
+// a time under its id, with another software version. A supervisor holds the listening socket
+// meanwhile, as it does for a server that is started by its socket.
+func (e *engine) restart(version string, downtime time.Duration) {
+	e.mu.Lock()
+	e.down = make(chan struct{})
+	for c := range e.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	e.mu.Unlock()
+	time.Sleep(downtime)
+	e.mu.Lock()
+	e.born, e.version = time.Now().UnixMilli(), version
+	e.sequence.Store(0)
+	close(e.down)
+	e.down = nil
+	e.mu.Unlock()
+	e.record.printf("%s is back with software %s", e.id, version)
+	e.register()
+}
+
+// heldListener keeps connections waiting while the process of a runner is down.
+type heldListener struct {
+	net.Listener
+	engine *engine
+}
+
+// Accept implements net.Listener.
+func (l *heldListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	l.engine.mu.Lock()
+	down := l.engine.down
+	l.engine.mu.Unlock()
+	if down != nil {
+		<-down
+	}
+	return c, err
+}
+
+func (e *engine) currentVersion() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
+}
+
+// runs reports whether the runner works on an attempt.
+func (e *engine) runs(attempt string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, ok := e.running[attempt]
+	return ok
+}
+
 // turnBody is the body of a turn.
 type turnBody struct {
 	Events int `json:"events"` // that the answer has
@@ -88,7 +166,16 @@
 	fmt.Sscanf(r.Header.Get("Token-Count"), "%d,%d", &prompt, &most)
 	events := min(turn.Events, most/tokensPerEvent)
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	e.record.printf("run       %s at %s: attempt %s, events %d to %d", r.Header.Get("Program-Id"), e.id, attempt, after+1, events)
+	e.record.printf("run       %s at %s: attempt %s, events %d to %d, software %s", r.Header.Get("Program-Id"), e.id, attempt, after+1, events, e.currentVersion())
+	e.mu.Lock()
+	version := e.version
+	e.running[attempt] = struct{}{}
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		delete(e.running, attempt)
+		e.mu.Unlock()
+	}()
 	h := w.Header()
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Attempt-Id", attempt)
@@ -100,7 +187,7 @@
 			return
 		case <-time.After(eventTime):
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", i, attempt, i)
+		fmt.Fprintf(w, "id: %d\ndata: %s %s-%d\n\n", i, version, attempt, i)
 		w.(http.Flusher).Flush()
 	}
 	e.record.printf("run ends  %s at %s: attempt %s, whole", r.Header.Get("Program-Id"), e.id, attempt)
