--- a/review/standins/deployment.go
+++ b/review/standins/deployment.go
@@ -74,6 +74,19 @@
 	return nil
 }
 
+// ranWhole reports whether a runner sent its whole answer to an attempt.
+func (d *deployment) ranWhole(attempt string) bool {
+	for _, e := range d.engines {
+		e.mu.Lock()
+		whole := e.whole[attempt]
+		e.mu.Unlock()
+		if whole {
+			return true
+		}
+	}
+	return false
+}
+
 // await waits until all machines are ready and the system's table of keepers is complete.
 func (d *deployment) await() error {
 	if err := d.awaitReady(); err != nil {
--- a/review/standins/program.go
+++ b/review/standins/program.go
@@ -27,7 +27,8 @@
 	finish      time.Time
 	budget      int                        // tokens that all turns may generate
 	onEvent     func(attempt, data string) // called for each event; may be nil
-	tokens      int                        // handed to the client in all turns, client attempts that broke off included
+	lastAttempt string
+	tokens      int // handed to the client in all turns, client attempts that broke off included
 }
 
 func newID() string {
@@ -52,6 +53,7 @@
 	}
 	req.Host = routeHost
 	attempt := newID()
+	p.lastAttempt = attempt
 	for name, value := range map[string]string{
 		"Attempt-Id": attempt, "Program-Id": p.id, "Session-Id": p.session, "Model": "m",
 		"Finish-Ms": strconv.FormatInt(time.Until(p.finish).Milliseconds(), 10), "Token-Budget": strconv.Itoa(p.budget),
--- a/review/standins/recover.go
+++ b/review/standins/recover.go
@@ -94,10 +94,12 @@
 func (p *program) oneTurn(machines []*machine, first int, counted func() *share) {
 	for again := range 3 {
 		for retry := range 2 {
-			count := counted()
+			count, fits := counted(), p.tokens+turnTokens <= p.budget
 			status, complete, retryAfter := p.attempt(machines[(first+again+retry)%len(machines)], fullTurn)
 			served := status == http.StatusOK && complete
-			count.add(served)
+			if fits { // a request that the budget holds no more isn't owed
+				count.add(served)
+			}
 			if served || status == http.StatusPaymentRequired {
 				return
 			}
--- a/review/standins/runner.go
+++ b/review/standins/runner.go
@@ -36,6 +36,7 @@
 	version string              // guarded by mu; of the software
 	conns   map[net.Conn]bool   // guarded by mu
 	running map[string]struct{} // guarded by mu; attempts
+	whole   map[string]bool     // guarded by mu; attempts whose whole answer was sent
 	down    chan struct{}       // guarded by mu; closed at the next start; nil while the process runs
 }
 
@@ -44,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{id: id, zone: zone, listener: l, store: s, record: r, born: time.Now().UnixMilli(), version: softwareVersion, conns: make(map[net.Conn]bool), running: make(map[string]struct{})}
+	e := &engine{id: id, zone: zone, listener: l, store: s, record: r, born: time.Now().UnixMilli(), version: softwareVersion, conns: make(map[net.Conn]bool), running: make(map[string]struct{}), whole: make(map[string]bool)}
 	server := &http.Server{Handler: http.HandlerFunc(e.serve), ConnState: e.trackConn}
 	go server.Serve(&heldListener{l, e})
 	e.register()
@@ -191,4 +192,7 @@
 		w.(http.Flusher).Flush()
 	}
 	e.record.printf("run ends  %s at %s: attempt %s, whole", r.Header.Get("Program-Id"), e.id, attempt)
+	e.mu.Lock()
+	e.whole[attempt] = true
+	e.mu.Unlock()
 }
