tokenbudget: five VMs are tried as the keeper of a bucket

Callers of new programs got 503 while the table service was away and VMs were restarted in turn, although a keeper was there: "bucket not kept here" from three VMs. Its row named the VM that had left, and the VMs that rank next were leaving too, so that a later one had accepted the bucket.

--- a/internal/system/tokenbudget/handover_test.go
+++ b/internal/system/tokenbudget/handover_test.go
@@ -139,6 +139,27 @@
 	})
 }
 
+// While the table service was away and several VMs left, the keeper of a bucket was not found
+// any more: its row names the VM that left first, and the VMs that rank next had refused it.
+func TestQuotas_KeeperIsFoundWhileSeveralVMsLeaveWithoutTheTableService(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, "dc-1", "dc-2")
+	vms := make(map[string]*testVM)
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		vms[name] = f.start(name, "dc-1")
+	}
+	asks := f.start("asks", "dc-2")
+	f.assignKeepers()
+	f.store.setDown(true)
+	ranked := rankedVMs(keeperRowName("dc-1", bucketOf("p")), f.processes("dc-1"))
+	for _, name := range []string{ranked[1], ranked[2], ranked[0]} { // all are still in their grace period
+		vms[name].quotas.HandOverBuckets(context.Background())
+	}
+	g, err := asks.quotas.requestGrantIn(context.Background(), "dc-1", reserveRequest("p", 1300), false)
+	is.NoErr(err)
+	is.Equal(g.Keeper, vms[ranked[3]].process)
+}
+
 func TestLedger_LeavingHomeDepositsTokensDuringTableServiceOutage(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, "dc-1")
--- a/internal/system/tokenbudget/keepers.go
+++ b/internal/system/tokenbudget/keepers.go
@@ -180,7 +180,7 @@
 // maxKeeperCandidates is the number of VMs that are tried as the keeper of a bucket: the
 // one in its row, and those that it may have been handed over to, one after the other, while
 // the row could not be written.
-const maxKeeperCandidates = 3
+const maxKeeperCandidates = 5
 
 // keeperCandidates returns the processes that may keep a program's bucket in a
 // data centre, the most likely first.
