tokenbudget: a bucket keeps its keeper if that stops while it records itself

Cause: a VM that has accepted a bucket gets SIGTERM while its write of the bucket's row is under way, or the response is lost. It offers the bucket with the version before that write; the next VM reads a newer row that names the first one, takes it for another keeper and drops the bucket. A release failed by its condition in the same way, and a claim under way was never handed over.

Change: a hand-over waits until the write of a row has ended, and names the processes that have handed the bucket over. A row that names one of them was written by a late call: the bucket is kept, and recorded in its place. A process that has handed a bucket over never writes its row again, so a row that names anybody else still means another keeper.

Test: TestQuotas_KeeperThatIsStoppedWhileItRecordsItself; the first three of four cases fail on the code before, the last one guards against two keepers.

--- a/internal/system/tokenbudget/fixture_test.go
+++ b/internal/system/tokenbudget/fixture_test.go
@@ -26,6 +26,8 @@
 	loseNext int              // number of writes, from the next, that take effect without a response
 	delayed  []platform.Write // the write that applyDelayed applies
 	delay    bool             // the next write gets no response, and takes effect only in applyDelayed
+	hold     chan struct{}    // if set, the next write takes effect when it is closed
+	held     chan struct{}    // closed when a write is held
 	calls    int
 }
 
@@ -52,6 +54,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
+	if hold := s.hold; hold != nil {
+		s.hold = nil
+		close(s.held)
+		s.mu.Unlock()
+		<-hold
+		s.mu.Lock()
+	}
 	if s.down {
 		return 0, platform.ErrUnavailable
 	}
--- a/internal/system/tokenbudget/handover.go
+++ b/internal/system/tokenbudget/handover.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"ibisstall.example/ibisstall/internal/logging/tag"
 	"ibisstall.example/ibisstall/internal/mesh"
+	"ibisstall.example/ibisstall/internal/platform"
 )
 
 // A keeper that leaves hands each of its buckets over to another VM of its data
@@ -36,6 +39,9 @@
 	// the time from the hand-over for which the bucket may be kept without being
 	// recorded.
 	Wait, Valid time.Duration
+	// By are the ids of the processes that have handed the bucket over since the row had
+	// that version, this one last.
+	By []string
 }
 
 // errNotAccepted means that a VM has certainly not accepted a bucket or a
@@ -47,10 +53,14 @@
 // Afterwards this VM grants nothing.
 func (q *Quotas) HandOverBuckets(ctx context.Context) {
 	q.mu.Lock()
-	q.draining = true
+	q.draining = true // no further bucket is claimed or recorded
+	q.mu.Unlock()
+	q.changingKeeper.Lock()
+	q.mu.Lock()
 	kept := q.buckets
 	q.buckets = nil
 	q.mu.Unlock()
+	q.changingKeeper.Unlock()
 	for b, k := range kept {
 		if !q.handOverBucket(ctx, b, k) {
 			q.releaseBucket(ctx, b, k)
@@ -79,9 +89,11 @@
 	h := Handover{
 		DC: q.DC, Bucket: b, Version: kept.version, Used: kept.usedTokens(),
 		Wait: max(0, time.Until(kept.grantsAfter)), Valid: unrecordedTimeout,
+		By: []string{q.ProcessID},
 	}
 	if !kept.recorded {
 		h.Valid = kept.expires - q.Clock.Now()
+		h.By = append(slices.Clone(kept.handedOverBy), q.ProcessID)
 	}
 	return h
 }
@@ -96,6 +108,7 @@
 	}
 	kept := newBucket(h.Used)
 	kept.version, kept.grantsAfter, kept.expires = h.Version, time.Now().Add(h.Wait), q.Clock.Now()+h.Valid
+	kept.handedOverBy = h.By
 	q.storeBucket(h.Bucket, kept)
 	q.reconcileBuckets()
 	q.Log.Info("bucket accepted from its previous keeper", tag.Count(h.Bucket), tag.Duration(h.Valid))
@@ -114,15 +127,18 @@
 	return kept
 }
 
-// reconcileBuckets drops buckets whose rows name another process, and marks
-// those as recorded whose rows name this one; mu is held.
+// reconcileBuckets drops buckets whose rows name another process, and marks those as recorded
+// whose rows name this one; mu is held. A row that names a process that has handed the bucket
+// over was written by that one before it did so: the bucket is kept, and recorded in its place.
 func (q *Quotas) reconcileBuckets() {
 	for b, kept := range q.buckets {
 		row, ok := q.keepers[keeperRowName(q.DC, b)]
 		switch {
 		case !ok || row.version <= kept.version:
 		case row.Process == q.ProcessID && !row.Released:
-			kept.version, kept.recorded = row.version, true
+			kept.version, kept.recorded, kept.handedOverBy = row.version, true, nil
+		case !kept.recorded && slices.Contains(kept.handedOverBy, row.Process) && !row.Released:
+			kept.version = row.version
 		default:
 			q.Log.Warn("bucket dropped: its row names another VM", tag.Count(b), tag.PeerVM(row.Process))
 			delete(q.buckets, b)
@@ -136,7 +152,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	kept := q.activeBucket(b)
-	if kept == nil || kept.recorded || q.keepers == nil {
+	if kept == nil || kept.recorded || q.keepers == nil || q.draining {
 		return 0, false
 	}
 	return kept.version, true
@@ -171,7 +187,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if kept := q.buckets[b]; kept != nil && !kept.recorded {
-		kept.version, kept.recorded = version, true
+		kept.version, kept.recorded, kept.handedOverBy = version, true, nil
 	}
 }
 
@@ -183,11 +199,36 @@
 		VM: q.VM, Process: q.ProcessID, Entry: q.Processes(q.DC)[q.VM].EntryVersion,
 		Released: time.Now().After(kept.grantsAfter), Used: kept.usedTokens(),
 	}
-	if _, err := q.commitKeeper(ctx, b, kept.version, keeper); err != nil {
+	_, err := q.commitKeeper(ctx, b, kept.version, keeper)
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		var version uint64
+		if version, err = q.lateVersion(ctx, b, kept); err == nil {
+			_, err = q.commitKeeper(ctx, b, version, keeper)
+		}
+	}
+	if err != nil {
 		q.Log.Warn("releasing a bucket failed; the next keeper has to wait until its programs expire", tag.Count(b), tag.Error(err))
 	}
 }
 
+// lateVersion returns the version of a bucket's row if it was written by a call whose response
+// was lost: of this process, or of one that has handed the bucket over.
+func (q *Quotas) lateVersion(ctx context.Context, b int, kept *bucket) (uint64, error) {
+	rows, err := q.Store.Get(ctx, []platform.Key{keeperKey(q.DC, b)})
+	if err != nil {
+		return 0, err
+	}
+	var row Keeper
+	if err := json.Unmarshal(rows[0].Value, &row); err != nil {
+		return 0, fmt.Errorf("keeper's row: %w", err)
+	}
+	if row.Released || row.Process != q.ProcessID && !slices.Contains(kept.handedOverBy, row.Process) {
+		return 0, fmt.Errorf("the bucket is kept by %s", row.Process)
+	}
+	return rows[0].Version, nil
+}
+
 // Deposit returns tokens that were withdrawn from a program's row, or borrowed
 // from any data centre's quota, to this data centre's quota. It reports whether
 // a keeper has confirmed them; if not they count as used.
--- a/internal/system/tokenbudget/handover_test.go
+++ b/internal/system/tokenbudget/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -139,6 +140,95 @@
 	})
 }
 
+// With planned restarts alone, a bucket lost its keeper if the VM that had accepted it was
+// stopped while it wrote the bucket's row: the next one took the row for that of another keeper,
+// and the quota counted as used for 90 s.
+func TestQuotas_KeeperThatIsStoppedWhileItRecordsItself(t *testing.T) {
+	// recordedAt checks that a VM keeps all buckets, and records and grants from them.
+	recordedAt := func(t *testing.T, f *fleet, vm *testVM) {
+		is := is.New(t)
+		vm.quotas.ApplyRows(f.store.keepers(), true)
+		vm.quotas.ClaimBuckets(context.Background())
+		all, recorded := countBuckets(vm)
+		is.Equal([2]int{all, recorded}, [2]int{bucketsPerDC, bucketsPerDC})
+		g, err := vm.quotas.grantTokens(reserveRequest("p", 1300), true)
+		is.NoErr(err)
+		is.Equal(g.Tokens, quotaPerDC(1300, maxTurnTokens, 1)-90)
+	}
+	t.Run("its write is under way", func(t *testing.T) {
+		f, _, next := startHandedOver(t)
+		third := f.start("c", "dc-1")
+		f.store.setDown(false)
+		hold := make(chan struct{})
+		f.store.hold, f.store.held = hold, make(chan struct{})
+		var done sync.WaitGroup
+		done.Go(func() { next.quotas.ClaimBuckets(context.Background()) })
+		<-f.store.held
+		done.Go(func() { next.quotas.HandOverBuckets(context.Background()) })
+		for !draining(next) {
+			time.Sleep(time.Millisecond)
+		}
+		close(hold)
+		done.Wait()
+		recordedAt(t, f, third)
+	})
+	t.Run("its write takes effect later", func(t *testing.T) {
+		f, _, next := startHandedOver(t)
+		third := f.start("c", "dc-1")
+		f.store.setDown(false)
+		f.store.delay = true
+		next.quotas.ClaimBuckets(context.Background())
+		next.quotas.HandOverBuckets(context.Background())
+		f.store.applyDelayed()
+		recordedAt(t, f, third)
+	})
+	t.Run("and no other VM accepts the bucket", func(t *testing.T) {
+		f, old, next := startHandedOver(t)
+		f.kill(old)
+		f.store.setDown(false)
+		f.store.loseNext = 1
+		next.quotas.ClaimBuckets(context.Background())
+		next.quotas.HandOverBuckets(context.Background())
+		f.kill(next)
+		f.start("b", "dc-1")
+		restarted := f.start("a", "dc-1")
+		restarted.quotas.Processes = func(string) map[string]Process {
+			return map[string]Process{"a": {ID: restarted.process, EntryVersion: restarted.entry}}
+		}
+		recordedAt(t, f, restarted)
+	})
+	t.Run("a bucket that another VM has claimed meanwhile is dropped", func(t *testing.T) {
+		is := is.New(t)
+		f, old, next := startHandedOver(t)
+		third := f.start("c", "dc-1")
+		f.store.setDown(false)
+		f.store.loseNext = 1
+		next.quotas.ClaimBuckets(context.Background()) // names itself in one row
+		next.quotas.HandOverBuckets(context.Background())
+		f.kill(next)
+		f.kill(old)
+		claims := f.start("b", "dc-1")
+		claims.quotas.Processes = func(string) map[string]Process {
+			return map[string]Process{"b": {ID: claims.process, EntryVersion: claims.entry}}
+		}
+		claims.quotas.ApplyRows(f.store.keepers(), true)
+		claims.quotas.ClaimBuckets(context.Background())
+		third.quotas.ApplyRows(f.store.keepers(), true)
+		for b := range bucketsPerDC {
+			third.quotas.mu.Lock()
+			both := third.quotas.activeBucket(b) != nil && claims.quotas.buckets[b] != nil
+			third.quotas.mu.Unlock()
+			is.True(!both)
+		}
+	})
+}
+
+func draining(vm *testVM) bool {
+	vm.quotas.mu.Lock()
+	defer vm.quotas.mu.Unlock()
+	return vm.quotas.draining
+}
+
 // While the table service was away and several VMs left, the keeper of a bucket was not found
 // any more: its row names the VM that left first, and the VMs that rank next had refused it.
 func TestQuotas_KeeperIsFoundWhileSeveralVMsLeaveWithoutTheTableService(t *testing.T) {
--- a/internal/system/tokenbudget/keepers.go
+++ b/internal/system/tokenbudget/keepers.go
@@ -60,11 +60,17 @@
 	processes := q.Processes(q.DC)
 	entry := processes[q.VM].EntryVersion
 	for b := range bucketsPerDC {
-		if version, ok := q.unrecordedVersion(b); ok {
-			q.recordBucket(ctx, b, version, entry)
-		} else if old, ok := q.claimable(b, processes); ok && !q.keptByPeer(ctx, b, old, processes) {
-			q.claimBucket(ctx, b, old, entry)
-		}
+		q.claimOrRecord(ctx, b, processes, entry)
+	}
+}
+
+func (q *Quotas) claimOrRecord(ctx context.Context, b int, processes map[string]Process, entry uint64) {
+	q.changingKeeper.Lock()
+	defer q.changingKeeper.Unlock()
+	if version, ok := q.unrecordedVersion(b); ok {
+		q.recordBucket(ctx, b, version, entry)
+	} else if old, ok := q.claimable(b, processes); ok && !q.keptByPeer(ctx, b, old, processes) {
+		q.claimBucket(ctx, b, old, entry)
 	}
 }
 
@@ -165,8 +171,11 @@
 	if err != nil {
 		return 0, err
 	}
-	key := platform.Key{Table: KeeperTable, ID: "/" + keeperRowName(q.DC, b)}
-	return q.Store.CommitVersioned(ctx, []platform.Write{{Key: key, IfVersion: ifVersion, Value: value}})
+	return q.Store.CommitVersioned(ctx, []platform.Write{{Key: keeperKey(q.DC, b), IfVersion: ifVersion, Value: value}})
+}
+
+func keeperKey(dc string, b int) platform.Key {
+	return platform.Key{Table: KeeperTable, ID: "/" + keeperRowName(dc, b)}
 }
 
 // storeBucket adds a bucket to those that this VM keeps; mu is held.
--- a/internal/system/tokenbudget/quotas.go
+++ b/internal/system/tokenbudget/quotas.go
@@ -69,6 +69,10 @@
 	Clock     clock.Clock
 	Log       *zap.Logger
 
+	// changingKeeper is held while this process becomes the keeper of a bucket, or records
+	// that, so that a bucket is handed over with the version of its row.
+	changingKeeper sync.Mutex
+
 	mu            sync.Mutex
 	keepers       map[string]versionedKeeper // guarded by mu; by row name, as last read or written
 	buckets       map[int]*bucket            // guarded by mu; those that this VM keeps
@@ -103,6 +107,9 @@
 	// kept until expires at the latest.
 	recorded bool
 	expires  time.Duration // on Quotas.Clock
+	// handedOverBy are the ids of the processes that have handed the bucket over since the
+	// row had that version. A write of theirs may still change the row.
+	handedOverBy []string
 }
 
 // newBucket returns a bucket with the usage that an earlier keeper has passed
