streams: a list that was read before a stream began proves nothing about its version

Callers' streams that had begun at endpoints of a new version went on at an endpoint of another one, if they were taken up at a VM that was cut off or paused while the endpoints joined (ORDER; another operator's report).

Cause: a VM took its list of endpoints as current until a call of the feed had failed (1.6 s after a cut, and after a pause until the next call), and VMs of a data centre that is cut off vouched for each other.

Change: "only one version" needs a reading of the list since the caller came back, by this VM or by one that answers. Without the store VMs of all data centres have to answer. Readings are shared by all that wait.

Why it works: who began the stream had read the endpoint's entry before, and the store's answers are linearizable, so a later reading shows the version or its removal; both are known to rule the decision out.

View.Current is gone from the answers between VMs: VMs of earlier releases take its absence as before when another VM answers.

--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -71,7 +71,7 @@
 	}
 	since := r.versions.wholeSince
 	whole := !since.IsZero() && now.Sub(since) >= horizon && horizon <= versionRetention
-	view := resumption.View{Versions: len(listed), Whole: whole, Current: !r.feedLost}
+	view := resumption.View{Versions: len(listed), Whole: whole}
 	if len(listed) == 1 {
 		for version := range listed {
 			view.Version = version
--- a/internal/forward/versions_test.go
+++ b/internal/forward/versions_test.go
@@ -19,10 +19,10 @@
 	endpoint := func(id, version string, started int64) Endpoint {
 		return Endpoint{ID: id, Service: "s", SoftwareVersion: version, StartedUnixMilli: started, EntryVersion: uint64(started)}
 	}
-	is.Equal(view(0), resumption.View{Current: true})
+	is.Equal(view(0), resumption.View{})
 	r.Replace([]Endpoint{endpoint("a", "v1", 1), endpoint("b", "v1", 1), {ID: "x", Service: "other", SoftwareVersion: "v9"}}, at(0))
-	is.Equal(view(horizon-1), resumption.View{Versions: 1, Version: "v1", Current: true})
-	is.Equal(view(horizon), resumption.View{Versions: 1, Version: "v1", Whole: true, Current: true})
+	is.Equal(view(horizon-1), resumption.View{Versions: 1, Version: "v1"})
+	is.Equal(view(horizon), resumption.View{Versions: 1, Version: "v1", Whole: true})
 
 	t.Run("a version counts for the horizon after its last endpoint has left", func(t *testing.T) {
 		is := is.New(t)
@@ -45,9 +45,9 @@
 	t.Run("a list that can't be read is not current", func(t *testing.T) {
 		is := is.New(t)
 		r.FeedLost(start.Add(time.Minute))
-		is.True(!view(time.Minute).Current)
+		is.True(!r.Current())
 		r.FeedRestored()
-		is.True(view(time.Minute).Current)
+		is.True(r.Current())
 	})
 	t.Run("versions are forgotten", func(t *testing.T) {
 		is := is.New(t)
--- a/internal/policy/resumption/resumption.go
+++ b/internal/policy/resumption/resumption.go
@@ -5,7 +5,10 @@
 // functions are pure.
 package resumption
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // listLag is how old a VM's list of endpoints may be while it can read changes.
 const listLag = 2 * time.Second
@@ -28,7 +31,7 @@
 	Versions int    // different versions that were listed within the horizon
 	Version  string // the only one if Versions is 1; empty if unknown
 	Whole    bool   // the VM has read the list since the start of the horizon
-	Current  bool   // the VM can read changes of the list
+	Reread   bool   // the VM has read the list since it was asked, after the stream began
 }
 
 // Sole reports whether only one known version is listed.
@@ -52,24 +55,41 @@
 )
 
 // Resolve returns the version of a stream's first event from what this VM and others know.
-// others holds the answers that arrived; alone means that there are no other VMs.
+// others holds the answers that arrived. everywhere means that a VM of each data centre
+// answered, or that there are no other VMs.
 //
-// A VM that hears of nobody and can't read the list either may not know of a version that
-// others already use.
-func Resolve(own Answer, others []Answer, alone bool) (version string, origin Origin) {
-	whole := own.View.Whole
+// A VM that was cut off or paused may not know of a version that others already use, nor that
+// its list is outdated. So a list counts only if it was read after the stream began. If nobody
+// can read it the store is away, and no VM learns of a new version, unless those that answer
+// are cut off from the others.
+func Resolve(own Answer, others []Answer, everywhere bool) (version string, origin Origin) {
 	sole := own.View.Sole()
-	current := own.View.Current
+	var whole, reread, wholeReread bool
 	for _, a := range append([]Answer{own}, others...) {
 		if a.Known && a.Version != "" {
 			return a.Version, Remembered
 		}
 		whole = whole || a.View.Whole
-		current = current || a.View.Current
+		reread = reread || a.View.Reread
+		wholeReread = wholeReread || a.View.Whole && a.View.Reread
 		sole = sole && !a.Known && a.View.Sole() && a.View.Version == own.View.Version
 	}
-	if !whole || !sole || !current && len(others) == 0 && !alone {
-		return "", Unknown
+	if sole && (wholeReread || !reread && whole && everywhere) {
+		return own.View.Version, OnlyOne
+	}
+	return "", Unknown
+}
+
+// MayResolve reports whether an unknown version could be found out if VMs that answered, or
+// this one, read the list again.
+func MayResolve(own Answer, others []Answer) bool {
+	again := func(list []Answer) []Answer {
+		list = slices.Clone(list)
+		for i := range list {
+			list[i].View.Reread = true
+		}
+		return list
 	}
-	return own.View.Version, OnlyOne
+	_, origin := Resolve(again([]Answer{own})[0], again(others), true)
+	return origin != Unknown
 }
--- a/internal/system/changefeed/changefeed.go
+++ b/internal/system/changefeed/changefeed.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,8 +32,13 @@
 	initialBackoff = 100 * time.Millisecond
 	maxBackoff     = 650 * time.Millisecond
 	minPause       = 50 * time.Millisecond
+	// rereadTimeout bounds a call of Reread, which a request waits for.
+	rereadTimeout = 250 * time.Millisecond
 )
 
+// ErrNotRead means that the table could not be read since Reread was called.
+var ErrNotRead = errors.New("table not read")
+
 // Reading is what one response of the feed contains.
 type Reading struct {
 	Rows []platform.Row
@@ -57,26 +64,31 @@
 	Clock                      clock.Clock
 	Log                        *zap.Logger
 
-	feedLost bool          // since the last successful call, a call has failed
-	hasRead  bool          // a call was successful
-	lastRead time.Duration // when it was
+	mu        sync.Mutex    // held while rows are passed on
+	cursor    uint64        // guarded by mu; version up to which changes were read
+	hasCursor bool          // guarded by mu; the whole table was read, and its history goes on from there
+	feedLost  bool          // guarded by mu; since the last successful call, a call has failed
+	hasRead   bool          // guarded by mu; a call was successful
+	lastRead  time.Duration // guarded by mu; when it was
+	rereading *rereadCall   // guarded by mu; nil if none is under way
 }
 
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	backoff := initialBackoff
-	cursor, hasCursor := uint64(0), false
 	for ctx.Err() == nil {
 		started := time.Now()
-		next, err := f.poll(ctx, cursor, hasCursor)
+		err := f.poll(ctx)
 		switch {
 		case err == nil:
-			cursor, hasCursor, backoff = next, true, initialBackoff
+			backoff = initialBackoff
 			clock.Sleep(ctx, f.CoalesceInterval)
 			continue
 		case errors.Is(err, platform.ErrCursorExpired):
 			f.Log.Info("feed history no longer available; reading the whole table", tag.Target(f.Table))
-			hasCursor = false
+			f.mu.Lock()
+			f.hasCursor = false
+			f.mu.Unlock()
 			continue
 		}
 		f.reportLost(ctx, err)
@@ -85,38 +97,117 @@
 	}
 }
 
-// poll reads the whole table or, with hasCursor set, the changes after cursor. It
-// passes the rows to OnSnapshot or, if there are any, to OnChanges, and returns the
-// next cursor.
-func (f *Follower) poll(ctx context.Context, cursor uint64, hasCursor bool) (uint64, error) {
+// poll reads the whole table or, if its history is known, the changes since the last call,
+// and passes the rows on.
+func (f *Follower) poll(ctx context.Context) error {
+	f.mu.Lock()
+	cursor, hasCursor, lost := f.cursor, f.hasCursor, f.feedLost
+	f.mu.Unlock()
 	if !hasCursor {
 		ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 		defer cancel()
 		rows, next, err := f.Feed.Snapshot(ctx, f.Table)
-		if err == nil {
-			f.reportRestored()
-			f.OnSnapshot(f.reading(rows, next))
+		if err != nil {
+			return err
 		}
-		return next, err
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.reportRestored()
+		f.cursor, f.hasCursor = next, true
+		f.OnSnapshot(f.reading(rows, next))
+		return nil
 	}
 	wait := pollWait
-	if f.feedLost {
+	if lost {
 		wait = 0 // the call returns as soon as the feed responds again
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+pollTimeoutSlack)
 	defer cancel()
+	_, err := f.readChanges(ctx, cursor, wait)
+	return err
+}
+
+// readChanges reads the changes after cursor, and passes them on. It reports false, and
+// ignores them, if another call has passed changes on in the meantime.
+func (f *Follower) readChanges(ctx context.Context, cursor uint64, wait time.Duration) (passedOn bool, err error) {
 	rows, next, err := f.Feed.Changes(ctx, f.Table, cursor, wait)
 	if err != nil {
-		return next, err
+		return false, err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.reportRestored()
+	if f.cursor != cursor || !f.hasCursor {
+		return false, nil
+	}
+	f.cursor = next
 	if r := f.reading(rows, next); len(rows) > 0 {
 		f.OnChanges(r)
 	}
-	return next, nil
+	return true, nil
+}
+
+// rereadCall is a call of Reread under way.
+type rereadCall struct {
+	sentAt time.Duration // on Clock
+	done   chan struct{} // closed when err is set
+	err    error
+}
+
+// Reread reads the changes that the store had accepted when Reread was called, and passes
+// them on before it returns. Callers that wait at the same time share a call of the store.
+// The error wraps ErrNotRead.
+func (f *Follower) Reread(ctx context.Context) error {
+	calledAt := f.Clock.Now()
+	for {
+		f.mu.Lock()
+		call := f.rereading
+		if call == nil {
+			call = &rereadCall{sentAt: f.Clock.Now(), done: make(chan struct{})}
+			f.rereading = call
+			f.mu.Unlock()
+			// Callers that share the call have deadlines of their own.
+			call.err = f.readAllChanges(context.WithoutCancel(ctx))
+			f.mu.Lock()
+			f.rereading = nil
+			f.mu.Unlock()
+			close(call.done)
+			return call.err
+		}
+		f.mu.Unlock()
+		select {
+		case <-call.done:
+		case <-ctx.Done():
+			return fmt.Errorf("%w: %w", ErrNotRead, ctx.Err())
+		}
+		if call.sentAt >= calledAt {
+			return call.err
+		}
+	}
+}
+
+// readAllChanges reads the changes so far and passes them on.
+func (f *Follower) readAllChanges(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, rereadTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		cursor, hasCursor, lost := f.cursor, f.hasCursor, f.feedLost
+		f.mu.Unlock()
+		if !hasCursor || lost {
+			return fmt.Errorf("%w: the feed doesn't respond", ErrNotRead)
+		}
+		switch passedOn, err := f.readChanges(ctx, cursor, 0); {
+		case err != nil:
+			return fmt.Errorf("%w: %w", ErrNotRead, err)
+		case passedOn:
+			return nil
+		}
+	}
+	return fmt.Errorf("%w: %w", ErrNotRead, ctx.Err())
 }
 
-// reading returns the reading of rows that were received now.
+// reading returns the reading of rows that were received now; mu is held.
 func (f *Follower) reading(rows []platform.Row, version uint64) Reading {
 	now := f.Clock.Now()
 	r := Reading{Rows: rows, Version: version}
@@ -130,6 +221,8 @@
 // reportLost records that a call failed with err, and calls OnFeedLost unless the
 // feed was lost already. After the end of ctx it does nothing.
 func (f *Follower) reportLost(ctx context.Context, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.feedLost || ctx.Err() != nil {
 		return
 	}
@@ -141,7 +234,7 @@
 }
 
 // reportRestored records that a call succeeded, and calls OnFeedRestored if the feed
-// was lost.
+// was lost; mu is held.
 func (f *Follower) reportRestored() {
 	if !f.feedLost {
 		return
--- a/internal/system/changefeed/changefeed_test.go
+++ b/internal/system/changefeed/changefeed_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -226,3 +228,84 @@
 		})
 	}
 }
+
+// A VM decided by a list that was as old as its last call of the feed.
+func TestFollower_RereadReturnsWhenAllChangesSoFarArePassedOn(t *testing.T) {
+	const pollPeriod = 2 * time.Second // longer than the follower's own calls and pauses
+	for delay := time.Millisecond; delay < pollPeriod; delay += 70 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := &mortalFeed{changed: make(chan struct{}), silence: make(chan struct{})}
+			var mu sync.Mutex
+			var received []string
+			follower := &Follower{
+				Feed: f, Table: "t", CoalesceInterval: 400 * time.Millisecond, Clock: bubbleClock{}, Log: zap.NewNop(),
+				OnSnapshot: func(Reading) {},
+				OnChanges: func(reading Reading) {
+					mu.Lock()
+					defer mu.Unlock()
+					for _, r := range reading.Rows {
+						received = append(received, r.Key.ID)
+					}
+				},
+			}
+			is.True(errors.Is(follower.Reread(t.Context()), ErrNotRead)) // before the first reading
+			go follower.Run(t.Context())
+			time.Sleep(delay)
+			f.silenceCalls(false)
+			var want []string
+			for i := range 5 {
+				id := fmt.Sprint("row ", i)
+				f.add(row(id))
+				want = append(want, id)
+				var callers sync.WaitGroup
+				for range 3 {
+					callers.Go(func() {
+						is.NoErr(follower.Reread(t.Context()))
+						mu.Lock()
+						defer mu.Unlock()
+						is.Equal(received, want) // each once and in order
+					})
+				}
+				callers.Wait()
+			}
+			f.silenceCalls(true)
+			f.add(row("unread"))
+			is.True(errors.Is(follower.Reread(t.Context()), ErrNotRead))
+			time.Sleep(2 * (pollWait + pollTimeoutSlack))
+			started := time.Now()
+			is.True(errors.Is(follower.Reread(t.Context()), ErrNotRead))
+			is.Equal(time.Since(started), time.Duration(0)) // at once: the feed is known to be lost
+		})
+	}
+}
+
+func TestFollower_RereadsThatWaitTogetherShareACall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &countingFeed{}
+		follower := &Follower{
+			Feed: f, Table: "t", Clock: bubbleClock{}, Log: zap.NewNop(), OnSnapshot: func(Reading) {}, OnChanges: func(Reading) {},
+		}
+		is.NoErr(follower.poll(t.Context())) // the snapshot
+		var callers sync.WaitGroup
+		for range 100 {
+			callers.Go(func() { is.NoErr(follower.Reread(t.Context())) })
+		}
+		callers.Wait()
+		is.True(f.calls.Load() <= 2) // one may be under way when the others come
+	})
+}
+
+// countingFeed answers after some time, and counts its calls.
+type countingFeed struct{ calls atomic.Int64 }
+
+func (f *countingFeed) Snapshot(context.Context, string) ([]platform.Row, uint64, error) {
+	return nil, 1, nil
+}
+
+func (f *countingFeed) Changes(_ context.Context, _ string, after uint64, _ time.Duration) ([]platform.Row, uint64, error) {
+	f.calls.Add(1)
+	time.Sleep(4 * time.Millisecond)
+	return nil, after, nil
+}
--- a/internal/system/streams/streams.go
+++ b/internal/system/streams/streams.go
@@ -34,6 +34,8 @@
 	vmsPerShard = 32
 	// witnesses is the number of VMs that are told of an attempt.
 	witnesses = 2
+	// maxWitnessesPerDC is the number of VMs of a data centre that are asked.
+	maxWitnessesPerDC = 2
 	// maxPending bounds the records that wait to be sent to one witness.
 	maxPending = 1024
 )
@@ -48,6 +50,7 @@
 type Query struct {
 	Service, Attempt string // Attempt is empty if the caller doesn't name it
 	Horizon          time.Duration
+	Reread           bool // read the list of endpoints before the answer
 }
 
 // Directory knows the other VMs.
@@ -65,8 +68,11 @@
 	Suspects  *mesh.Suspects
 	Directory Directory
 	// View returns what this VM knows about the software versions of a service.
-	View  func(service string, horizon time.Duration) resumption.View
-	Clock clock.Clock
+	View func(service string, horizon time.Duration) resumption.View
+	// Reread reads the changes of the list of endpoints up to now. It fails if the list
+	// can't be read.
+	Reread func(ctx context.Context) error
+	Clock  clock.Clock
 
 	mu       sync.Mutex
 	memory   memory              // guarded by mu
@@ -159,13 +165,25 @@
 }
 
 // Resolve returns the version of the first event of a stream that a caller takes up, and how
-// it was found out.
+// it was found out. Whoever began the stream had read the endpoint's entry before the caller
+// came back, so that a reading of the list from now on shows its version.
 func (o *Origins) Resolve(ctx context.Context, q Query) (string, resumption.Origin) {
-	own := o.answer(q)
-	if own.Known && own.Version != "" {
+	if own := o.answer(q); own.Known && own.Version != "" {
 		return own.Version, resumption.Remembered
 	}
-	return resumption.Resolve(own, o.ask(ctx, q), o.Directory.Size() == 1)
+	reread := make(chan error, 1)
+	go func() { reread <- o.Reread(ctx) }()
+	others, everywhere := o.ask(ctx, q)
+	rereadErr := <-reread
+	own := o.answer(q)
+	own.View.Reread = rereadErr == nil
+	version, origin := resumption.Resolve(own, others, everywhere)
+	if origin != resumption.Unknown || !resumption.MayResolve(own, others) {
+		return version, origin
+	}
+	q.Reread = true
+	others, everywhere = o.ask(ctx, q)
+	return resumption.Resolve(own, others, everywhere)
 }
 
 // answer returns what this VM knows.
@@ -177,44 +195,46 @@
 	return resumption.Answer{Known: known, Version: version, View: view}
 }
 
-// ask returns the answers of the witnesses, until one of them knows the version.
-func (o *Origins) ask(ctx context.Context, q Query) []resumption.Answer {
+// ask returns the answers of the witnesses, until one of them knows the version, and whether
+// one of each data centre has answered.
+func (o *Origins) ask(ctx context.Context, q Query) (answers []resumption.Answer, everywhere bool) {
 	ctx, cancel := o.replyContext(ctx)
 	defer cancel()
 	type reply struct {
 		resumption.Answer
+		dc  int
 		err error
 	}
-	var addresses []string
-	for _, dc := range o.Directory.Witnesses(o.key(q.Attempt)) {
-		for _, address := range dc {
-			if !o.Suspects.Suspected(address) {
-				addresses = append(addresses, address)
+	dcs := o.Directory.Witnesses(o.key(q.Attempt))
+	replies := make(chan reply, len(dcs)*maxWitnessesPerDC)
+	asked := 0
+	for dc, addresses := range dcs {
+		for _, address := range addresses[:min(len(addresses), maxWitnessesPerDC)] {
+			if o.Suspects.Suspected(address) {
+				continue
 			}
+			asked++
+			go func() {
+				r := reply{dc: dc}
+				if r.err = o.Mesh.Call(ctx, address, serviceName+".Query", q, &r.Answer); r.err != nil && ctx.Err() == nil {
+					o.Suspects.Suspect(address, r.err)
+				}
+				replies <- r
+			}()
 		}
 	}
-	replies := make(chan reply, len(addresses))
-	for _, address := range addresses {
-		go func() {
-			var r reply
-			if r.err = o.Mesh.Call(ctx, address, serviceName+".Query", q, &r.Answer); r.err != nil && ctx.Err() == nil {
-				o.Suspects.Suspect(address, r.err)
-			}
-			replies <- r
-		}()
-	}
-	var answers []resumption.Answer
-	for range addresses {
+	answered := make([]bool, len(dcs))
+	for range asked {
 		r := <-replies
 		if r.err != nil {
 			continue
 		}
-		answers = append(answers, r.Answer)
+		answers, answered[r.dc] = append(answers, r.Answer), true
 		if r.Known && r.Version != "" {
 			break
 		}
 	}
-	return answers
+	return answers, !slices.Contains(answered, false)
 }
 
 // service exposes Origins over net/rpc.
@@ -233,6 +253,10 @@
 
 // Query returns what this VM knows about a stream.
 func (s *service) Query(q Query, out *resumption.Answer) error {
+	ctx, cancel := s.origins.replyContext(context.Background())
+	defer cancel()
+	reread := q.Reread && s.origins.Reread(ctx) == nil
 	*out = s.origins.answer(q)
+	out.View.Reread = reread
 	return nil
 }
--- a/internal/system/streams/streams_test.go
+++ b/internal/system/streams/streams_test.go
@@ -1,6 +1,8 @@
 package streams
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net"
 	"testing"
@@ -25,13 +27,14 @@
 	*Origins
 	directory testDirectory
 	view      resumption.View
+	unread    error // of Reread
 	address   string
 	stop      func()
 }
 
 var (
-	soleView  = resumption.View{Versions: 1, Version: "v1", Whole: true, Current: true}
-	mixedView = resumption.View{Versions: 2, Whole: true, Current: true}
+	soleView  = resumption.View{Versions: 1, Version: "v1", Whole: true}
+	mixedView = resumption.View{Versions: 2, Whole: true}
 )
 
 func newTestVM(t *testing.T) *testVM {
@@ -43,6 +46,7 @@
 	vm.Origins = &Origins{
 		Mesh: client, Suspects: &mesh.Suspects{Client: client, Lag: &clock.Lag{}, Log: zap.NewNop()}, Directory: &vm.directory,
 		View: func(string, time.Duration) resumption.View { return vm.view }, Clock: clock.System{},
+		Reread: func(context.Context) error { return vm.unread },
 	}
 	server, err := mesh.Listen(mesh.ServerOptions{Addr: "127.0.0.1:0", SilenceTimeout: time.Minute})
 	is.NoErr(err)
@@ -121,6 +125,36 @@
 	is.Equal(origin, resumption.OnlyOne)
 }
 
+// A VM that was cut off or paused took the only version that its outdated list had for that of a
+// stream that had begun at another one meanwhile.
+func TestOrigins_AListThatWasReadBeforeTheStreamBeganIsNoProof(t *testing.T) {
+	errCut := errors.New("cut off")
+	is := is.New(t)
+	own, near, far := newTestVM(t), newTestVM(t), newTestVM(t)
+	for _, vm := range []*testVM{own, near, far} {
+		vm.view, vm.unread = soleView, errCut
+	}
+	own.directory.dcs = [][]string{{near.address}, {far.address}}
+	_, origin := own.resolve(t, "a1")
+	is.Equal(origin, resumption.OnlyOne) // nobody can read the list: the store is away
+	far.stop()
+	own.Suspects.Suspect(far.address, errCut)
+	_, origin = own.resolve(t, "a1")
+	is.Equal(origin, resumption.Unknown) // the data centre may be cut off
+	near.unread = nil
+	_, origin = own.resolve(t, "a1")
+	is.Equal(origin, resumption.OnlyOne) // another VM has read the list since
+	near.view.Whole = false
+	_, origin = own.resolve(t, "a1")
+	is.Equal(origin, resumption.Unknown) // but not for long enough
+	near.unread, own.unread = errCut, nil
+	_, origin = own.resolve(t, "a1")
+	is.Equal(origin, resumption.OnlyOne)
+	own.view = mixedView // as its reading shows
+	_, origin = own.resolve(t, "a1")
+	is.Equal(origin, resumption.Unknown)
+}
+
 func TestMemory_IsBoundedInTimeAndSize(t *testing.T) {
 	is := is.New(t)
 	var m memory
