forwarder: a rejection without an id proves nothing on a connection that was used before

Cause: a rejection without an id counted for whatever request was waiting. Before, only the connection on which it had come was closed.

Change: it counts on a new connection only; else the attempt is broken off, so that only what may run again is sent again, and others get 502.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -99,6 +99,7 @@
 	bodyWritten  chan error  // receives the result of writing a body in another goroutine; nil if there is none
 	idleDeadline time.Time   // end of the idle timeout while the connection is in the pool
 	inFlight     atomic.Bool // a request was sent, and its response has not been read to its end
+	reused       bool        // the connection has served another exchange before
 	limited      bool        // reads fail with errTooLarge after bytesLeft
 	bytesLeft    int
 
@@ -172,6 +173,10 @@
 	return c.Conn.Close()
 }
 
+// Reused reports whether the connection has served another exchange before. What a faulty peer
+// writes about that one may still arrive.
+func (c *Conn) Reused() bool { return c.reused }
+
 // Opened returns the number of connections opened so far.
 func (p *Pool) Opened() uint64 {
 	p.mu.Lock()
@@ -188,6 +193,7 @@
 			break
 		}
 		if time.Now().Before(c.idleDeadline) && c.isIdle() {
+			c.reused = true
 			return c, nil
 		}
 		c.Close()
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -487,11 +487,6 @@
 	return id == x.request.ID || id == "" && x.provesNotRun(resp)
 }
 
-// provesNotRun reports whether a response guarantees that the request has not run.
-func (x *exchange) provesNotRun(resp *http.Response) bool {
-	return resp.Header.Get(x.f.Headers.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest
-}
-
 // endpointRequest returns the request to send to the endpoint.
 func (x *exchange) endpointRequest(slot *dispatch.Slot) *httpconn.Request {
 	h := make(http.Header, len(x.request.Header)+4)
@@ -576,20 +571,3 @@
 	}
 	return b
 }
-
-// handleRejection consumes a response that guarantees that the request has not run.
-// It returns misdirected or endpointFull. The connection is not used again after a rejection
-// without a request id: a second copy of it couldn't be told from an answer to the next request.
-func (x *exchange) handleRejection(conn *httpconn.Conn, resp *http.Response) (outcome, error) {
-	conn.Deadline = earlier(x.deadline, time.Now().Add(rejectionBodyTimeout))
-	if err := conn.Discard(resp, maxRejectionBody); err != nil || resp.Header.Get(x.f.Headers.RequestID) == "" {
-		conn.Close() // also if the body has not ended: the caller doesn't wait for that
-	} else {
-		conn.Release(resp)
-	}
-	err := fmt.Errorf("endpoint rejected the request with status %d", resp.StatusCode)
-	if resp.StatusCode == http.StatusMisdirectedRequest {
-		return misdirected, err
-	}
-	return endpointFull, err
-}
