--- a/internal/mesh/client.go
+++ b/internal/mesh/client.go
@@ -242,6 +242,12 @@
 	}
 }
 
+// Ping checks that the VM at an address answers.
+func (c *Client) Ping(ctx context.Context, addr string) error {
+	var reply uint64
+	return c.Call(ctx, addr, heartbeatServiceName+".Ping", uint64(0), &reply)
+}
+
 // Close closes all connections. Later calls return ErrNotSent.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/mesh/suspects.go
+++ b/internal/mesh/suspects.go
@@ -76,8 +76,7 @@
 func (s *Suspects) probe(addr string) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout+s.Lag.TimeoutExtension())
 	defer cancel()
-	var reply uint64
-	err := s.Client.Call(ctx, addr, heartbeatServiceName+".Ping", uint64(0), &reply)
+	err := s.Client.Ping(ctx, addr)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := s.byAddr[addr]
--- a/internal/system/dispatch/directory.go
+++ b/internal/system/dispatch/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 
@@ -245,6 +246,19 @@
 	return slices.DeleteFunc(slices.Clone(d.SchedulerOrder(key)), func(addr string) bool { return addr == "" })
 }
 
+// OtherDCs returns the mesh addresses of the VMs of each other data centre.
+func (d *Directory) OtherDCs() [][]string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	byDC := make(map[string][]string)
+	for _, vm := range d.vms {
+		if vm.DC != d.Self.DC {
+			byDC[vm.DC] = append(byDC[vm.DC], vm.Address)
+		}
+	}
+	return slices.Collect(maps.Values(byDC))
+}
+
 // InDC returns the VMs of a data centre.
 func (d *Directory) InDC(dc string) []VM {
 	d.mu.Lock()
--- a/internal/system/tokenbudget/peers.go
+++ b/internal/system/tokenbudget/peers.go
@@ -282,6 +282,13 @@
 	return err
 }
 
+// Reachable reports whether direct calls are made.
+func (r *RelayingStore) Reachable() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.directDown
+}
+
 // isOutage reports whether an error means that the table service is
 // unreachable. A conflict is a response of the service.
 func isOutage(err error) bool {
