--- a/internal/system/tokenbudget/tokenbudget.go
+++ b/internal/system/tokenbudget/tokenbudget.go
@@ -116,8 +116,8 @@
 	Program string
 	Budget  int64 // of the program, in tokens
 	Turn    int64 // most tokens that a turn may generate
-	// Step is the number of tokens that Extend reserves, or of those that a keeper is
-	// asked for.
+	// Step is the number of tokens that Extend reserves; in a request to a keeper, the number
+	// that is asked for.
 	Step int64
 	// Least is the smallest grant that can be used.
 	Least int64
@@ -163,7 +163,7 @@
 type Reservation struct {
 	ledger *Ledger
 	// At most one of account and home is set; neither is after Settle.
-	account *account // that of this VM
+	account *account // this VM's account of the program
 	home    string   // the home's process id, if another VM is the home
 	id      uint64   // of the reservation at home
 	own     int64    // tokens reserved from account or at home
