--- a/internal/forward/config.go
+++ b/internal/forward/config.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"ibisstall.example/ibisstall/internal/keys"
 )
 
 // Kind is the kind of a route's requests. It determines, for streams together with
@@ -45,6 +47,9 @@
 	Services           []WeightedService
 	MaxEndpoints       int           // endpoints that may run one request; less than 1 counts as 1
 	Resumable          bool          // endpoints can resume a stream after an event
+	Public             bool          // needs no key
+	Retain             bool          // the system keeps the conversations of its programs
+	Retention          time.Duration // for which a turn can be gone on from
 	EventGapTarget     time.Duration // longest time between two events of a stream that counts as on time; 0 for no target
 }
 
@@ -74,6 +79,9 @@
 	Routes   []Route
 	Services map[string]*Service
 	Limits   CallerLimits
+	// Keys are the keys of all workspaces; nil if requests need none.
+	Keys       *keys.Set
+	Workspaces map[string]*Workspace // by name
 }
 
 // Validate returns an error if the configuration is unusable.
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -24,6 +24,12 @@
 	Arrived              time.Time
 	Deadline             time.Time // the caller waits no longer than this
 
+	// Key is the key that the caller presents, "" without one. It is never logged.
+	Key string
+	// PreviousTurn is the id of the attempt whose turn the request goes on from, on a route
+	// whose conversations are kept.
+	PreviousTurn string
+
 	Program string // empty for requests outside programs
 	// Finish is the program's objective: the time by which the program should end.
 	// It is zero if the caller sets none.
--- a/internal/system/dispatch/messages.go
+++ b/internal/system/dispatch/messages.go
@@ -19,7 +19,8 @@
 	// HasFinish is set, and negative if that time has passed.
 	Finish, LateFinish time.Duration
 	HasFinish          bool
-	Priority           int      // of the request's route; 0 is the most urgent
+	Priority           int      // of the request's workspace or route; 0 is the most urgent
+	Workspace          string   // empty where requests need no key
 	First              bool     // first turn of its program, according to the requesting VM
 	Once               bool     // must not be resent if its response is lost
 	Prefixes           []uint64 // hashes of the prompt's prefixes, shortest prefix first
--- a/internal/system/forwarder/forwarder.go
+++ b/internal/system/forwarder/forwarder.go
@@ -61,6 +61,7 @@
 	ExpectEndpoint string // id of the only endpoint that may run the request
 	NotRun         string // set in a response that guarantees that the request has not run
 	LastEventID    string // id of the event after which a stream is resumed
+	Workspace      string // name of the workspace that the request belongs to
 	Leaving        string // "1" in the responses of an endpoint that is leaving
 	Limit          string // requests per second that the endpoint takes from all VMs; absent without a limit
 }
@@ -118,8 +119,12 @@
 	Pool      *httpconn.Pool
 	Clock     clock.Clock // that of the slots
 	Lag       *clock.Lag  // scheduling lag of this VM
-	Log       *zap.Logger
-	Metrics   *Metrics
+	// Confirmer, Quota and Conversations are nil where the settings don't ask for them.
+	Confirmer     ConfigConfirmer
+	Quota         QuotaKeeper
+	Conversations ConversationStore
+	Log           *zap.Logger
+	Metrics       *Metrics
 
 	inFlight     inFlight
 	plan         atomic.Pointer[draining.Plan] // nil until BeginDrain is called
@@ -134,6 +139,7 @@
 	f.inFlight.add(x)
 	defer f.inFlight.remove(x)
 	defer x.logAndMeasure()
+	confirmErr := f.confirmConfig(ctx, x.receivedAt)
 	cfg := f.Config()
 	if cfg == nil {
 		x.refuse(http.StatusServiceUnavailable, "no configuration yet", defaultRetryAfter)
@@ -144,6 +150,10 @@
 		x.refuse(http.StatusNotFound, "no route", 0)
 		return
 	}
+	if !x.authenticate(cfg, confirmErr) {
+		return
+	}
+	x.maxBody = cfg.Limits.MaxBodyBytes
 	x.service = cfg.Services[x.route.PickService(splitKey(req))]
 	if x.service == nil {
 		x.refuse(http.StatusServiceUnavailable, "no service", defaultRetryAfter)
@@ -193,6 +203,7 @@
 		x.firstTurn = !ran && req.UsesTokenBudget()
 		x.lateFinish = objective.Add(objective.Sub(started) * (lateFinishFactor - 1))
 	}
+	preparation := x.startPreparation()
 	if req.UsesTokenBudget() && x.route.Kind == forward.Stream {
 		defer x.settleReservations()
 		switch err := x.reserveTokens(); {
@@ -208,6 +219,10 @@
 			return
 		}
 	}
+	if !x.finishPreparation(preparation) {
+		return
+	}
 	for x.tryEndpoint() {
 	}
+	x.keepTurn()
 }
--- /dev/null
+++ b/internal/system/forwarder/preparation.go
@@ -0,0 +1,191 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"ibisstall.example/ibisstall/internal/forward"
+	"ibisstall.example/ibisstall/internal/system/conversations"
+	"ibisstall.example/ibisstall/internal/system/quota"
+)
+
+// ConfigConfirmer knows how recent the configuration in force is.
+type ConfigConfirmer interface {
+	// Confirm returns nil if no key can have been taken away so long before a time, on
+	// Forwarder.Clock, that a request which arrived then must not run. It may wait for a
+	// read of the configuration.
+	Confirm(ctx context.Context, arrived time.Duration) error
+}
+
+// QuotaKeeper knows what is left of the quotas of workspaces.
+type QuotaKeeper interface {
+	// Acquire takes a request from a workspace's quota. The error is a *quota.ExceededError
+	// if the quota is used up.
+	Acquire(ctx context.Context, q forward.Quota, req quota.Request) error
+}
+
+// ConversationStore keeps the turns of conversations.
+type ConversationStore interface {
+	// Load returns what an endpoint gets before the input of a turn that goes on from another one.
+	Load(ctx context.Context, previous conversations.Key, maxBytes int64) ([]byte, error)
+	// Keep returns nil once the turn survives the loss of all VMs.
+	Keep(ctx context.Context, turn conversations.Turn) error
+}
+
+// unconfirmedRetryAfter is the retry-after of refusals without a confirmed configuration:
+// other VMs may have one.
+const unconfirmedRetryAfter = 100 * time.Millisecond
+
+// authenticate finds the workspace of a request by its key. It refuses the request if the
+// route needs a key and the request has no valid one.
+func (x *exchange) authenticate(cfg *forward.Config, confirmErr error) bool {
+	if cfg.Keys == nil || x.route.Public {
+		return true
+	}
+	if confirmErr != nil {
+		x.cause = confirmErr
+		x.refuse(http.StatusServiceUnavailable, "configuration not confirmed", unconfirmedRetryAfter)
+		return false
+	}
+	name, ok := cfg.Keys.Holder(x.request.Key)
+	if !ok || x.request.Key == "" {
+		x.refuse(http.StatusUnauthorized, "unknown key", 0)
+		return false
+	}
+	x.workspace = cfg.Workspaces[name]
+	return true
+}
+
+// confirmConfig confirms the configuration in force if requests need keys.
+func (f *Forwarder) confirmConfig(ctx context.Context, arrived time.Duration) error {
+	if cfg := f.Config(); f.Confirmer == nil || cfg == nil || cfg.Keys == nil {
+		return nil
+	}
+	return f.Confirmer.Confirm(ctx, arrived)
+}
+
+// workspaceName returns the name of the request's workspace, "" if it has none.
+func (x *exchange) workspaceName() string {
+	if x.workspace == nil {
+		return ""
+	}
+	return x.workspace.Name
+}
+
+// priority returns the priority of the request; 0 is the most urgent.
+func (x *exchange) priority() int {
+	if x.workspace != nil && x.workspace.HasPriority {
+		return x.workspace.Priority
+	}
+	return x.route.Priority
+}
+
+// preparation is what a request needs besides tokens and a slot. All of it is asked for at
+// the same time, and while the tokens are reserved.
+type preparation struct {
+	quota   chan error // nil if the request counts against no quota
+	history chan error // nil if the request goes on from no turn
+	loaded  []byte     // set before history receives nil
+}
+
+// startPreparation asks for all that the request needs.
+func (x *exchange) startPreparation() *preparation {
+	p := &preparation{}
+	ctx := x.drain.startCtx
+	if w := x.workspace; w != nil && w.Quota.Limited() && x.f.Quota != nil {
+		p.quota = make(chan error, 1)
+		req := quota.Request{Workspace: w.Name, First: x.firstTurn}
+		go func() { p.quota <- x.f.Quota.Acquire(ctx, w.Quota, req) }()
+	}
+	if x.retained() && x.request.PreviousTurn != "" {
+		p.history = make(chan error, 1)
+		key := conversations.Key{Workspace: x.workspaceName(), Turn: x.request.PreviousTurn}
+		maxBytes := x.maxBody - int64(len(x.request.Body))
+		go func() {
+			var err error
+			p.loaded, err = x.f.Conversations.Load(ctx, key, maxBytes)
+			p.history <- err
+		}()
+	}
+	return p
+}
+
+// finishPreparation waits for what startPreparation has asked for, and refuses the request
+// if it may not run.
+func (x *exchange) finishPreparation(p *preparation) bool {
+	return x.finishQuota(p) && x.finishHistory(p)
+}
+
+func (x *exchange) finishQuota(p *preparation) bool {
+	if p.quota == nil {
+		return true
+	}
+	err := <-p.quota
+	var exceeded *quota.ExceededError
+	switch {
+	case err == nil:
+		return true
+	case errors.As(err, &exceeded):
+		x.cause = err
+		x.refuse(http.StatusTooManyRequests, "quota exceeded", exceeded.RetryAfter)
+	default:
+		x.failPreparation(err, "quota can't be read")
+	}
+	return false
+}
+
+func (x *exchange) finishHistory(p *preparation) bool {
+	if p.history == nil {
+		return true
+	}
+	err := <-p.history
+	switch {
+	case err == nil:
+		x.input = x.request.Body
+		x.request.Body = append(p.loaded, x.input...)
+		return true
+	case errors.Is(err, conversations.ErrNotFound):
+		x.refuse(http.StatusNotFound, "no such turn", 0)
+	case errors.Is(err, conversations.ErrTooLarge):
+		x.refuse(http.StatusRequestEntityTooLarge, "conversation too long", 0)
+	default:
+		x.failPreparation(err, "conversation can't be read")
+	}
+	return false
+}
+
+// failPreparation refuses a request that has not run, for what could not be found out.
+func (x *exchange) failPreparation(err error, reason string) {
+	if err = endOf(x.drain.startCtx, err); errors.Is(err, errLeaving) || errors.Is(err, errStopped) {
+		x.refuseLeaving(err)
+		return
+	}
+	x.cause = err
+	x.refuse(http.StatusServiceUnavailable, reason, defaultRetryAfter)
+}
+
+// retained reports whether the request is a turn of a conversation that the system keeps.
+func (x *exchange) retained() bool {
+	return x.route.Retain && x.route.Kind == forward.Stream && x.f.Conversations != nil
+}
+
+// keepTurn keeps a turn whose answer is whole but for its end, which the caller gets only
+// once the turn is safe.
+func (x *exchange) keepTurn() {
+	if !x.complete || !x.retained() || x.status != http.StatusOK || x.endpoint == "" {
+		return
+	}
+	input := x.input
+	if input == nil {
+		input = x.request.Body
+	}
+	turn := conversations.Turn{
+		Key:      conversations.Key{Workspace: x.workspaceName(), Turn: x.request.ID},
+		Previous: x.request.PreviousTurn, Input: input, Output: x.output, Retention: x.route.Retention,
+	}
+	if err := x.f.Conversations.Keep(x.ctx, turn); err != nil {
+		x.cause, x.complete, x.failureReason = err, false, "turn not kept"
+	}
+}
