conversations: turns are rows of the table service, put together by any VM

A turn on a route that retains conversations reached its endpoint without its history. Each turn is now a row under the hash of its workspace and name, written before the end of its answer, with the ids of its ancestors; a VM that lacks them in memory reads them at the same time. Nothing decodes Route.Retain yet, so nothing changes.

--- a/internal/logging/tag/tag.go
+++ b/internal/logging/tag/tag.go
@@ -187,3 +187,6 @@
 
 // DeadlineIn is the time left until a request's deadline.
 func DeadlineIn(d time.Duration) zap.Field { return zap.Duration("deadline_in_seconds", d) }
+
+// HistorySource says where the last turn of a conversation was found.
+func HistorySource(name string) zap.Field { return zap.String("history_source", name) }
--- /dev/null
+++ b/internal/system/conversations/row.go
@@ -0,0 +1,150 @@
+package conversations
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ibisstall.example/ibisstall/internal/platform"
+)
+
+const (
+	// rowFormat is the first byte of each row.
+	rowFormat = 1
+	// maxAncestors bounds the ancestors that a turn names. Those before them are named by the
+	// oldest of these.
+	maxAncestors = 64
+	// defaultRowBytes is the largest value of a row if the settings name none.
+	defaultRowBytes = 64 << 10
+	// Limits of one transaction, of the value bytes before their encoding.
+	maxTransactionRows  = 90
+	maxTransactionBytes = 600 << 10
+	// turnOverhead is the memory that a turn takes beside its data and the ids in it.
+	turnOverhead = 256
+)
+
+// turn is what is stored of a turn. It is immutable.
+type turn struct {
+	written   time.Duration // time of the table service when the turn was kept
+	retention time.Duration
+	// chainExpires is the time of the table service from which on a row of the conversation may
+	// be deleted.
+	chainExpires time.Duration
+	digest       uint64 // of input and output
+	total        int64  // bytes of the conversation up to and with this turn
+	ancestors    []id   // those whose data comes before this turn's, oldest first
+	data         []byte // input and output, after those of all turns that aren't among the ancestors
+}
+
+// size returns the memory that the turn takes.
+func (t *turn) size() int64 { return int64(cap(t.data) + len(t.ancestors)*len(id{}) + turnOverhead) }
+
+// digest tells turns of the same name apart.
+func digest(t Turn) uint64 {
+	d := xxhash.New()
+	var lengths [16]byte
+	binary.BigEndian.PutUint64(lengths[:8], uint64(len(t.Input)))
+	binary.BigEndian.PutUint64(lengths[8:], uint64(len(t.Output)))
+	_, _ = d.Write(lengths[:]) // writing to a hash never fails
+	if t.History != nil {
+		_, _ = d.Write(t.History.last[:])
+	}
+	_, _ = d.Write(t.Input)
+	_, _ = d.Write(t.Output)
+	return d.Sum64()
+}
+
+// partKey returns the key of a part of a turn's data. It depends on the content, so that parts
+// of different turns of the same name don't mix.
+func partKey(i id, digest uint64, n int) platform.Key {
+	var d [8]byte
+	binary.BigEndian.PutUint64(d[:], digest)
+	return platform.Key{Table: Table, ID: i.partition() + "/" + i.String() + "." + hex.EncodeToString(d[:]) + "." + strconv.Itoa(n)}
+}
+
+// encodeTurn returns the transactions that write a turn. The last one holds its first row, so
+// that a turn whose row exists is whole.
+func encodeTurn(i id, t *turn, rowBytes int) [][]platform.Write {
+	if rowBytes <= 0 {
+		rowBytes = defaultRowBytes
+	}
+	limit := rowBytes / 4 * 3 // whether the limit is one of the encoded value or of its bytes
+	head := []byte{rowFormat}
+	for _, d := range []time.Duration{t.written, t.retention, t.chainExpires} {
+		head = binary.AppendUvarint(head, uint64(max(0, d.Milliseconds())))
+	}
+	head = binary.BigEndian.AppendUint64(head, t.digest)
+	head = binary.AppendUvarint(head, uint64(t.total))
+	head = binary.AppendUvarint(head, uint64(len(t.ancestors)))
+	for _, a := range t.ancestors {
+		head = append(head, a[:]...)
+	}
+	if len(head)+1+len(t.data) <= limit {
+		value := append(binary.AppendUvarint(head, 0), t.data...)
+		return [][]platform.Write{{{Key: i.rowKey(), Value: value}}}
+	}
+	var transactions [][]platform.Write
+	var writes []platform.Write
+	size, parts := 0, 0
+	for rest := t.data; len(rest) > 0; parts++ {
+		part := rest[:min(limit, len(rest))]
+		rest = rest[len(part):]
+		if len(writes) == maxTransactionRows || size+len(part) > maxTransactionBytes {
+			transactions, writes, size = append(transactions, writes), nil, 0
+		}
+		writes = append(writes, platform.Write{Key: partKey(i, t.digest, parts), IfVersion: platform.AnyVersion, Value: part})
+		size += len(part)
+	}
+	writes = append(writes, platform.Write{Key: i.rowKey(), Value: binary.AppendUvarint(head, uint64(parts))})
+	return append(transactions, writes)
+}
+
+var errMalformedRow = errors.New("malformed row")
+
+// maxParts bounds the parts of a turn.
+const maxParts = 1 << 16
+
+// decodeTurn decodes a turn's row. The turn's data is in other rows if parts isn't 0.
+func decodeTurn(value []byte) (t *turn, parts int, err error) {
+	if len(value) == 0 || value[0] != rowFormat {
+		return nil, 0, fmt.Errorf("%w: unknown format", errMalformedRow)
+	}
+	value = value[1:]
+	number := func() uint64 {
+		n, length := binary.Uvarint(value)
+		if length <= 0 {
+			err, length = errMalformedRow, 0
+		}
+		value = value[length:]
+		return n
+	}
+	t = &turn{}
+	for _, d := range []*time.Duration{&t.written, &t.retention, &t.chainExpires} {
+		*d = time.Duration(number()) * time.Millisecond
+	}
+	if len(value) < 8 {
+		return nil, 0, errMalformedRow
+	}
+	t.digest = binary.BigEndian.Uint64(value)
+	value = value[8:]
+	t.total = int64(number())
+	ancestors := number()
+	if err != nil || ancestors > maxAncestors || len(value) < int(ancestors)*len(id{}) {
+		return nil, 0, errMalformedRow
+	}
+	for range ancestors {
+		t.ancestors = append(t.ancestors, id(value[:len(id{})]))
+		value = value[len(id{}):]
+	}
+	count := number()
+	if err != nil || count > maxParts {
+		return nil, 0, errMalformedRow
+	}
+	t.data = value
+	return t, int(count), nil
+}
--- a/internal/system/forwarder/events.go
+++ b/internal/system/forwarder/events.go
@@ -51,6 +51,41 @@
 	}
 }
 
+// appendEventData appends the data of each event in b, followed by a line feed. b consists of
+// complete events. Lines of data of one event are joined by a line feed; an event without such a
+// line has no data.
+func appendEventData(dst, b []byte) []byte {
+	hasData := false // the current event has a line of data
+	for len(b) > 0 {
+		length := bytes.IndexAny(b, "\r\n")
+		if length < 0 {
+			length = len(b)
+		}
+		line, rest := b[:length], b[length:]
+		if crlf := []byte("\r\n"); bytes.HasPrefix(rest, crlf) {
+			rest = rest[len(crlf):]
+		} else if len(rest) > 0 {
+			rest = rest[1:]
+		}
+		b = rest
+		if len(line) == 0 {
+			if hasData {
+				dst = append(dst, '\n')
+			}
+			hasData = false
+			continue
+		}
+		if field, value, _ := bytes.Cut(line, []byte(":")); string(field) == "data" {
+			if hasData {
+				dst = append(dst, '\n')
+			}
+			dst = append(dst, bytes.TrimPrefix(value, []byte(" "))...)
+			hasData = true
+		}
+	}
+	return dst
+}
+
 // errNotNext means that a stream that goes on after an event has another event than the next one.
 var errNotNext = errors.New("event of the resumed stream is not the next one")
 
--- a/internal/system/forwarder/events_test.go
+++ b/internal/system/forwarder/events_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"strings"
 	"testing"
 
@@ -120,3 +121,65 @@
 		}
 	})
 }
+
+// dataOf is an independent writing of the rule for the data of events, line by line.
+func dataOf(stream string) string {
+	stream = strings.ReplaceAll(strings.ReplaceAll(stream, "\r\n", "\n"), "\r", "\n")
+	var out strings.Builder
+	for event := range strings.SplitSeq(stream, "\n\n") {
+		var lines []string
+		for line := range strings.SplitSeq(event, "\n") {
+			if line == "data" {
+				lines = append(lines, "")
+			} else if strings.HasPrefix(line, "data:") {
+				lines = append(lines, strings.TrimPrefix(line[5:], " "))
+			}
+		}
+		if lines != nil {
+			out.WriteString(strings.Join(lines, "\n") + "\n")
+		}
+	}
+	return out.String()
+}
+
+func TestAppendEventData_GivesTheDataOfEachEvent(t *testing.T) {
+	is := is.New(t)
+	for stream, want := range map[string]string{
+		"id: 1\ndata: a\n\n":                "a\n",
+		"data:a\n\ndata:  b\n\n":            "a\n b\n",
+		"data: a\ndata: b\n\n":              "a\nb\n",
+		"data\n\n":                          "\n",
+		"data:\n\n":                         "\n",
+		"data: a: b\r\n\r\ndata: c\r\r":     "a: b\nc\n",
+		": comment\n\nid: 7\n\n":            "",
+		"database: x\ndata: y\ndata2:z\n\n": "y\n",
+	} {
+		is.Equal(string(appendEventData(nil, []byte(stream))), want)
+		is.Equal(dataOf(stream), want)
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	lines := []string{"data: x", "data:y", "data:  z ", "data", "id: 4", ": c", "data: ü:", "event: e"}
+	ends := []string{"\n", "\r\n", "\r"}
+	for range 2000 {
+		var events []byte
+		end := ends[random.IntN(len(ends))]
+		for range random.IntN(5) {
+			for range 1 + random.IntN(4) {
+				events = append(events, lines[random.IntN(len(lines))]+end...)
+			}
+			events = append(events, end...)
+		}
+		var order eventOrder // splits the stream as it arrives
+		var got, rest []byte
+		for from := 0; from < len(events); {
+			to := min(len(events), from+1+random.IntN(9))
+			rest = append(rest, events[from:to]...)
+			from = to
+			block, err := order.take(rest)
+			is.NoErr(err)
+			got = appendEventData(got, rest[:block.length])
+			rest = rest[block.length:]
+		}
+		is.Equal(string(got), dataOf(string(events)))
+	}
+}
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -12,6 +12,7 @@
 
 	"ibisstall.example/ibisstall/internal/forward"
 	"ibisstall.example/ibisstall/internal/httpconn"
+	"ibisstall.example/ibisstall/internal/system/conversations"
 	"ibisstall.example/ibisstall/internal/system/dispatch"
 	"ibisstall.example/ibisstall/internal/system/tokenbudget"
 )
@@ -42,16 +43,18 @@
 	drain      drainLimits
 	route      *forward.Route
 	service    *forward.Service
-	workspace  *forward.Workspace // nil where requests need no key
-	maxBody    int64              // bytes of a request to an endpoint; 0 if the operators set no limit
-	input      []byte             // the caller's body of a turn that goes on from another one; nil for others
-	output     []byte             // data of the events forwarded, each with a line feed; only of a turn that is kept
-	deadline   time.Time          // the earlier of the caller's deadline and the route's timeout
-	lateFinish time.Time          // time after which finishing the program has no more value; zero without an objective
-	received   time.Time          // when Serve was called, on the clock that stops while the VM is suspended
-	receivedAt time.Duration      // the same on Forwarder.Clock
-	suspended  time.Duration      // of that, how long the VM was suspended; deadline is corrected for it
-	firstTurn  bool               // the request uses a token budget, and no turn of its program has reserved tokens through this VM
+	workspace  *forward.Workspace     // nil where requests need no key
+	maxBody    int64                  // bytes of a request to an endpoint; 0 if the operators set no limit
+	input      []byte                 // the caller's body of a turn that goes on from another one; nil for others
+	history    *conversations.History // of a turn that goes on from another one; nil for others
+	output     []byte                 // data of the events forwarded, each with a line feed; only of a turn that is kept
+	oversize   bool                   // output is incomplete, since it is longer than a request may be
+	deadline   time.Time              // the earlier of the caller's deadline and the route's timeout
+	lateFinish time.Time              // time after which finishing the program has no more value; zero without an objective
+	received   time.Time              // when Serve was called, on the clock that stops while the VM is suspended
+	receivedAt time.Duration          // the same on Forwarder.Clock
+	suspended  time.Duration          // of that, how long the VM was suspended; deadline is corrected for it
+	firstTurn  bool                   // the request uses a token budget, and no turn of its program has reserved tokens through this VM
 
 	excluded       []string        // ids of endpoints that are not tried any more
 	endedUnder     []string        // processes of endpoints that ended while they may have been running the request
--- a/internal/system/forwarder/preparation.go
+++ b/internal/system/forwarder/preparation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"time"
 
@@ -28,8 +29,8 @@
 
 // ConversationStore keeps the turns of conversations.
 type ConversationStore interface {
-	// Load returns what an endpoint gets before the input of a turn that goes on from another one.
-	Load(ctx context.Context, previous conversations.Key, maxBytes int64) ([]byte, error)
+	// Load returns the conversation up to a turn, of at most maxBytes.
+	Load(ctx context.Context, previous conversations.Key, maxBytes int64) (*conversations.History, error)
 	// Keep returns nil once the turn survives the loss of all VMs.
 	Keep(ctx context.Context, turn conversations.Turn) error
 }
@@ -85,9 +86,9 @@
 // preparation is what a request needs besides tokens and a slot. All of it is asked for at
 // the same time, and while the tokens are reserved.
 type preparation struct {
-	quota   chan error // nil if the request counts against no quota
-	history chan error // nil if the request goes on from no turn
-	loaded  []byte     // set before history receives nil
+	quota   chan error             // nil if the request counts against no quota
+	history chan error             // nil if the request goes on from no turn
+	loaded  *conversations.History // set before history receives nil
 }
 
 // startPreparation asks for all that the request needs.
@@ -102,7 +103,10 @@
 	if x.retained() && x.request.PreviousTurn != "" {
 		p.history = make(chan error, 1)
 		key := conversations.Key{Workspace: x.workspaceName(), Turn: x.request.PreviousTurn}
-		maxBytes := x.maxBody - int64(len(x.request.Body))
+		maxBytes := int64(math.MaxInt64 - 1)
+		if x.maxBody > 0 {
+			maxBytes = x.maxBody - int64(len(x.request.Body))
+		}
 		go func() {
 			var err error
 			p.loaded, err = x.f.Conversations.Load(ctx, key, maxBytes)
@@ -143,8 +147,8 @@
 	err := <-p.history
 	switch {
 	case err == nil:
-		x.input = x.request.Body
-		x.request.Body = append(p.loaded, x.input...)
+		x.history, x.input = p.loaded, x.request.Body
+		x.request.Body = p.loaded.Append(x.input)
 		return true
 	case errors.Is(err, conversations.ErrNotFound):
 		x.refuse(http.StatusNotFound, "no such turn", 0)
@@ -182,8 +186,8 @@
 		input = x.request.Body
 	}
 	turn := conversations.Turn{
-		Key:      conversations.Key{Workspace: x.workspaceName(), Turn: x.request.ID},
-		Previous: x.request.PreviousTurn, Input: input, Output: x.output, Retention: x.route.Retention,
+		Key:     conversations.Key{Workspace: x.workspaceName(), Turn: x.request.ID},
+		History: x.history, Input: input, Output: x.output, Oversize: x.oversize, Retention: x.route.Retention,
 	}
 	if err := x.f.Conversations.Keep(x.ctx, turn); err != nil {
 		x.cause, x.complete, x.failureReason = err, false, "turn not kept"
--- a/internal/system/forwarder/response.go
+++ b/internal/system/forwarder/response.go
@@ -24,6 +24,8 @@
 	maxBufferedBody = 64 << 10
 	// maxEventSize bounds one event of a stream.
 	maxEventSize = 256 << 10
+	// maxRecordedOutput bounds the recorded output of a turn if the operators don't bound requests.
+	maxRecordedOutput = 4 << 20
 	// maxRejectionBody bounds the body of a rejection, which is discarded.
 	maxRejectionBody = 16 << 10
 )
@@ -187,6 +189,7 @@
 			x.recordFirstEvent()
 			x.sendStreamHeader(resp)
 			x.recordEvents(block)
+			x.recordOutput(buf[:block.length])
 			conn.InactivityTimeout = min(probeAfterSilence, x.overdueAfter())
 			if werr := x.writeAndFlush(flusher, buf[:block.length]); werr != nil {
 				return werr
@@ -239,6 +242,17 @@
 	}
 }
 
+// recordOutput records the data of complete events of a turn that is kept.
+func (x *exchange) recordOutput(events []byte) {
+	if !x.retained() || x.oversize {
+		return
+	}
+	x.output = appendEventData(x.output, events)
+	if len(x.output) > maxRecordedOutput || x.maxBody > 0 && int64(len(x.output)) > x.maxBody {
+		x.output, x.oversize = nil, true
+	}
+}
+
 func (x *exchange) writeAndFlush(flusher *http.ResponseController, b []byte) error {
 	if _, err := x.w.Write(b); err != nil {
 		return fmt.Errorf("%w: %w", errCallerGone, err)
