--- a/internal/forward/config.go
+++ b/internal/forward/config.go
@@ -47,7 +47,7 @@
 	Services           []WeightedService
 	MaxEndpoints       int           // endpoints that may run one request; less than 1 counts as 1
 	Resumable          bool          // endpoints can resume a stream after an event
-	Public             bool          // needs no key
+	Public             bool          // needs no key, also where the configuration has workspaces
 	Retain             bool          // the system keeps the conversations of its programs
 	Retention          time.Duration // for which a turn can be gone on from
 	EventGapTarget     time.Duration // longest time between two events of a stream that counts as on time; 0 for no target
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -8,6 +8,8 @@
 	"crypto/subtle"
 	"encoding/base64"
 	"encoding/hex"
+	"errors"
+	"fmt"
 	"net/http"
 	"strings"
 
@@ -52,8 +54,13 @@
 
 // Bearer returns the bearer token in a request's Authorization header. It returns
 // false if there is none or if it is longer than MaxKeyBytes.
-func Bearer(h http.Header) (string, bool) {
-	const scheme = "bearer "
+func Bearer(h http.Header) (string, bool) { return Credential(h, "bearer") }
+
+// Credential returns the key in a request's Authorization header with the given scheme,
+// whose case doesn't matter. It returns false if there is none or if it is longer than
+// MaxKeyBytes.
+func Credential(h http.Header, scheme string) (string, bool) {
+	scheme += " "
 	value := h.Get("Authorization")
 	if len(value) <= len(scheme) || !strings.EqualFold(value[:len(scheme)], scheme) {
 		return "", false
@@ -62,6 +69,12 @@
 	return key, key != "" && len(key) <= MaxKeyBytes
 }
 
+// Errors of Set.Add.
+var (
+	ErrKeyLength = errors.New("key is empty or too long")
+	ErrSharedKey = errors.New("two holders share a key")
+)
+
 // Set is an immutable set of accepted keys. Each key has a holder: the name of
 // its workspace, or "operator".
 type Set struct{ entries []entry }
@@ -93,6 +106,19 @@
 	return s
 }
 
+// Add adds a key of a holder. It must not be called once the set is in use.
+func (s *Set) Add(holder, key string) error {
+	if key == "" || len(key) > MaxKeyBytes {
+		return fmt.Errorf("%w: %d bytes", ErrKeyLength, len(key))
+	}
+	if other, ok := s.Holder(key); ok && other != holder {
+		return fmt.Errorf("%w: %q and %q", ErrSharedKey, other, holder)
+	} else if !ok {
+		s.entries = append(s.entries, entry{HashKey(key), holder})
+	}
+	return nil
+}
+
 func (s *Set) add(holder string, hashes []string) {
 	for _, text := range hashes {
 		if h, ok := ParseHash(text); ok {
--- a/internal/system/forwarder/attempt.go
+++ b/internal/system/forwarder/attempt.go
@@ -147,6 +147,10 @@
 		h[name] = values
 	}
 	headers := &x.f.Headers
+	if x.needsKeys { // only the system names workspaces, and endpoints see no keys
+		delete(h, "Authorization")
+		delete(h, headers.Workspace)
+	}
 	h[headers.Deadline] = []string{strconv.FormatInt(max(1, time.Until(x.endBy()).Milliseconds()), 10)}
 	if x.workspace != nil {
 		h[headers.Workspace] = []string{x.workspace.Name}
--- a/internal/system/forwarder/preparation.go
+++ b/internal/system/forwarder/preparation.go
@@ -41,6 +41,7 @@
 // authenticate finds the workspace of a request by its key. It refuses the request if the
 // route needs a key and the request has no valid one.
 func (x *exchange) authenticate(cfg *forward.Config, confirmErr error) bool {
+	x.needsKeys = cfg.Keys != nil
 	if cfg.Keys == nil || x.route.Public {
 		return true
 	}
