--- a/internal/system/conversations/conversations.go
+++ b/internal/system/conversations/conversations.go
@@ -287,6 +287,8 @@
 	started := time.Now()
 	i := t.id()
 	record := k.record(t)
+	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
+	defer cancel()
 	err := k.write(ctx, i, record)
 	took := time.Since(started)
 	k.Metrics.observeKeep(err, took, len(record.data))
@@ -328,8 +330,11 @@
 
 // Timing of writes.
 const (
-	maxWriteAttempts  = 4
-	writeRetryBackoff = 20 * time.Millisecond
+	// keepTimeout is how long a caller waits for its turn to be kept.
+	keepTimeout = 1500 * time.Millisecond
+	// Pauses between attempts to write a turn.
+	minWritePause = 20 * time.Millisecond
+	maxWritePause = 160 * time.Millisecond
 )
 
 // write writes a turn's rows. It may be repeated, also while an earlier write is under way.
@@ -344,25 +349,22 @@
 
 // commit commits one transaction of a turn.
 func (k *Keeper) commit(ctx context.Context, i id, t *turn, writes []platform.Write) error {
-	var err error
-	for range maxWriteAttempts {
-		_, err = k.Table.CommitVersioned(ctx, writes)
+	for pause := minWritePause; ; pause = min(2*pause, maxWritePause) {
+		_, err := k.Table.CommitVersioned(ctx, writes)
 		var conflict *platform.ConflictError
 		if errors.As(err, &conflict) {
 			var stored *turn
-			if stored, err = k.read(ctx, i); err == nil {
-				if stored.digest != t.digest {
-					return errOtherContent
-				}
-				return nil
+			if stored, err = k.read(ctx, i); err == nil && stored.digest != t.digest {
+				err = errOtherContent
 			}
 		}
-		if err == nil {
-			return nil
-		}
-		if !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrOutcomeUnknown) || !clock.Sleep(ctx, writeRetryBackoff) {
-			break
+		if err == nil || !transient(err) || !clock.Sleep(ctx, pause) {
+			return err
 		}
 	}
-	return err
+}
+
+// transient reports whether a call of the table service that failed may be repeated.
+func transient(err error) bool {
+	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrOutcomeUnknown)
 }
