conversations: rows of short conversations contain the whole of it

A cold conversation took one read and then one for each earlier turn, at the same time. Up to 16 KiB its last row holds all of it, so that one read is enough; in memory turns still share their past.

--- a/internal/system/conversations/cache.go
+++ b/internal/system/conversations/cache.go
@@ -32,11 +32,14 @@
 	return cached.turn
 }
 
-// put adds a turn.
+// put adds a turn, or replaces it.
 func (c *cache) put(workspace string, i id, t *turn, maxBytes int64) {
-	if c.turns[i] != nil || t.size() > maxBytes {
+	if t.size() > maxBytes {
 		return
 	}
+	if e := c.turns[i]; e != nil {
+		c.remove(e)
+	}
 	if c.turns == nil {
 		c.turns, c.workspaces = make(map[id]*list.Element), make(map[string]*cachedWorkspace)
 	}
@@ -61,11 +64,17 @@
 			largest = w
 		}
 	}
-	oldest := largest.recent.Remove(largest.recent.Back()).(*cachedTurn)
-	delete(c.turns, oldest.id)
-	largest.bytes -= oldest.turn.size()
-	c.bytes -= oldest.turn.size()
-	if largest.recent.Len() == 0 {
-		delete(c.workspaces, oldest.workspace)
+	c.remove(largest.recent.Back())
+}
+
+func (c *cache) remove(e *list.Element) {
+	cached := e.Value.(*cachedTurn)
+	w := c.workspaces[cached.workspace]
+	w.recent.Remove(e)
+	delete(c.turns, cached.id)
+	w.bytes -= cached.turn.size()
+	c.bytes -= cached.turn.size()
+	if w.recent.Len() == 0 {
+		delete(c.workspaces, cached.workspace)
 	}
 }
--- a/internal/system/conversations/conversations.go
+++ b/internal/system/conversations/conversations.go
@@ -14,6 +14,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -161,15 +162,19 @@
 
 func (k *Keeper) load(ctx context.Context, key Key, maxBytes int64) (*History, error) {
 	last := key.id()
-	t, source, err := k.find(ctx, key.Workspace, last)
-	if err != nil {
-		return nil, err
+	h := k.fromMemory(last)
+	if h == nil {
+		t, source, err := k.fetch(ctx, key.Workspace, last)
+		if err != nil {
+			return nil, err
+		}
+		h = &History{last: last, turns: []*turn{t}, Source: source}
 	}
+	t := h.turns[len(h.turns)-1]
 	if t.total > maxBytes {
 		return nil, ErrTooLarge
 	}
-	h := &History{last: last, turns: []*turn{t}, Source: source}
-	for len(h.turns[0].ancestors) > 0 {
+	for len(h.turns[0].ancestors) > 0 && h.Source != FromMemory {
 		before, err := k.findAll(ctx, key.Workspace, h.turns[0].ancestors)
 		if errors.Is(err, ErrNotFound) && !k.expired(t) {
 			err = errUncertain // an ancestor outlives its turns
@@ -182,6 +187,25 @@
 	return h, nil
 }
 
+// fromMemory returns the conversation up to a turn, or nil if a part of it is not in memory.
+func (k *Keeper) fromMemory(last id) *History {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	t := k.cache.get(last)
+	if t == nil {
+		return nil
+	}
+	h := &History{last: last, turns: []*turn{t}, Source: FromMemory}
+	for previous, ok := t.predecessor(); ok; previous, ok = t.predecessor() {
+		if t = k.cache.get(previous); t == nil {
+			return nil
+		}
+		h.turns = append(h.turns, t)
+	}
+	slices.Reverse(h.turns)
+	return h
+}
+
 // findAll finds turns at the same time.
 func (k *Keeper) findAll(ctx context.Context, workspace string, ids []id) ([]*turn, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -197,7 +221,7 @@
 		wg.Go(func() {
 			defer func() { <-running }()
 			var err error
-			if turns[i], _, err = k.find(ctx, workspace, ids[i]); err != nil {
+			if turns[i], _, err = k.fetch(ctx, workspace, ids[i]); err != nil {
 				cancel(err)
 			}
 		})
@@ -206,18 +230,18 @@
 	return turns, context.Cause(ctx)
 }
 
-// cached returns a turn from memory, or nil.
+// cached returns a turn from memory as its row has it, or nil.
 func (k *Keeper) cached(i id) *turn {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.cache.get(i)
+	if t := k.cache.get(i); t != nil && !t.short {
+		return t
+	}
+	return nil
 }
 
-// find finds one turn.
-func (k *Keeper) find(ctx context.Context, workspace string, i id) (*turn, Source, error) {
-	if t := k.cached(i); t != nil {
-		return t, FromMemory, nil
-	}
+// fetch reads a turn and keeps it in memory.
+func (k *Keeper) fetch(ctx context.Context, workspace string, i id) (*turn, Source, error) {
 	t, err := k.read(ctx, i)
 	if err != nil {
 		return nil, "", err
@@ -286,10 +310,10 @@
 func (k *Keeper) Keep(ctx context.Context, t Turn) error {
 	started := time.Now()
 	i := t.id()
-	record := k.record(t)
+	record, history := k.record(t)
 	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
 	defer cancel()
-	err := k.write(ctx, i, record)
+	stored, err := k.write(ctx, i, record)
 	took := time.Since(started)
 	k.Metrics.observeKeep(err, took, len(record.data))
 	fields := []zap.Field{tag.Attempt(t.Turn), tag.Workspace(t.Workspace), tag.Duration(took), tag.Bytes(int64(len(record.data)))}
@@ -297,35 +321,49 @@
 		k.Log.Warn("turn not kept", append(fields, tag.Error(err))...)
 		return err
 	}
-	k.remember(t.Workspace, i, record)
+	if stored == record {
+		stored = record.without(history)
+	}
+	k.remember(t.Workspace, i, stored)
 	k.Log.Info("turn kept", append(fields, tag.Count(len(record.ancestors)))...)
 	return nil
 }
 
-// record returns what is stored of a turn. It contains the whole conversation if a row that
-// holds a part of it may be deleted within the turn's retention.
-func (k *Keeper) record(t Turn) *turn {
+// inlineBytes is the length up to which a turn's row contains the whole conversation, so that
+// one short read finds it.
+const inlineBytes = 16 << 10
+
+// record returns what is stored of a turn. It contains the whole conversation if that is short,
+// or if a row that holds a part of it may be deleted within the turn's retention. It also returns
+// the number of bytes of the data that are those of earlier turns.
+func (k *Keeper) record(t Turn) (*turn, int) {
 	now, _ := k.TableTime()
-	r := &turn{written: now, retention: t.Retention, chainExpires: now + lifetime(t.Retention)}
+	r := &turn{
+		written: now, retention: t.Retention, chainExpires: now + lifetime(t.Retention), digest: digest(t), total: int64(len(t.Input) + len(t.Output)),
+	}
+	if t.Oversize {
+		r.total = math.MaxInt64
+		return r, 0
+	}
 	var history []byte
 	if h := t.History; h != nil {
 		last := h.turns[len(h.turns)-1]
-		r.total = last.total
-		if last.chainExpires < now+t.Retention+lifetimeSlack {
+		r.total += last.total
+		if r.total <= inlineBytes || last.chainExpires < now+t.Retention+lifetimeSlack {
 			history = h.Append(nil)
+			r.previous = h.last
 		} else {
 			r.chainExpires = min(r.chainExpires, last.chainExpires)
-			r.ancestors = append(last.ancestors[max(0, len(last.ancestors)+1-maxAncestors):len(last.ancestors):len(last.ancestors)], h.last)
+			r.ancestors = followedBy(last.ancestors, h.last)
 		}
 	}
-	r.data = make([]byte, 0, len(history)+len(t.Input)+len(t.Output))
-	r.data = append(append(append(r.data, history...), t.Input...), t.Output...)
-	r.total += int64(len(t.Input) + len(t.Output))
-	if t.Oversize {
-		r.data, r.ancestors, r.total = nil, nil, math.MaxInt64
-	}
-	r.digest = digest(t)
-	return r
+	r.data = slices.Concat(history, t.Input, t.Output)
+	return r, len(history)
+}
+
+// followedBy returns the last of the ancestors of a turn, followed by the turn.
+func followedBy(ancestors []id, i id) []id {
+	return append(slices.Clone(ancestors[max(0, len(ancestors)+1-maxAncestors):]), i)
 }
 
 // Timing of writes.
@@ -337,29 +375,30 @@
 	maxWritePause = 160 * time.Millisecond
 )
 
-// write writes a turn's rows. It may be repeated, also while an earlier write is under way.
-func (k *Keeper) write(ctx context.Context, i id, t *turn) error {
+// write writes a turn's rows. It may be repeated, also while an earlier write is under way. It
+// returns the turn that is stored: an earlier write of the same turn may have won.
+func (k *Keeper) write(ctx context.Context, i id, t *turn) (stored *turn, err error) {
 	for _, transaction := range encodeTurn(i, t, k.RowBytes) {
-		if err := k.commit(ctx, i, t, transaction); err != nil {
-			return err
+		if stored, err = k.commit(ctx, i, t, transaction); err != nil {
+			return nil, err
 		}
 	}
-	return nil
+	return stored, nil
 }
 
 // commit commits one transaction of a turn.
-func (k *Keeper) commit(ctx context.Context, i id, t *turn, writes []platform.Write) error {
+func (k *Keeper) commit(ctx context.Context, i id, t *turn, writes []platform.Write) (*turn, error) {
 	for pause := minWritePause; ; pause = min(2*pause, maxWritePause) {
 		_, err := k.Table.CommitVersioned(ctx, writes)
+		stored := t
 		var conflict *platform.ConflictError
 		if errors.As(err, &conflict) {
-			var stored *turn
 			if stored, err = k.read(ctx, i); err == nil && stored.digest != t.digest {
 				err = errOtherContent
 			}
 		}
 		if err == nil || !transient(err) || !clock.Sleep(ctx, pause) {
-			return err
+			return stored, err
 		}
 	}
 }
--- a/internal/system/conversations/conversations_test.go
+++ b/internal/system/conversations/conversations_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"math"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -163,7 +164,7 @@
 		is.True(err != nil && !errors.Is(err, ErrNotFound))
 	}
 	table.fail = nil
-	is.NoErr(say(newKeeper(table), "w", "b", "a", "B", ""))
+	is.NoErr(say(newKeeper(table), "w", "b", "a", string(make([]byte, inlineBytes)), ""))
 	delete(table.rows, Key{"w", "a"}.id().rowKey())
 	_, err := heard(newKeeper(table), "w", "b") // whose ancestor must be there
 	is.True(errors.Is(err, errUncertain))
@@ -174,7 +175,7 @@
 	table := newFakeTable()
 	table.lose = 1
 	is.NoErr(say(newKeeper(table), "w", "a", "", "A", "a\n"))
-	is.NoErr(say(newKeeper(table), "w", "a", "", "A", "a\n"))                     // kept again
+	is.NoErr(say(newKeeper(table), "w", "a", "", "A", "a\n"))                      // kept again
 	is.Equal(say(newKeeper(table), "w", "a", "", "A", "other\n"), errOtherContent) // made anew
 	got, err := heard(newKeeper(table), "w", "a")
 	is.NoErr(err)
@@ -215,8 +216,8 @@
 	needed := make(map[platform.Key]time.Duration) // by row, until when
 	for n := range 20 {
 		name := fmt.Sprint("t", n)
-		is.NoErr(say(newKeeper(table), "w", name, previous, name, "\n"))
-		previous, want = name, want+name+"\n"
+		is.NoErr(say(newKeeper(table), "w", name, previous, strings.Repeat(name, 1000), "\n"))
+		previous, want = name, want+strings.Repeat(name, 1000)+"\n"
 		k := newKeeper(table)
 		h, err := k.Load(context.Background(), Key{"w", name}, math.MaxInt64-1)
 		is.NoErr(err)
--- a/internal/system/conversations/row.go
+++ b/internal/system/conversations/row.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -39,6 +40,29 @@
 	total        int64  // bytes of the conversation up to and with this turn
 	ancestors    []id   // those whose data comes before this turn's, oldest first
 	data         []byte // input and output, after those of all turns that aren't among the ancestors
+	// short says that data lacks that of the previous turn, although the row has it. Such a turn
+	// is in memory only.
+	short    bool
+	previous id
+}
+
+// predecessor returns the turn whose data comes right before this turn's.
+func (t *turn) predecessor() (id, bool) {
+	if n := len(t.ancestors); n > 0 && !t.short {
+		return t.ancestors[n-1], true
+	}
+	return t.previous, t.short
+}
+
+// without returns the turn without the first bytes of its data, which are those of the previous
+// turn.
+func (t *turn) without(bytes int) *turn {
+	if bytes == 0 {
+		return t
+	}
+	short := *t
+	short.short, short.data = true, slices.Clone(t.data[bytes:])
+	return &short
 }
 
 // size returns the memory that the turn takes.
