--- /dev/null
+++ b/internal/policy/quota/share.go
@@ -0,0 +1,257 @@
+// Package quota decides how the quota of a workspace is shared by all VMs: how many tokens,
+// each for one request, the keeper of a data centre's share grants, and how many a VM takes
+// ahead. It is pure: no clock, no network.
+//
+// The quota is rate x time + burst in any window of time. It is split evenly over the data
+// centres; each share is a token bucket that one process keeps. The bound holds for any
+// window of w:
+//
+//   - A token is used at most Validity after the VM asked for it, and it is granted in
+//     between. So what is used in the window was granted in w + Validity.
+//   - In that time the keepers of a share, one after the other, grant at most
+//     rate x (w + Validity) + capacity: each starts with an empty bucket only after the one
+//     before has granted its last token, so it adds nothing but what is refilled after that.
+//     What a lost keeper had granted need not be known or waited for.
+//   - A bucket holds at most its capacity, however long its keeper was paused.
+//   - Grants that are lost or not used count as used.
+//
+// The load that it answers: a few workspaces send several times their quota while most send
+// well below it, on many VMs, with programs of several dependent requests. A program that is
+// turned away at its first request costs nobody anything; one that is turned away later has
+// wasted what it used before. So requests that begin a program are granted only as fast as
+// the quota can serve whole programs, and while some of the bucket is left for those under
+// way.
+package quota
+
+import (
+	"math"
+	"time"
+
+	"ibisstall.example/ibisstall/internal/policy/ratelimit"
+)
+
+const (
+	// Validity is how long after it was asked for a token may be used.
+	Validity = 500 * time.Millisecond
+	// minCapacity is the least capacity of all shares of a quota together, in requests: the
+	// requests of a small workspace come in clusters. A share holds at least one.
+	minCapacity = 12
+	// maxRate bounds the quota, in requests a second, and maxBurst its burst.
+	maxRate, maxBurst = 1e6, 1e7
+	// reservedPart is the part of a bucket that is left for programs under way.
+	reservedPart = 0.5
+	// maxWait bounds the time after which a refused request is told to return.
+	maxWait = 30 * time.Second
+)
+
+// Limit is the quota of a workspace over all data centres.
+type Limit struct {
+	PerSecond float64 // 0 for no limit
+	Burst     float64
+}
+
+// Limited reports whether the limit bounds anything.
+func (l Limit) Limited() bool { return l.PerSecond > 0 }
+
+// bounded returns the limit without values that can't be computed with.
+func (l Limit) bounded() Limit {
+	if !(l.Burst > 0) { // also for NaN
+		l.Burst = 0
+	}
+	return Limit{PerSecond: min(l.PerSecond, maxRate), Burst: min(l.Burst, maxBurst)}
+}
+
+// share returns the rate and the capacity of the share of each data centre.
+func (l Limit) share(dcs int) (perSecond, capacity float64) {
+	n := float64(max(1, dcs))
+	return l.PerSecond / n, max(1, max(minCapacity, l.Burst)/n)
+}
+
+// Ask is a VM's question to the keeper of a share.
+type Ask struct {
+	// Programs are the hashes of the programs of requests that may begin them.
+	Programs []uint64
+	Others   int // requests that don't begin a program
+	Spare    int // tokens for requests that are still expected
+	// Usage of the VM since it last asked this keeper. It is set only in questions to the
+	// keeper of the VM's own data centre.
+	Usage Usage
+}
+
+// Usage is what a VM has used of a quota, or has refused without asking.
+type Usage struct {
+	Begun, Requests               int // programs begun, and requests of all kinds
+	RefusedPrograms, RefusedOther int
+}
+
+// Less returns the usage without what was reported of it.
+func (u Usage) Less(reported Usage) Usage {
+	return Usage{
+		Begun: u.Begun - reported.Begun, Requests: u.Requests - reported.Requests,
+		RefusedPrograms: u.RefusedPrograms - reported.RefusedPrograms, RefusedOther: u.RefusedOther - reported.RefusedOther,
+	}
+}
+
+// Answer is the answer to an Ask.
+type Answer struct {
+	Granted  []bool // of Ask.Programs
+	Begun    int    // of those granted, the programs that were not known to be under way
+	Others   int
+	Spare    int
+	WaitNew  time.Duration // if a program was refused: until one will be granted that begins
+	WaitMore time.Duration // if another request was refused: until one will be granted
+	// Left is the number of tokens left, for logs.
+	Left float64
+}
+
+// Share is the accounting of one workspace's share at its keeper.
+type Share struct {
+	limit      Limit
+	dcs        int
+	tokens     float64 // requests that may be granted at once
+	credit     float64 // requests that programs which begin now may need
+	length     programLength
+	underWay   programSet
+	refusedNew ratelimit.Backlog
+	refused    ratelimit.Backlog
+	updatedAt  time.Duration
+}
+
+// NewShare returns the share of a workspace that has not asked since a process became the
+// keeper, with an empty bucket, at keptSince.
+func NewShare(limit Limit, dcs int, keptSince, now time.Duration) *Share {
+	s := &Share{limit: limit.bounded(), dcs: dcs, updatedAt: keptSince, length: newProgramLength(now)}
+	s.advance(now)
+	_, s.credit = s.creditLimits()
+	return s
+}
+
+// advance adds the tokens of the time since the last call.
+func (s *Share) advance(now time.Duration) {
+	if now <= s.updatedAt {
+		return
+	}
+	perSecond, capacity := s.limit.share(s.dcs)
+	refill := perSecond * (now - s.updatedAt).Seconds()
+	s.tokens = min(s.tokens+refill, capacity)
+	_, maxCredit := s.creditLimits()
+	s.credit = min(s.credit+refill, maxCredit)
+	s.updatedAt = now
+}
+
+// setLimit changes the limit. Tokens beyond a lower one's capacity are lost.
+func (s *Share) setLimit(limit Limit, dcs int) {
+	s.limit, s.dcs = limit, dcs
+	_, capacity := limit.share(dcs)
+	_, maxCredit := s.creditLimits()
+	s.tokens, s.credit = min(s.tokens, capacity), min(s.credit, maxCredit)
+}
+
+// clusteredPrograms is the number of programs that may begin at once in all data centres,
+// beside those that the burst has room for: programs of a small workspace begin in clusters.
+const clusteredPrograms = 8
+
+// creditLimits returns the credit that a program needs to begin, and the most that there
+// can be. Over a window of time the credit lets as many programs begin as the quota of that
+// window can serve to their end.
+func (s *Share) creditLimits() (each, most float64) {
+	_, capacity := s.limit.share(s.dcs)
+	each = s.length.mean()
+	return each, capacity + max(1, clusteredPrograms/float64(max(1, s.dcs)))*each
+}
+
+// Grant answers a question. The limit may have changed since the last one.
+func (s *Share) Grant(limit Limit, dcs int, ask Ask, now time.Duration) Answer {
+	s.advance(now)
+	if limit = limit.bounded(); limit != s.limit || dcs != s.dcs {
+		s.setLimit(limit, dcs)
+	}
+	s.length.observe(ask.Usage, now)
+	s.underWay.rotate(now)
+	for range ask.Usage.RefusedOther {
+		s.refuseOther()
+	}
+	for range ask.Usage.RefusedPrograms {
+		s.refuseNew()
+	}
+	var a Answer
+	a.Others = s.take(ask.Others, 0)
+	for range ask.Others - a.Others {
+		a.WaitMore = s.refuseOther()
+	}
+	if len(ask.Programs) > 0 {
+		a.Granted = make([]bool, len(ask.Programs))
+	}
+	for i, program := range ask.Programs {
+		if s.underWay.has(program) {
+			if a.Granted[i] = s.take(1, 0) == 1; !a.Granted[i] {
+				a.WaitMore = s.refuseOther()
+			}
+		} else if a.Granted[i] = s.begin(); a.Granted[i] {
+			a.Begun++
+		} else {
+			a.WaitNew = s.refuseNew()
+		}
+		if a.Granted[i] {
+			s.underWay.add(program)
+		}
+	}
+	a.Spare = s.take(ask.Spare, s.reserve())
+	a.Left = s.tokens
+	return a
+}
+
+// reserve is the number of tokens that are left for programs under way.
+func (s *Share) reserve() float64 {
+	_, capacity := s.limit.share(s.dcs)
+	return (capacity - 1) * reservedPart
+}
+
+// take takes up to n tokens as long as some are left, and returns how many.
+func (s *Share) take(n int, left float64) int {
+	n = max(0, min(n, int(math.Floor(s.tokens-left))))
+	s.tokens -= float64(n)
+	return n
+}
+
+// begin takes a token for the first request of a program.
+func (s *Share) begin() bool {
+	each, _ := s.creditLimits()
+	if s.credit < each || s.take(1, s.reserve()) == 0 {
+		return false
+	}
+	s.credit -= each
+	return true
+}
+
+// refuseOther records a refused request and returns the time until such a request is granted.
+// Callers that are refused ask the keepers of all shares, so the whole quota serves them.
+func (s *Share) refuseOther() (wait time.Duration) {
+	s.refused, wait = s.refused.Refuse(s.limit.PerSecond, 0, s.updatedAt)
+	return min(maxWait, max(wait, s.refill(1-s.tokens)))
+}
+
+// refuseNew is refuseOther for a request that begins a program.
+func (s *Share) refuseNew() (wait time.Duration) {
+	each, _ := s.creditLimits()
+	s.refusedNew, wait = s.refusedNew.Refuse(s.limit.PerSecond/each, 0, s.updatedAt)
+	return min(maxWait, max(wait, s.refill(each-s.credit), s.refill(1+s.reserve()-s.tokens)))
+}
+
+// refill returns the time in which the share gets a number of tokens.
+func (s *Share) refill(tokens float64) time.Duration {
+	perSecond, _ := s.limit.share(s.dcs)
+	if tokens <= 0 {
+		return 0
+	}
+	return time.Duration(min(maxWait.Seconds(), tokens/perSecond) * float64(time.Second))
+}
+
+// Forgettable reports whether the share is as one that has not asked since its keeper began.
+func (s *Share) Forgettable(now time.Duration) bool {
+	s.advance(now)
+	s.underWay.rotate(now)
+	_, capacity := s.limit.share(s.dcs)
+	_, maxCredit := s.creditLimits()
+	return s.tokens >= capacity && s.credit >= maxCredit && s.underWay.empty()
+}
--- a/internal/system/forwarder/preparation.go
+++ b/internal/system/forwarder/preparation.go
@@ -96,7 +96,7 @@
 	ctx := x.drain.startCtx
 	if w := x.workspace; w != nil && w.Quota.Limited() && x.f.Quota != nil {
 		p.quota = make(chan error, 1)
-		req := quota.Request{Workspace: w.Name, First: x.firstTurn}
+		req := quota.Request{Workspace: w.Name, First: x.firstTurn, Program: x.request.Program}
 		go func() { p.quota <- x.f.Quota.Acquire(ctx, w.Quota, req) }()
 	}
 	if x.retained() && x.request.PreviousTurn != "" {
--- /dev/null
+++ b/internal/system/quota/quotas.go
@@ -0,0 +1,382 @@
+package quota
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ibisstall.example/ibisstall/internal/clock"
+	"ibisstall.example/ibisstall/internal/forward"
+	"ibisstall.example/ibisstall/internal/metric"
+	"ibisstall.example/ibisstall/internal/policy/quota"
+)
+
+const (
+	// keeperTimeout bounds a call to a keeper, which responds without waiting.
+	keeperTimeout = 150 * time.Millisecond
+	// dcTimeout bounds all calls to the processes that may keep a share in this data centre,
+	// and again all calls to those of the other data centres together.
+	dcTimeout = 2 * keeperTimeout
+	// maxCandidates is the number of processes that are tried as the keeper of a share.
+	maxCandidates = 3
+	// maxRequests bounds the requests of one question.
+	maxRequests = 256
+	// maxPause bounds the time for which a data centre's share is not asked for after its
+	// keeper had nothing left, and is that after none was found.
+	maxPause = 100 * time.Millisecond
+	// maxQuestions is how often a request is asked for if the tokens came too late.
+	maxQuestions = 2
+	// idleTime is how long the account of a workspace that sends nothing is kept.
+	idleTime = 30 * time.Second
+	// maxWorkspaces bounds the label values of metrics.
+	maxWorkspaces = 64
+)
+
+// errNotKept means that no process that answered keeps the share.
+var errNotKept = errors.New("no keeper found")
+
+// errLate means that the tokens were void when they arrived.
+var errLate = errors.New("answer came too late")
+
+// Caller calls methods of other processes. tokenbudget.PeerClient implements it.
+type Caller interface {
+	Call(ctx context.Context, process, method string, timeout time.Duration, args, reply any) error
+}
+
+// Quotas takes requests from the quotas of workspaces. It is safe for concurrent use.
+type Quotas struct {
+	DC      string
+	DCs     []string // all data centres
+	Process string   // id of this process
+	Keeper  *Keeper  // of the shares that this process keeps
+	Peers   Caller
+	Metrics *Metrics
+
+	mu       sync.Mutex
+	accounts map[string]*account // guarded by mu; by workspace
+}
+
+// Metrics counts what is taken from the quotas of workspaces.
+type Metrics struct {
+	granted, exceeded, unavailable *metric.CounterVec
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(r *metric.Registry) *Metrics {
+	return &Metrics{
+		granted:     r.CounterVec("ibisstall_quota_granted_total", "workspace", maxWorkspaces),
+		exceeded:    r.CounterVec("ibisstall_quota_exceeded_total", "workspace", maxWorkspaces),
+		unavailable: r.CounterVec("ibisstall_quota_unavailable_total", "workspace", maxWorkspaces),
+	}
+}
+
+// account is what this VM knows of one workspace. It is guarded by Quotas.mu.
+type account struct {
+	name       string
+	version    int64 // of the configuration that limit is from
+	limit      quota.Limit
+	purse      quota.Purse
+	waiting    []*waiter
+	asking     bool             // a question is under way; there is one at a time
+	noSpare    time.Duration    // until then no tokens are asked for ahead
+	pauses     map[string]pause // by data centre
+	usage      quota.Usage      // not yet reported
+	lastUsedAt time.Duration
+}
+
+// pause is the time for which a data centre's share is not asked for.
+type pause struct {
+	until time.Duration
+	err   error // why no keeper was found; nil if the share has nothing left
+}
+
+// waiter is a request that waits for an answer.
+type waiter struct {
+	req       Request
+	result    chan error // receives one value
+	questions int        // asked for it
+	verdict   verdict
+}
+
+// verdict is what the keepers that could not grant a request have said.
+type verdict struct {
+	unavailable []error
+	wait        time.Duration // the shortest of those named
+	begins      bool
+	left        float64
+}
+
+// Acquire takes a request from a workspace's quota. The error is an *ExceededError if all
+// shares are used up, or wraps ErrUnavailable.
+func (q *Quotas) Acquire(ctx context.Context, limit forward.Quota, req Request) error {
+	if !limit.Limited() {
+		return nil
+	}
+	w := q.enqueue(limit, req)
+	if w == nil {
+		return nil
+	}
+	select {
+	case err := <-w.result:
+		return err
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// enqueue takes a token that this VM has, and returns nil, or makes the request wait.
+func (q *Quotas) enqueue(limit forward.Quota, req Request) *waiter {
+	now := q.Keeper.Clock.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	a := q.accounts[req.Workspace]
+	if a == nil {
+		a = &account{name: req.Workspace, pauses: make(map[string]pause)}
+		if q.accounts == nil {
+			q.accounts = make(map[string]*account)
+		}
+		q.accounts[req.Workspace] = a
+	}
+	a.lastUsedAt = now
+	a.version, a.limit = q.versionOf(limit, req.Workspace), limitOf(limit)
+	a.purse.Observe(now)
+	var w *waiter
+	if !req.First && len(a.waiting) == 0 && a.purse.Take(now) {
+		q.recordGrant(a)
+	} else {
+		w = &waiter{req: req, result: make(chan error, 1)}
+		a.waiting = append(a.waiting, w)
+	}
+	if !a.asking && (w != nil || a.spare(now) > 0) {
+		a.asking = true
+		go q.ask(a)
+	}
+	return w
+}
+
+// versionOf returns the version of the configuration that a workspace's limit is from; 0 if
+// it is not the one in force any more.
+func (q *Quotas) versionOf(limit forward.Quota, workspace string) int64 {
+	if cfg := q.Keeper.Config(); cfg != nil {
+		if w := cfg.Workspaces[workspace]; w != nil && w.Quota == limit {
+			return cfg.Version
+		}
+	}
+	return 0
+}
+
+// spare returns how many tokens to ask for ahead.
+func (a *account) spare(now time.Duration) int {
+	if now < a.noSpare {
+		return 0
+	}
+	return a.purse.Spare(now)
+}
+
+func (q *Quotas) recordGrant(a *account) {
+	a.usage.Requests++
+	q.Metrics.granted.With(a.name).Inc()
+}
+
+// ask asks for what waits and for tokens ahead until neither is left.
+func (q *Quotas) ask(a *account) {
+	for {
+		q.mu.Lock()
+		now := q.Keeper.Clock.Now()
+		n := min(len(a.waiting), maxRequests)
+		waiting, spare := a.waiting[:n:n], a.spare(now)
+		a.waiting = a.waiting[n:]
+		if n == 0 && spare == 0 {
+			a.asking = false
+			q.mu.Unlock()
+			return
+		}
+		q.mu.Unlock()
+		q.askAll(a, waiting, spare)
+	}
+}
+
+// askAll asks the keepers of the shares, that of this data centre first, until all requests
+// are granted, and refuses the others.
+func (q *Quotas) askAll(a *account, waiting []*waiter, spare int) {
+	for _, w := range waiting {
+		w.questions++
+		w.verdict = verdict{}
+	}
+	waiting = q.askDC(context.Background(), a, q.DC, waiting, spare)
+	if len(waiting) > 0 {
+		ctx, cancel := context.WithTimeout(context.Background(), dcTimeout)
+		defer cancel()
+		for _, dc := range q.DCs {
+			if dc != q.DC && len(waiting) > 0 {
+				waiting = q.askDC(ctx, a, dc, waiting, 0)
+			}
+		}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, w := range waiting {
+		q.refuse(a, w)
+	}
+}
+
+// refuse ends a request that no keeper has granted; mu is held.
+func (q *Quotas) refuse(a *account, w *waiter) {
+	v := &w.verdict
+	switch {
+	case len(v.unavailable) == 0:
+		q.Metrics.exceeded.With(a.name).Inc()
+		w.result <- &ExceededError{RetryAfter: v.wait, Workspace: a.name, Limit: a.limit, Begins: v.begins, Left: v.left}
+	case errors.Is(v.unavailable[0], errLate) && w.questions < maxQuestions:
+		a.waiting = append(a.waiting, w)
+	default:
+		q.Metrics.unavailable.With(a.name).Inc()
+		w.result <- fmt.Errorf("%w: workspace %q: %w", ErrUnavailable, a.name, errors.Join(v.unavailable...))
+	}
+}
+
+// askDC asks the keeper of a data centre's share and returns the requests that it has not
+// granted.
+func (q *Quotas) askDC(ctx context.Context, a *account, dc string, waiting []*waiter, spare int) []*waiter {
+	q.mu.Lock()
+	askedAt := q.Keeper.Clock.Now()
+	if p := a.pauses[dc]; askedAt < p.until {
+		for _, w := range waiting {
+			w.verdict.add(dc, p.err, p.until-askedAt, false, 0)
+		}
+		if p.err == nil && dc == q.DC {
+			a.usage.RefusedOther += len(waiting)
+		}
+		q.mu.Unlock()
+		return waiting
+	}
+	req, firsts := a.question(waiting, spare, dc == q.DC)
+	q.mu.Unlock()
+	answer, err := q.callKeeper(ctx, dc, req)
+	now := q.Keeper.Clock.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if err == nil && now > askedAt+quota.Validity {
+		err = errLate
+	} else if err != nil {
+		a.pauses[dc] = pause{now + maxPause, err}
+	}
+	if err != nil {
+		for _, w := range waiting {
+			w.verdict.add(dc, err, 0, false, 0)
+		}
+		return waiting
+	}
+	if dc == q.DC {
+		a.usage = a.usage.Less(req.Ask.Usage)
+	}
+	return q.deliver(a, dc, waiting, firsts, answer, askedAt, now)
+}
+
+// question returns the question for requests that wait, and which of them are those of
+// Ask.Programs; mu is held.
+func (a *account) question(waiting []*waiter, spare int, home bool) (req GrantRequest, firsts []*waiter) {
+	req = GrantRequest{Workspace: a.name, Version: a.version, Limit: a.limit, Ask: quota.Ask{Spare: spare}}
+	if home {
+		req.Ask.Usage = a.usage
+	}
+	for _, w := range waiting {
+		if w.req.First {
+			firsts = append(firsts, w)
+			req.Ask.Programs = append(req.Ask.Programs, xxhash.Sum64String(w.req.Program))
+		} else {
+			req.Ask.Others++
+		}
+	}
+	return req, firsts
+}
+
+// deliver passes on what a keeper has granted, and returns the requests that it has not; mu
+// is held.
+func (q *Quotas) deliver(a *account, dc string, waiting, firsts []*waiter, answer quota.Answer, askedAt, now time.Duration) (left []*waiter) {
+	granted := make(map[*waiter]bool, len(firsts))
+	for i, w := range firsts {
+		granted[w] = i < len(answer.Granted) && answer.Granted[i]
+	}
+	others := answer.Others
+	for _, w := range waiting {
+		ok := granted[w]
+		if !w.req.First {
+			ok = others > 0
+			others--
+		}
+		if ok {
+			q.recordGrant(a)
+			w.result <- nil
+			continue
+		}
+		begins := w.req.First && answer.WaitNew > 0
+		wait := answer.WaitMore
+		if begins {
+			wait = answer.WaitNew
+		}
+		w.verdict.add(dc, nil, wait, begins, answer.Left)
+		left = append(left, w)
+	}
+	a.usage.Begun += answer.Begun
+	a.purse.Add(answer.Spare, askedAt)
+	if answer.Spare == 0 {
+		a.noSpare = now + maxPause
+	}
+	if answer.WaitMore > 0 {
+		a.pauses[dc] = pause{until: now + min(answer.WaitMore, maxPause)}
+	}
+	return left
+}
+
+func (v *verdict) add(dc string, err error, wait time.Duration, begins bool, left float64) {
+	if err != nil {
+		v.unavailable = append(v.unavailable, fmt.Errorf("%s: %w", dc, err))
+		return
+	}
+	if v.wait == 0 || wait < v.wait {
+		v.wait = wait
+	}
+	v.begins = v.begins || begins
+	v.left = max(v.left, left)
+}
+
+// callKeeper asks the processes that may keep a data centre's share, one after the other.
+func (q *Quotas) callKeeper(ctx context.Context, dc string, req GrantRequest) (quota.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, dcTimeout)
+	defer cancel()
+	err := errNotKept
+	for i, process := range q.Keeper.Ownership.Candidates(req.Workspace, dc) {
+		if i >= maxCandidates || ctx.Err() != nil {
+			break
+		}
+		var resp GrantResponse
+		if process == q.Process {
+			resp = q.Keeper.grant(req)
+		} else if callErr := q.Peers.Call(ctx, process, methodGrant, keeperTimeout, req, &resp); callErr != nil {
+			err = fmt.Errorf("%w: %w", errNotKept, callErr)
+			continue
+		}
+		if resp.Kept {
+			return resp.Answer, nil
+		}
+	}
+	return quota.Answer{}, err
+}
+
+// Sweep drops what is known of workspaces that send nothing. It is called periodically.
+func (q *Quotas) Sweep() {
+	q.Keeper.Sweep()
+	now := q.Keeper.Clock.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for name, a := range q.accounts {
+		if !a.asking && len(a.waiting) == 0 && now-a.lastUsedAt > idleTime {
+			delete(q.accounts, name)
+		}
+	}
+}
--- a/internal/system/tokenbudget/handover.go
+++ b/internal/system/tokenbudget/handover.go
@@ -112,6 +112,9 @@
 	q.storeBucket(h.Bucket, kept)
 	q.reconcileBuckets()
 	q.Log.Info("bucket accepted from its previous keeper", tag.Count(h.Bucket), tag.Duration(h.Valid))
+	if q.OnAccept != nil {
+		q.OnAccept()
+	}
 	return q.buckets[h.Bucket] != nil
 }
 
@@ -136,7 +139,7 @@
 		switch {
 		case !ok || row.version <= kept.version:
 		case row.Process == q.ProcessID && !row.Released:
-			kept.version, kept.recorded, kept.handedOverBy = row.version, true, nil
+			kept.record(row.version, q.Clock.Now())
 		case !kept.recorded && slices.Contains(kept.handedOverBy, row.Process) && !row.Released:
 			kept.version = row.version
 		default:
@@ -187,7 +190,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if kept := q.buckets[b]; kept != nil && !kept.recorded {
-		kept.version, kept.recorded, kept.handedOverBy = version, true, nil
+		kept.record(version, q.Clock.Now())
 	}
 }
 
--- a/internal/system/tokenbudget/keepers.go
+++ b/internal/system/tokenbudget/keepers.go
@@ -139,7 +139,7 @@
 		return
 	}
 	kept := newBucket(old.Used)
-	kept.version, kept.recorded = version, true
+	kept.record(version, q.Clock.Now())
 	if old.version != 0 && !old.Released {
 		kept.grantsAfter = time.Now().Add(programRetention)
 	}
--- a/internal/system/tokenbudget/quotas.go
+++ b/internal/system/tokenbudget/quotas.go
@@ -66,8 +66,11 @@
 	// Processes returns the current process of each listed VM of a data centre,
 	// by the VM's name.
 	Processes func(dc string) map[string]Process
-	Clock     clock.Clock
-	Log       *zap.Logger
+	// OnAccept, if not nil, is called when this VM has accepted a bucket, which
+	// ClaimBuckets records.
+	OnAccept func()
+	Clock    clock.Clock
+	Log      *zap.Logger
 
 	// changingKeeper is held while this process becomes the keeper of a bucket, or records
 	// that, so that a bucket is handed over with the version of its row.
@@ -107,6 +110,8 @@
 	// kept until expires at the latest.
 	recorded bool
 	expires  time.Duration // on Quotas.Clock
+	// keptSince is when recorded was set, on Quotas.Clock.
+	keptSince time.Duration
 	// handedOverBy are the ids of the processes that have handed the bucket over since the
 	// row had that version. A write of theirs may still change the row.
 	handedOverBy []string
