--- a/internal/policy/quota/share.go
+++ b/internal/policy/quota/share.go
@@ -53,6 +53,11 @@
 // Limited reports whether the limit bounds anything.
 func (l Limit) Limited() bool { return l.PerSecond > 0 }
 
+// Interval returns the mean time between two requests at the limit.
+func (l Limit) Interval() time.Duration {
+	return time.Duration(min(maxWait.Seconds(), 1/l.PerSecond) * float64(time.Second))
+}
+
 // bounded returns the limit without values that can't be computed with.
 func (l Limit) bounded() Limit {
 	if !(l.Burst > 0) { // also for NaN
@@ -80,16 +85,13 @@
 
 // Usage is what a VM has used of a quota, or has refused without asking.
 type Usage struct {
-	Begun, Requests               int // programs begun, and requests of all kinds
-	RefusedPrograms, RefusedOther int
+	Begun, Requests int // programs begun, and requests of all kinds
+	Refused         int
 }
 
 // Less returns the usage without what was reported of it.
 func (u Usage) Less(reported Usage) Usage {
-	return Usage{
-		Begun: u.Begun - reported.Begun, Requests: u.Requests - reported.Requests,
-		RefusedPrograms: u.RefusedPrograms - reported.RefusedPrograms, RefusedOther: u.RefusedOther - reported.RefusedOther,
-	}
+	return Usage{Begun: u.Begun - reported.Begun, Requests: u.Requests - reported.Requests, Refused: u.Refused - reported.Refused}
 }
 
 // Answer is the answer to an Ask.
@@ -168,12 +170,9 @@
 	}
 	s.length.observe(ask.Usage, now)
 	s.underWay.rotate(now)
-	for range ask.Usage.RefusedOther {
+	for range ask.Usage.Refused {
 		s.refuseOther()
 	}
-	for range ask.Usage.RefusedPrograms {
-		s.refuseNew()
-	}
 	var a Answer
 	a.Others = s.take(ask.Others, 0)
 	for range ask.Others - a.Others {
--- a/internal/system/quota/quotas.go
+++ b/internal/system/quota/quotas.go
@@ -9,7 +9,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"ibisstall.example/ibisstall/internal/clock"
 	"ibisstall.example/ibisstall/internal/forward"
 	"ibisstall.example/ibisstall/internal/metric"
 	"ibisstall.example/ibisstall/internal/policy/quota"
@@ -91,14 +90,16 @@
 // pause is the time for which a data centre's share is not asked for.
 type pause struct {
 	until time.Duration
-	err   error // why no keeper was found; nil if the share has nothing left
+	free  time.Duration // when the share will have something left for the next request
+	err   error         // why no keeper was found; nil if the share has nothing left
 }
 
 // waiter is a request that waits for an answer.
 type waiter struct {
 	req       Request
-	result    chan error // receives one value
-	questions int        // asked for it
+	result    chan error      // receives one value
+	gone      <-chan struct{} // closed when nobody waits any more
+	questions int             // asked for it
 	verdict   verdict
 }
 
@@ -116,7 +117,7 @@
 	if !limit.Limited() {
 		return nil
 	}
-	w := q.enqueue(limit, req)
+	w := q.enqueue(limit, req, ctx.Done())
 	if w == nil {
 		return nil
 	}
@@ -129,7 +130,7 @@
 }
 
 // enqueue takes a token that this VM has, and returns nil, or makes the request wait.
-func (q *Quotas) enqueue(limit forward.Quota, req Request) *waiter {
+func (q *Quotas) enqueue(limit forward.Quota, req Request, gone <-chan struct{}) *waiter {
 	now := q.Keeper.Clock.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -148,7 +149,7 @@
 	if !req.First && len(a.waiting) == 0 && a.purse.Take(now) {
 		q.recordGrant(a)
 	} else {
-		w = &waiter{req: req, result: make(chan error, 1)}
+		w = &waiter{req: req, result: make(chan error, 1), gone: gone}
 		a.waiting = append(a.waiting, w)
 	}
 	if !a.asking && (w != nil || a.spare(now) > 0) {
@@ -187,19 +188,37 @@
 	for {
 		q.mu.Lock()
 		now := q.Keeper.Clock.Now()
-		n := min(len(a.waiting), maxRequests)
-		waiting, spare := a.waiting[:n:n], a.spare(now)
-		a.waiting = a.waiting[n:]
-		if n == 0 && spare == 0 {
-			a.asking = false
-			q.mu.Unlock()
+		waiting, spare := q.nextWaiting(a, now), a.spare(now)
+		a.asking = len(waiting) > 0 || spare > 0
+		q.mu.Unlock()
+		if len(waiting) == 0 && spare == 0 {
 			return
 		}
-		q.mu.Unlock()
 		q.askAll(a, waiting, spare)
 	}
 }
 
+// nextWaiting returns the requests of the next question, without those that this VM has a
+// token for and those that nobody waits for; mu is held.
+func (q *Quotas) nextWaiting(a *account, now time.Duration) (next []*waiter) {
+	for len(a.waiting) > 0 && len(next) < maxRequests {
+		w := a.waiting[0]
+		a.waiting = a.waiting[1:]
+		select {
+		case <-w.gone:
+			continue
+		default:
+		}
+		if !w.req.First && a.purse.Take(now) {
+			q.recordGrant(a)
+			w.result <- nil
+			continue
+		}
+		next = append(next, w)
+	}
+	return next
+}
+
 // askAll asks the keepers of the shares, that of this data centre first, until all requests
 // are granted, and refuses the others.
 func (q *Quotas) askAll(a *account, waiting []*waiter, spare int) {
@@ -246,11 +265,13 @@
 	askedAt := q.Keeper.Clock.Now()
 	if p := a.pauses[dc]; askedAt < p.until {
 		for _, w := range waiting {
-			w.verdict.add(dc, p.err, p.until-askedAt, false, 0)
+			w.verdict.add(dc, p.err, max(p.free, p.until)-askedAt, false, 0)
+			p.free += a.limit.Interval()
 		}
 		if p.err == nil && dc == q.DC {
-			a.usage.RefusedOther += len(waiting)
+			a.usage.Refused += len(waiting)
 		}
+		a.pauses[dc] = p
 		q.mu.Unlock()
 		return waiting
 	}
@@ -263,7 +284,7 @@
 	if err == nil && now > askedAt+quota.Validity {
 		err = errLate
 	} else if err != nil {
-		a.pauses[dc] = pause{now + maxPause, err}
+		a.pauses[dc] = pause{until: now + maxPause, err: err}
 	}
 	if err != nil {
 		for _, w := range waiting {
@@ -328,7 +349,7 @@
 		a.noSpare = now + maxPause
 	}
 	if answer.WaitMore > 0 {
-		a.pauses[dc] = pause{until: now + min(answer.WaitMore, maxPause)}
+		a.pauses[dc] = pause{until: now + min(answer.WaitMore, maxPause), free: now + answer.WaitMore}
 	}
 	return left
 }
