--- a/internal/policy/quota/share.go
+++ b/internal/policy/quota/share.go
@@ -170,21 +170,17 @@
 	}
 	s.length.observe(ask.Usage, now)
 	s.underWay.rotate(now)
-	for range ask.Usage.Refused {
-		s.refuseOther()
-	}
+	s.refuseOthers(ask.Usage.Refused)
 	var a Answer
 	a.Others = s.take(ask.Others, 0)
-	for range ask.Others - a.Others {
-		a.WaitMore = s.refuseOther()
-	}
+	a.WaitMore = s.refuseOthers(ask.Others - a.Others)
 	if len(ask.Programs) > 0 {
 		a.Granted = make([]bool, len(ask.Programs))
 	}
 	for i, program := range ask.Programs {
 		if s.underWay.has(program) {
 			if a.Granted[i] = s.take(1, 0) == 1; !a.Granted[i] {
-				a.WaitMore = s.refuseOther()
+				a.WaitMore = s.refuseOthers(1)
 			}
 		} else if a.Granted[i] = s.begin(); a.Granted[i] {
 			a.Begun++
@@ -223,14 +219,22 @@
 	return true
 }
 
-// refuseOther records a refused request and returns the time until such a request is granted.
-// Callers that are refused ask the keepers of all shares, so the whole quota serves them.
-func (s *Share) refuseOther() (wait time.Duration) {
-	s.refused, wait = s.refused.Refuse(s.limit.PerSecond, 0, s.updatedAt)
-	return min(maxWait, max(wait, s.refill(1-s.tokens)))
+// maxRefused bounds the refusals that one question adds to those that callers return for.
+const maxRefused = 1000
+
+// refuseOthers records refused requests and returns the time until such a request is granted;
+// 0 if there are none. Callers that are refused ask the keepers of all shares, so the whole
+// quota serves them.
+func (s *Share) refuseOthers(n int) (wait time.Duration) {
+	for range min(n, maxRefused) {
+		s.refused, wait = s.refused.Refuse(s.limit.PerSecond, 0, s.updatedAt)
+		wait = min(maxWait, max(wait, s.refill(1-s.tokens)))
+	}
+	return wait
 }
 
-// refuseNew is refuseOther for a request that begins a program.
+// refuseNew records a refused request that begins a program, and returns the time until such a
+// request is granted.
 func (s *Share) refuseNew() (wait time.Duration) {
 	each, _ := s.creditLimits()
 	s.refusedNew, wait = s.refusedNew.Refuse(s.limit.PerSecond/each, 0, s.updatedAt)
