currency: when the configuration in force was last known to be the newest one

The moment when a read of the feed that is complete up to its answer began (changefeed.OnRead), on the clock that runs on while the VM is suspended.

--- a/internal/system/changefeed/changefeed.go
+++ b/internal/system/changefeed/changefeed.go
@@ -58,6 +58,9 @@
 	CoalesceInterval time.Duration
 	// OnSnapshot is called with all rows of the table, OnChanges with changed rows.
 	OnSnapshot, OnChanges func(Reading)
+	// OnRead is called after the rows of a response were passed on, with the time when its
+	// call began: all changes that the store had accepted by then were passed on. It may be nil.
+	OnRead func(began time.Duration)
 	// OnFeedLost is called when the feed stops responding, and OnFeedRestored when
 	// it responds again, before the rows of that response are passed on. Both may be nil.
 	OnFeedLost, OnFeedRestored func()
@@ -106,6 +109,7 @@
 	if !hasCursor {
 		ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 		defer cancel()
+		began := f.Clock.Now()
 		rows, next, err := f.Feed.Snapshot(ctx, f.Table)
 		if err != nil {
 			return err
@@ -115,6 +119,7 @@
 		f.reportRestored()
 		f.cursor, f.hasCursor = next, true
 		f.OnSnapshot(f.reading(rows, next))
+		f.reportRead(began)
 		return nil
 	}
 	wait := pollWait
@@ -130,6 +135,7 @@
 // readChanges reads the changes after cursor, and passes them on. It reports false, and
 // ignores them, if another call has passed changes on in the meantime.
 func (f *Follower) readChanges(ctx context.Context, cursor uint64, wait time.Duration) (passedOn bool, err error) {
+	began := f.Clock.Now()
 	rows, next, err := f.Feed.Changes(ctx, f.Table, cursor, wait)
 	if err != nil {
 		return false, err
@@ -144,6 +150,7 @@
 	if r := f.reading(rows, next); len(rows) > 0 {
 		f.OnChanges(r)
 	}
+	f.reportRead(began)
 	return true, nil
 }
 
@@ -218,6 +225,13 @@
 	return r
 }
 
+// reportRead calls OnRead; mu is held.
+func (f *Follower) reportRead(began time.Duration) {
+	if f.OnRead != nil {
+		f.OnRead(began)
+	}
+}
+
 // reportLost records that a call failed with err, and calls OnFeedLost unless the
 // feed was lost already. After the end of ctx it does nothing.
 func (f *Follower) reportLost(ctx context.Context, err error) {
