forwarder: keys are checked against a recent configuration, and again before the request is sent

A key given to another workspace while the request waited is a 503: quota and history were taken from the other one.

--- a/internal/system/forwarder/attempt.go
+++ b/internal/system/forwarder/attempt.go
@@ -85,7 +85,7 @@
 }
 
 // checkPermission returns an error if the request must not be sent: its deadline has passed,
-// this VM leaves before the request would have ended, or
+// this VM leaves before the request would have ended, its key was taken away, or
 // the slot's assignment is outdated, since this VM was paused or suspended. A slot that was used
 // before stays assigned.
 func (x *exchange) checkPermission(slot *dispatch.Slot) (outcome, error) {
@@ -100,6 +100,9 @@
 	if ctx := x.waitCtx(); ctx.Err() != nil {
 		return canceled, context.Cause(ctx)
 	}
+	if err := x.checkKey(); err != nil {
+		return canceled, err
+	}
 	if now-slot.AskedAt > maxSlotAge && !x.usedSlot {
 		return expired, errSlotExpired
 	}
@@ -147,7 +150,7 @@
 		h[name] = values
 	}
 	headers := &x.f.Headers
-	if x.needsKeys { // only the system names workspaces, and endpoints see no keys
+	if x.hideKey { // only the system names workspaces, and endpoints see no keys
 		delete(h, "Authorization")
 		delete(h, headers.Workspace)
 	}
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -43,7 +43,9 @@
 	route      *forward.Route
 	service    *forward.Service
 	workspace  *forward.Workspace // nil where requests need no key
-	needsKeys  bool               // the configuration has workspaces; also true on its public routes
+	config     *forward.Config    // with which the request was authenticated last
+	refusedKey bool               // refused for its key
+	hideKey    bool               // the configuration has workspaces; also true on its public routes
 	maxBody    int64              // bytes of a request to an endpoint; 0 if the operators set no limit
 	input      []byte             // the caller's body of a turn that goes on from another one; nil for others
 	output     []byte             // data of the events forwarded, each with a line feed; only of a turn that is kept
--- a/internal/system/forwarder/forwarder.go
+++ b/internal/system/forwarder/forwarder.go
@@ -63,6 +63,7 @@
 	LastEventID    string // id of the event after which a stream is resumed
 	Workspace      string // name of the workspace that the request belongs to
 	Leaving        string // "1" in the responses of an endpoint that is leaving
+	KeyScheme      string // not a name: the scheme of the Authorization header that carries a key
 	Limit          string // requests per second that the endpoint takes from all VMs; absent without a limit
 }
 
@@ -139,22 +140,11 @@
 	f.inFlight.add(x)
 	defer f.inFlight.remove(x)
 	defer x.logAndMeasure()
-	confirmErr := f.confirmConfig(ctx, x.receivedAt)
-	cfg := f.Config()
-	if cfg == nil {
-		x.refuse(http.StatusServiceUnavailable, "no configuration yet", defaultRetryAfter)
+	if !x.authenticate(ctx) {
 		return
 	}
-	x.route = cfg.Match(req.Host, path(req.Target))
-	if x.route == nil {
-		x.refuse(http.StatusNotFound, "no route", 0)
-		return
-	}
-	if !x.authenticate(cfg, confirmErr) {
-		return
-	}
-	x.maxBody = cfg.Limits.MaxBodyBytes
-	x.service = cfg.Services[x.route.PickService(splitKey(req))]
+	x.maxBody = x.config.Limits.MaxBodyBytes
+	x.service = x.config.Services[x.route.PickService(splitKey(req))]
 	if x.service == nil {
 		x.refuse(http.StatusServiceUnavailable, "no service", defaultRetryAfter)
 		return
--- a/internal/system/forwarder/logging.go
+++ b/internal/system/forwarder/logging.go
@@ -26,6 +26,9 @@
 	if x.request.Program != "" {
 		fields = append(fields, tag.ForwardedProgram(x.request.Program))
 	}
+	if x.workspace != nil {
+		fields = append(fields, tag.Workspace(x.workspace.Name))
+	}
 	if x.route != nil {
 		fields = append(fields, tag.Target(x.route.Name))
 	}
@@ -39,6 +42,7 @@
 		}
 	}
 	fields = append(fields, x.responseFields()...)
+	fields = append(fields, x.keyFields()...)
 	if x.resends > 0 {
 		fields = append(fields, tag.Resumes(x.resends))
 	}
--- a/internal/system/forwarder/metrics.go
+++ b/internal/system/forwarder/metrics.go
@@ -29,7 +29,9 @@
 	interruptions *metric.CounterVec
 	// resumedStreams counts streams that callers take up, by how their version was found out.
 	resumedStreams *metric.CounterVec
-	limitChanges   *metrics.Counter // rate limits of endpoints, as this VM learned them
+	// refusedKeys counts refusals for keys, by cause.
+	refusedKeys  *metric.CounterVec
+	limitChanges *metrics.Counter // rate limits of endpoints, as this VM learned them
 }
 
 // NewMetrics registers the metrics.
@@ -42,6 +44,7 @@
 		truncated:      r.Counter("ibisstall_forwarded_broken_total"),
 		interruptions:  r.CounterVec("ibisstall_forwarded_interruptions_total", "framing", maxFramings),
 		resumedStreams: r.CounterVec("ibisstall_forwarded_streams_taken_up_total", "origin", maxOrigins),
+		refusedKeys:    r.CounterVec("ibisstall_forwarded_key_refusals_total", "cause", len(refusedKeyLabels)),
 		limitChanges:   r.Counter("ibisstall_endpoint_limit_changes_total"),
 	}
 }
@@ -61,7 +64,7 @@
 // statusLabels holds the response statuses that have label values of their own.
 var statusLabels = func() map[int]string {
 	m := make(map[int]string)
-	for _, s := range []int{200, 400, 402, 404, 413, 421, 429, 500, 502, 503, 504} {
+	for _, s := range []int{200, 400, 401, 402, 404, 413, 421, 429, 500, 502, 503, 504} {
 		m[s] = string([]byte{byte('0' + s/100), byte('0' + s/10%10), byte('0' + s%10)})
 	}
 	return m
--- a/internal/system/forwarder/preparation.go
+++ b/internal/system/forwarder/preparation.go
@@ -17,6 +17,8 @@
 	// Forwarder.Clock, that a request which arrived then must not run. It may wait for a
 	// read of the configuration.
 	Confirm(ctx context.Context, arrived time.Duration) error
+	// Age returns the time since the configuration was last confirmed, 0 if it never was.
+	Age() time.Duration
 }
 
 // QuotaKeeper knows what is left of the quotas of workspaces.
@@ -34,39 +36,6 @@
 	Keep(ctx context.Context, turn conversations.Turn) error
 }
 
-// unconfirmedRetryAfter is the retry-after of refusals without a confirmed configuration:
-// other VMs may have one.
-const unconfirmedRetryAfter = 100 * time.Millisecond
-
-// authenticate finds the workspace of a request by its key. It refuses the request if the
-// route needs a key and the request has no valid one.
-func (x *exchange) authenticate(cfg *forward.Config, confirmErr error) bool {
-	x.needsKeys = cfg.Keys != nil
-	if cfg.Keys == nil || x.route.Public {
-		return true
-	}
-	if confirmErr != nil {
-		x.cause = confirmErr
-		x.refuse(http.StatusServiceUnavailable, "configuration not confirmed", unconfirmedRetryAfter)
-		return false
-	}
-	name, ok := cfg.Keys.Holder(x.request.Key)
-	if !ok || x.request.Key == "" {
-		x.refuse(http.StatusUnauthorized, "unknown key", 0)
-		return false
-	}
-	x.workspace = cfg.Workspaces[name]
-	return true
-}
-
-// confirmConfig confirms the configuration in force if requests need keys.
-func (f *Forwarder) confirmConfig(ctx context.Context, arrived time.Duration) error {
-	if cfg := f.Config(); f.Confirmer == nil || cfg == nil || cfg.Keys == nil {
-		return nil
-	}
-	return f.Confirmer.Confirm(ctx, arrived)
-}
-
 // workspaceName returns the name of the request's workspace, "" if it has none.
 func (x *exchange) workspaceName() string {
 	if x.workspace == nil {
--- a/internal/system/forwarder/refusal.go
+++ b/internal/system/forwarder/refusal.go
@@ -30,6 +30,7 @@
 	switch {
 	case x.possibleRuns == 0 && !x.headerSent && (errors.Is(err, errLeaving) || errors.Is(err, errStopped)):
 		x.refuseLeaving(err)
+	case x.possibleRuns == 0 && !x.headerSent && x.failKey(err):
 	case x.headerSent:
 		x.failureReason = "response interrupted after its start"
 	case x.possibleRuns > 0 && timedOut:
