--- a/internal/system/changefeed/changefeed_test.go
+++ b/internal/system/changefeed/changefeed_test.go
@@ -309,3 +309,32 @@
 	time.Sleep(4 * time.Millisecond)
 	return nil, after, nil
 }
+
+func TestFollower_ReportsTheStartOfEachReadThatWasPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fakeFeed{rows: []platform.Row{row("a")}}
+		start := bubbleClock{}.Now()
+		var passedOn int
+		var began []time.Duration
+		follower := &Follower{
+			Feed: f, Table: "t", Clock: bubbleClock{}, Log: zap.NewNop(), CoalesceInterval: time.Second,
+			OnSnapshot: func(Reading) { passedOn++ },
+			OnChanges:  func(Reading) { passedOn++ },
+			OnRead: func(at time.Duration) {
+				is.Equal(passedOn, 1) // not before the rows
+				began = append(began, at-start)
+			},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go follower.Run(ctx)
+		time.Sleep(2*pollWait + time.Second/2)
+		synctest.Wait()
+		is.Equal(began, []time.Duration{0, time.Second}) // the second call waited for changes until now
+		f.set(func(f *fakeFeed) { f.silent = true })
+		time.Sleep(time.Minute)
+		cancel()
+		synctest.Wait()
+		is.Equal(len(began), 2)
+	})
+}
