--- a/internal/system/tokenbudget/peers.go
+++ b/internal/system/tokenbudget/peers.go
@@ -237,6 +237,15 @@
 
 // Get implements platform.VersionedTable.
 func (r *RelayingStore) Get(ctx context.Context, keys []platform.Key) ([]platform.Row, error) {
+	return r.GetRanked(ctx, relayRank, keys)
+}
+
+// relayRank ranks the VMs that relay the reads of all VMs alike.
+const relayRank = "relay"
+
+// GetRanked is Get with a text that ranks the VMs that may relay the call. Callers that
+// change it from call to call don't depend on the same VMs each time.
+func (r *RelayingStore) GetRanked(ctx context.Context, rank string, keys []platform.Key) ([]platform.Row, error) {
 	var rows []platform.Row
 	err := r.callDirect(ctx, func(ctx context.Context) (err error) {
 		rows, err = r.Direct.Get(ctx, keys)
@@ -245,7 +254,7 @@
 	if err == nil {
 		return rows, nil
 	}
-	out, err := r.relay(ctx, RelayRequest{Keys: keys}, err)
+	out, err := r.relay(ctx, rank, RelayRequest{Keys: keys}, err)
 	return out.Rows, err
 }
 
@@ -260,7 +269,11 @@
 	if !errors.Is(err, platform.ErrUnavailable) {
 		return version, err
 	}
-	out, err := r.relay(ctx, RelayRequest{Writes: writes}, err)
+	rank := relayRank
+	for _, w := range writes {
+		rank = w.Key.ID
+	}
+	out, err := r.relay(ctx, rank, RelayRequest{Writes: writes}, err)
 	return out.Version, err
 }
 
@@ -327,16 +340,12 @@
 // probeKey is the key that probes read; it never has a row.
 var probeKey = platform.Key{Table: Table, ID: "0/probe"}
 
-// relay sends a call to other VMs in turn until one of them reaches the table
+// relay sends a call to other VMs, ranked by a text, in turn until one of them reaches the table
 // service. It fails with platform.ErrOutcomeUnknown if a VM doesn't respond, since
 // that VM may have made the call, and with err, the error of the direct call, if no
 // VM could make it.
-func (r *RelayingStore) relay(ctx context.Context, call RelayRequest, err error) (RelayResponse, error) {
-	key := "relay" // for a Get
-	for _, w := range call.Writes {
-		key = w.Key.ID
-	}
-	for i, addr := range r.Peers.RelayAddresses(key) {
+func (r *RelayingStore) relay(ctx context.Context, rank string, call RelayRequest, err error) (RelayResponse, error) {
+	for i, addr := range r.Peers.RelayAddresses(rank) {
 		if i >= maxRelayAttempts || ctx.Err() != nil {
 			break
 		}
