--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -44,7 +44,9 @@
 	route      *forward.Route
 	service    *forward.Service
 	workspace  *forward.Workspace // nil where requests need no key
-	needsKeys  bool               // the configuration has workspaces; also true on its public routes
+	config     *forward.Config    // with which the request was authenticated last
+	refusedKey bool               // refused for its key
+	hideKey    bool               // the configuration has workspaces; also true on its public routes
 	maxBody    int64              // bytes of a request to an endpoint; 0 if the operators set no limit
 	deadline   time.Time          // the earlier of the caller's deadline and the route's timeout
 	lateFinish time.Time          // time after which finishing the program has no more value; zero without an objective
