conversations: turns are kept as copies while no VM reaches the table service

A turn whose row this VM can't write is passed to a VM of another data centre, which writes it or holds a copy. A turn that isn't in the table service is looked for at the witnesses, and is not found only if all data centres are certain.

--- a/internal/logging/tag/tag.go
+++ b/internal/logging/tag/tag.go
@@ -190,3 +190,6 @@
 
 // HistorySource says where the last turn of a conversation was found.
 func HistorySource(name string) zap.Field { return zap.String("history_source", name) }
+
+// KeptIn says where a turn is safe.
+func KeptIn(place string) zap.Field { return zap.String("kept_in", place) }
--- a/internal/system/conversations/conversations.go
+++ b/internal/system/conversations/conversations.go
@@ -8,6 +8,7 @@
 package conversations
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -126,21 +127,40 @@
 
 // Keeper keeps turns. It is safe for concurrent use.
 type Keeper struct {
-	Table platform.VersionedTable
+	// Table relays calls through other VMs while this VM can't reach the table service; Direct
+	// fails them at once.
+	Table, Direct platform.VersionedTable
+	// Reachable reports whether this VM reaches the table service itself.
+	Reachable func() bool
 	// TableTime returns the time of the table service, which all VMs share, as far as this VM
 	// knows it.
 	TableTime func() (now time.Duration, known bool)
 	Clock     clock.Clock
 	RowBytes  int // largest value of a row
 	// CacheBytes bounds the turns that are held in memory.
+	// CacheBytes bounds the turns that are held in memory, and the copies of those that aren't in
+	// the table service yet.
 	CacheBytes int64
+	// SettleTime is how long this VM has to run, and to reach the table service, until it is
+	// certain that a turn which it doesn't find doesn't exist.
+	SettleTime time.Duration
+	Peers      Peers
+	Lag        *clock.Lag // scheduling lag of this VM; may be nil
 	Log        *zap.Logger
 	Metrics    *Metrics
 
-	mu    sync.Mutex
-	cache cache // guarded by mu
+	mu        sync.Mutex
+	cache     cache            // guarded by mu
+	copies    map[id]*heldCopy // guarded by mu
+	copyBytes int64            // guarded by mu; sum of the sizes of copies
+	reachable bool             // guarded by mu; what Run last saw
+	since     time.Duration    // guarded by mu; of reachable, on Clock
 }
 
+// DefaultSettleTime is the SettleTime for production: copies are written within some seconds of
+// the table service's return.
+const DefaultSettleTime = 10 * time.Second
+
 // Load returns the conversation up to a turn.
 func (k *Keeper) Load(ctx context.Context, key Key, maxBytes int64) (*History, error) {
 	if len(key.Turn) > maxNameBytes {
@@ -240,19 +260,35 @@
 	return nil
 }
 
-// fetch reads a turn and keeps it in memory.
+// fetch finds a turn that is not in memory, and keeps it there. The error is ErrNotFound only if
+// the turn certainly doesn't exist.
 func (k *Keeper) fetch(ctx context.Context, workspace string, i id) (*turn, Source, error) {
+	if t := k.copyOf(i); t != nil {
+		return t, FromCopy, nil
+	}
 	t, err := k.read(ctx, i)
+	source := FromTable
+	if errors.Is(err, ErrNotFound) || transient(err) {
+		source = FromCopy
+		var copyErr error
+		if t, copyErr = k.findCopy(ctx, i); copyErr == nil {
+			err = nil
+		} else if errors.Is(err, ErrNotFound) {
+			err = copyErr
+		}
+	}
 	if err != nil {
 		return nil, "", err
 	}
 	k.remember(workspace, i, t)
-	return t, FromTable, nil
+	return t, source, nil
 }
 
 // read reads a turn from the table service.
-func (k *Keeper) read(ctx context.Context, i id) (*turn, error) {
-	rows, err := k.Table.Get(ctx, []platform.Key{i.rowKey()})
+func (k *Keeper) read(ctx context.Context, i id) (*turn, error) { return k.readFrom(ctx, k.Table, i) }
+
+func (k *Keeper) readFrom(ctx context.Context, table platform.VersionedTable, i id) (*turn, error) {
+	rows, err := table.Get(ctx, []platform.Key{i.rowKey()})
 	if err != nil {
 		return nil, err
 	}
@@ -264,7 +300,7 @@
 		return nil, fmt.Errorf("turn %s: %w", i, err)
 	}
 	for n := range parts {
-		rows, err := k.Table.Get(ctx, []platform.Key{partKey(i, t.digest, n)})
+		rows, err := table.Get(ctx, []platform.Key{partKey(i, t.digest, n)})
 		if err != nil {
 			return nil, err
 		}
@@ -313,9 +349,9 @@
 	record, history := k.record(t)
 	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
 	defer cancel()
-	stored, err := k.write(ctx, i, record)
+	stored, place, err := k.secure(ctx, i, record)
 	took := time.Since(started)
-	k.Metrics.observeKeep(err, took, len(record.data))
+	k.Metrics.observeKeep(place, err, took, len(record.data))
 	fields := []zap.Field{tag.Attempt(t.Turn), tag.Workspace(t.Workspace), tag.Duration(took), tag.Bytes(int64(len(record.data)))}
 	if err != nil {
 		k.Log.Warn("turn not kept", append(fields, tag.Error(err))...)
@@ -325,7 +361,7 @@
 		stored = record.without(history)
 	}
 	k.remember(t.Workspace, i, stored)
-	k.Log.Info("turn kept", append(fields, tag.Count(len(record.ancestors)))...)
+	k.Log.Info("turn kept", append(fields, tag.KeptIn(string(place)), tag.Count(len(record.ancestors)))...)
 	return nil
 }
 
@@ -375,32 +411,83 @@
 	maxWritePause = 160 * time.Millisecond
 )
 
-// write writes a turn's rows. It may be repeated, also while an earlier write is under way. It
-// returns the turn that is stored: an earlier write of the same turn may have won.
-func (k *Keeper) write(ctx context.Context, i id, t *turn) (stored *turn, err error) {
-	for _, transaction := range encodeTurn(i, t, k.RowBytes) {
-		if stored, err = k.commit(ctx, i, t, transaction); err != nil {
-			return nil, err
+// place is where a turn is safe.
+type place string
+
+const (
+	inTable  place = "table"   // written by this VM
+	byOther  place = "other"   // in the table, written by another VM
+	asCopies place = "copies"  // at VMs of several data centres
+	nowhere  place = "nowhere" // not safe
+)
+
+// hedgeDelay is how long a write may take until other VMs are asked to make it.
+const hedgeDelay = 100 * time.Millisecond
+
+// secure makes a turn safe: in the table service, written by this VM or by another one, or as
+// copies while no VM reaches the service. It returns the turn that is stored, as an earlier write
+// of the same turn may have won.
+func (k *Keeper) secure(ctx context.Context, i id, t *turn) (*turn, place, error) {
+	c := &Copy{ID: i, Digest: t.digest, Transactions: encodeTurn(i, t, k.RowBytes)}
+	type result struct {
+		stored *turn // nil if it is t
+		err    error
+	}
+	writing := false
+	done := make(chan result, 1)
+	for pause := minWritePause; ; pause = min(2*pause, maxWritePause) {
+		if !writing {
+			writing = true
+			go func() {
+				stored, err := k.writeTo(ctx, k.Direct, c)
+				done <- result{stored, err}
+			}()
+		}
+		r := result{err: platform.ErrOutcomeUnknown}
+		select {
+		case r = <-done:
+			writing = false
+		case <-time.After(hedgeDelay + k.Lag.TimeoutExtension()):
+		}
+		switch {
+		case r.err == nil:
+			return cmp.Or(r.stored, t), inTable, nil
+		case !transient(r.err):
+			return nil, nowhere, r.err
+		}
+		stored, witnesses, err := k.hold(ctx, c)
+		switch {
+		case stored:
+			return t, byOther, nil
+		case err == nil && k.addCopy(&heldCopy{Copy: *c, own: true, witnesses: witnesses}):
+			return t, asCopies, nil
+		case errors.Is(err, errOtherContent):
+			return nil, nowhere, err
+		}
+		if !clock.Sleep(ctx, pause) {
+			return nil, nowhere, fmt.Errorf("%w: neither the table service nor enough other VMs", platform.ErrUnavailable)
 		}
 	}
-	return stored, nil
 }
 
-// commit commits one transaction of a turn.
-func (k *Keeper) commit(ctx context.Context, i id, t *turn, writes []platform.Write) (*turn, error) {
-	for pause := minWritePause; ; pause = min(2*pause, maxWritePause) {
-		_, err := k.Table.CommitVersioned(ctx, writes)
-		stored := t
+// writeTo writes a turn's rows. It may be repeated, also while an earlier write is under way. If
+// the turn was stored before, it returns it as stored.
+func (k *Keeper) writeTo(ctx context.Context, table platform.VersionedTable, c *Copy) (*turn, error) {
+	for _, writes := range c.Transactions {
+		_, err := table.CommitVersioned(ctx, writes)
 		var conflict *platform.ConflictError
-		if errors.As(err, &conflict) {
-			if stored, err = k.read(ctx, i); err == nil && stored.digest != t.digest {
+		if errors.As(err, &conflict) { // only the last transaction has a condition
+			stored, err := k.readFrom(ctx, table, c.ID)
+			if err == nil && stored.digest != c.Digest {
 				err = errOtherContent
 			}
-		}
-		if err == nil || !transient(err) || !clock.Sleep(ctx, pause) {
 			return stored, err
 		}
+		if err != nil {
+			return nil, err
+		}
 	}
+	return nil, nil
 }
 
 // transient reports whether a call of the table service that failed may be repeated.
--- a/internal/system/conversations/conversations_test.go
+++ b/internal/system/conversations/conversations_test.go
@@ -89,10 +89,15 @@
 // newKeeper returns the keeper of a VM that has just started.
 func newKeeper(table *fakeTable) *Keeper {
 	return &Keeper{
-		Table: table, TableTime: table.time, Clock: clock.System{}, CacheBytes: 1 << 20, Log: zap.NewNop(), Metrics: NewMetrics(metric.NewRegistry()),
+		Table: table, Direct: table, Reachable: func() bool { return true }, reachable: true, Peers: noPeers{}, TableTime: table.time, Clock: clock.System{}, CacheBytes: 1 << 20, Log: zap.NewNop(), Metrics: NewMetrics(metric.NewRegistry()),
 	}
 }
 
+// noPeers is the view of a VM alone.
+type noPeers struct{ Peers }
+
+func (noPeers) Witnesses(string) (own []string, others [][]string) { return nil, nil }
+
 const testRetention = time.Minute
 
 // say keeps a turn that goes on from another one, which may be "", and returns the error.
--- a/internal/system/conversations/metrics.go
+++ b/internal/system/conversations/metrics.go
@@ -15,7 +15,8 @@
 type Metrics struct {
 	loads       *metric.CounterVec // by source, or by why the turn wasn't read
 	loadedBytes *metrics.Counter
-	keeps       *metric.CounterVec // by result
+	keeps       *metric.CounterVec // by where the turn is safe
+	copies      *metrics.Counter   // held for other VMs
 	keptBytes   *metrics.Counter
 	keepSeconds *metrics.Histogram
 }
@@ -25,7 +26,8 @@
 	return &Metrics{
 		loads:       r.CounterVec("ibisstall_turns_read_total", "source", maxSources),
 		loadedBytes: r.Counter("ibisstall_turns_read_bytes_total"),
-		keeps:       r.CounterVec("ibisstall_turns_kept_total", "result", maxSources),
+		keeps:       r.CounterVec("ibisstall_turns_kept_total", "place", maxSources),
+		copies:      r.Counter("ibisstall_turns_copied_total"),
 		keptBytes:   r.Counter("ibisstall_turns_kept_bytes_total"),
 		keepSeconds: r.Histogram("ibisstall_turns_keep_seconds"),
 	}
@@ -47,12 +49,10 @@
 	m.loadedBytes.Add(bytes)
 }
 
-func (m *Metrics) observeKeep(err error, took time.Duration, bytes int) {
+func (m *Metrics) observeKeep(p place, err error, took time.Duration, bytes int) {
 	m.keepSeconds.Update(took.Seconds())
-	if err != nil {
-		m.keeps.With("failed").Inc()
-		return
+	m.keeps.With(string(p)).Inc()
+	if err == nil {
+		m.keptBytes.Add(bytes)
 	}
-	m.keeps.With("kept").Inc()
-	m.keptBytes.Add(bytes)
 }
--- a/internal/system/tokenbudget/peers.go
+++ b/internal/system/tokenbudget/peers.go
@@ -264,6 +264,30 @@
 	return out.Version, err
 }
 
+// Unrelayed returns a client that makes direct calls only, and fails them at once while the
+// service is unreachable.
+func (r *RelayingStore) Unrelayed() platform.VersionedTable { return unrelayed{r} }
+
+type unrelayed struct{ store *RelayingStore }
+
+// Get implements platform.VersionedTable.
+func (u unrelayed) Get(ctx context.Context, keys []platform.Key) (rows []platform.Row, err error) {
+	err = u.store.callDirect(ctx, func(ctx context.Context) (err error) {
+		rows, err = u.store.Direct.Get(ctx, keys)
+		return err
+	})
+	return rows, err
+}
+
+// CommitVersioned implements platform.VersionedTable.
+func (u unrelayed) CommitVersioned(ctx context.Context, writes []platform.Write) (version uint64, err error) {
+	err = u.store.callDirect(ctx, func(ctx context.Context) (err error) {
+		version, err = u.store.Direct.CommitVersioned(ctx, writes)
+		return err
+	})
+	return version, err
+}
+
 // callDirect calls the table service directly. While the service is unreachable
 // calls fail at once, and probes run in the background.
 func (r *RelayingStore) callDirect(ctx context.Context, call func(context.Context) error) error {
