conversations: turns are deleted after their lifetime; new conversations wait while the table service is full

Nothing expires in the table service. The VM that kept a turn deletes it after three retentions, in batches of a partition; a slow scan of each partition by one VM finds what lost VMs left.

--- a/internal/forward/config.go
+++ b/internal/forward/config.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -84,6 +85,11 @@
 	Workspaces map[string]*Workspace // by name
 }
 
+// Retains reports whether the conversations of a route are kept; false for nil.
+func (c *Config) Retains() bool {
+	return c != nil && slices.ContainsFunc(c.Routes, func(r Route) bool { return r.Retain })
+}
+
 // Validate returns an error if the configuration is unusable.
 func (c *Config) Validate() error {
 	for i := range c.Routes {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -19,6 +19,8 @@
 	// ErrOutcomeUnknown means that the response was lost: a write may have taken
 	// effect. The caller finds out by reading the rows back.
 	ErrOutcomeUnknown = errors.New("platform answer lost")
+	// ErrFull means that the service has no room for the request, which had no effect.
+	ErrFull = errors.New("platform full")
 	// ErrNotFound means that the object does not exist.
 	ErrNotFound = errors.New("object not found")
 )
--- a/internal/system/conversations/conversations.go
+++ b/internal/system/conversations/conversations.go
@@ -145,9 +145,14 @@
 	// certain that a turn which it doesn't find doesn't exist.
 	SettleTime time.Duration
 	Peers      Peers
-	Lag        *clock.Lag // scheduling lag of this VM; may be nil
-	Log        *zap.Logger
-	Metrics    *Metrics
+	// Scanner reads the partitions for which Scans reports true: each one is scanned by one VM.
+	Scanner Scanner
+	Scans   func(partition string) bool
+	// Retains reports whether conversations are kept at present.
+	Retains func() bool
+	Lag     *clock.Lag // scheduling lag of this VM; may be nil
+	Log     *zap.Logger
+	Metrics *Metrics
 
 	mu        sync.Mutex
 	cache     cache            // guarded by mu
@@ -155,6 +160,11 @@
 	copyBytes int64            // guarded by mu; sum of the sizes of copies
 	reachable bool             // guarded by mu; what Run last saw
 	since     time.Duration    // guarded by mu; of reachable, on Clock
+	// Of turns to delete.
+	sweeps     map[string][]sweptTurn // guarded by mu; by partition, the oldest first
+	remembered int                    // guarded by mu; turns in sweeps
+	scanned    map[string]string      // guarded by mu; name of the last row scanned, by partition
+	fullUntil  time.Duration          // guarded by mu; no new conversations begin before
 }
 
 // DefaultSettleTime is the SettleTime for production: copies are written within some seconds of
@@ -304,10 +314,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if rows[0].Version == 0 {
+		if rows[0].Version == 0 || len(rows[0].Value) < partHeaderBytes {
 			return nil, fmt.Errorf("turn %s: %w: part %d is missing", i, errUncertain, n)
 		}
-		t.data = append(t.data, rows[0].Value...)
+		t.data = append(t.data, rows[0].Value[partHeaderBytes:]...)
 	}
 	return t, nil
 }
@@ -349,14 +359,19 @@
 	record, history := k.record(t)
 	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
 	defer cancel()
-	stored, place, err := k.secure(ctx, i, record)
+	c := &Copy{ID: i, Digest: record.digest, Transactions: encodeTurn(i, record, k.RowBytes)}
+	stored, place, err := k.secure(ctx, c, record)
 	took := time.Since(started)
 	k.Metrics.observeKeep(place, err, took, len(record.data))
 	fields := []zap.Field{tag.Attempt(t.Turn), tag.Workspace(t.Workspace), tag.Duration(took), tag.Bytes(int64(len(record.data)))}
 	if err != nil {
+		if errors.Is(err, platform.ErrFull) {
+			k.observeFull()
+		}
 		k.Log.Warn("turn not kept", append(fields, tag.Error(err))...)
 		return err
 	}
+	k.forgetLater(c, t.Retention)
 	if stored == record {
 		stored = record.without(history)
 	}
@@ -385,7 +400,8 @@
 	if h := t.History; h != nil {
 		last := h.turns[len(h.turns)-1]
 		r.total += last.total
-		if r.total <= inlineBytes || last.chainExpires < now+t.Retention+lifetimeSlack {
+		restarted := last.written > now+lifetimeSlack // the clock of the table service
+		if r.total <= inlineBytes || last.chainExpires < now+t.Retention+lifetimeSlack || restarted {
 			history = h.Append(nil)
 			r.previous = h.last
 		} else {
@@ -427,8 +443,7 @@
 // secure makes a turn safe: in the table service, written by this VM or by another one, or as
 // copies while no VM reaches the service. It returns the turn that is stored, as an earlier write
 // of the same turn may have won.
-func (k *Keeper) secure(ctx context.Context, i id, t *turn) (*turn, place, error) {
-	c := &Copy{ID: i, Digest: t.digest, Transactions: encodeTurn(i, t, k.RowBytes)}
+func (k *Keeper) secure(ctx context.Context, c *Copy, t *turn) (*turn, place, error) {
 	type result struct {
 		stored *turn // nil if it is t
 		err    error
--- a/internal/system/conversations/copies.go
+++ b/internal/system/conversations/copies.go
@@ -64,7 +64,10 @@
 		return nil
 	}
 	for _, part := range rows[:parts] {
-		t.data = append(t.data, part.Value...)
+		if len(part.Value) < partHeaderBytes {
+			return nil
+		}
+		t.data = append(t.data, part.Value[partHeaderBytes:]...)
 	}
 	return t
 }
@@ -227,11 +230,20 @@
 	return k.Reachable() && k.reachable && k.Clock.Now()-k.since >= k.SettleTime
 }
 
-// Run writes copies to the table service, until ctx ends.
+// Run writes copies to the table service and deletes turns that have expired, until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
+	lastSweep, lastScan := k.Clock.Now(), k.Clock.Now()
 	for {
 		k.observeReachability()
 		k.flush(ctx)
+		if now := k.Clock.Now(); now-lastSweep >= sweepInterval && k.Reachable() {
+			lastSweep = now
+			k.sweep(ctx)
+		}
+		if now := k.Clock.Now(); now-lastScan >= scanInterval && k.Reachable() && k.Retains() {
+			lastScan = now
+			k.scan(ctx)
+		}
 		if !clock.Sleep(ctx, flushInterval) {
 			return
 		}
--- a/internal/system/conversations/metrics.go
+++ b/internal/system/conversations/metrics.go
@@ -18,6 +18,7 @@
 	keeps       *metric.CounterVec // by where the turn is safe
 	copies      *metrics.Counter   // held for other VMs
 	keptBytes   *metrics.Counter
+	swept       *metrics.Counter // rows deleted after their lifetime
 	keepSeconds *metrics.Histogram
 }
 
@@ -29,6 +30,7 @@
 		keeps:       r.CounterVec("ibisstall_turns_kept_total", "place", maxSources),
 		copies:      r.Counter("ibisstall_turns_copied_total"),
 		keptBytes:   r.Counter("ibisstall_turns_kept_bytes_total"),
+		swept:       r.Counter("ibisstall_turns_swept_total"),
 		keepSeconds: r.Histogram("ibisstall_turns_keep_seconds"),
 	}
 }
--- a/internal/system/conversations/row.go
+++ b/internal/system/conversations/row.go
@@ -25,6 +25,10 @@
 	// Limits of one transaction, of the value bytes before their encoding.
 	maxTransactionRows  = 90
 	maxTransactionBytes = 600 << 10
+	// partSeparator is in the names of parts only.
+	partSeparator = "."
+	// partHeaderBytes is the length of what comes before the data of a part: when it expires.
+	partHeaderBytes = 8
 	// turnOverhead is the memory that a turn takes beside its data and the ids in it.
 	turnOverhead = 256
 )
@@ -88,7 +92,7 @@
 func partKey(i id, digest uint64, n int) platform.Key {
 	var d [8]byte
 	binary.BigEndian.PutUint64(d[:], digest)
-	return platform.Key{Table: Table, ID: i.partition() + "/" + i.String() + "." + hex.EncodeToString(d[:]) + "." + strconv.Itoa(n)}
+	return platform.Key{Table: Table, ID: i.partition() + "/" + i.String() + partSeparator + hex.EncodeToString(d[:]) + partSeparator + strconv.Itoa(n)}
 }
 
 // encodeTurn returns the transactions that write a turn. The last one holds its first row, so
@@ -115,9 +119,14 @@
 	var transactions [][]platform.Write
 	var writes []platform.Write
 	size, parts := 0, 0
+	expiry := uint64(0) // unknown
+	if t.written > 0 {
+		expiry = uint64((t.written + lifetime(t.retention)).Milliseconds())
+	}
 	for rest := t.data; len(rest) > 0; parts++ {
-		part := rest[:min(limit, len(rest))]
-		rest = rest[len(part):]
+		n := min(limit-partHeaderBytes, len(rest))
+		part := append(binary.BigEndian.AppendUint64(nil, expiry), rest[:n]...)
+		rest = rest[n:]
 		if len(writes) == maxTransactionRows || size+len(part) > maxTransactionBytes {
 			transactions, writes, size = append(transactions, writes), nil, 0
 		}
