--- a/internal/system/quota/quotas.go
+++ b/internal/system/quota/quotas.go
@@ -295,7 +295,11 @@
 	if dc == q.DC {
 		a.usage = a.usage.Less(req.Ask.Usage)
 	}
-	return q.deliver(a, dc, waiting, firsts, answer, askedAt, now)
+	a.purse.Add(answer.Spare, askedAt)
+	if spare > 0 && answer.Spare == 0 {
+		a.noSpare = now + maxPause
+	}
+	return q.deliver(a, dc, waiting, firsts, answer, now)
 }
 
 // question returns the question for requests that wait, and which of them are those of
@@ -318,7 +322,7 @@
 
 // deliver passes on what a keeper has granted, and returns the requests that it has not; mu
 // is held.
-func (q *Quotas) deliver(a *account, dc string, waiting, firsts []*waiter, answer quota.Answer, askedAt, now time.Duration) (left []*waiter) {
+func (q *Quotas) deliver(a *account, dc string, waiting, firsts []*waiter, answer quota.Answer, now time.Duration) (left []*waiter) {
 	granted := make(map[*waiter]bool, len(firsts))
 	for i, w := range firsts {
 		granted[w] = i < len(answer.Granted) && answer.Granted[i]
@@ -344,10 +348,6 @@
 		left = append(left, w)
 	}
 	a.usage.Begun += answer.Begun
-	a.purse.Add(answer.Spare, askedAt)
-	if answer.Spare == 0 {
-		a.noSpare = now + maxPause
-	}
 	if answer.WaitMore > 0 {
 		a.pauses[dc] = pause{until: now + min(answer.WaitMore, maxPause), free: now + answer.WaitMore}
 	}
