dispatch, fairshare: workspaces that compete are served by shares of the endpoints' time

With too little room the queue of a service knew programs and deadlines only, so that one workspace that sent many times its usual took what the others needed.

internal/policy/fairshare ranks flows (a workspace and a priority) by their recent use of slots in relation to their share: weighted max-min, the weight being the usual use, at least the mean. Even weights alone would let a small workspace that is hot take from larger ones at their usual. scheduling.Before orders what begins by that rank, among equals of feasibility and program state, and programs under way by priority while their workspace is within its share. While one exceeds it clearly, it leaves 15 % of the slots to new programs of the others. Refusals name workspace and share and are counted by workspace. Without workspaces nothing changes.

--- a/internal/policy/scheduling/scheduling.go
+++ b/internal/policy/scheduling/scheduling.go
@@ -5,7 +5,10 @@
 // functions are pure.
 package scheduling
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Feasibility is whether a program can still end in time to be of use.
 type Feasibility int
@@ -28,10 +31,20 @@
 	// Objective is the time by which the program should end, LateObjective the
 	// time by which a late end is still of some use; both 0 if unknown.
 	Objective, LateObjective time.Duration
-	Priority                 int  // of the request's route; 0 is the most urgent
 	NewProgram               bool // none of the program's requests has started yet
+	// Independent means that the request is part of no program. It is set only among
+	// workspaces that compete.
+	Independent bool
+	// Urgency, ShareUse and ExceedsShare rank the request's workspace (fairshare.Rank); zero
+	// where none compete.
+	Urgency      int
+	ShareUse     float64
+	ExceedsShare bool
 }
 
+// begins reports whether the request begins something, rather than going on with it.
+func (r *Request) begins() bool { return r.NewProgram || r.Independent }
+
 // FeasibilityOf returns the feasibility of the program of a request that starts
 // at start and runs for runTime. A program with an unknown objective is on time.
 func FeasibilityOf(r *Request, start, runTime time.Duration) Feasibility {
@@ -50,20 +63,27 @@
 // Requests of programs that can end on time come first. Among these, programs
 // under way come before new ones: the work done on a program under way is lost
 // if it ends late, while a new one can still be refused cheaply. New programs
-// are ordered by the share of their time that is already spent, least first.
-// All others, and ties, are ordered by earliest objective.
+// are ordered by how much of its share their workspace uses, then by the share of
+// their time that is already spent, least first. Programs under way are ordered by
+// urgency: shares decide what begins, and what has begun is finished. All others, and
+// ties, are ordered by earliest objective.
 func Before(a, b *Request, now, runTime time.Duration) bool {
 	feasibilityA, feasibilityB := FeasibilityOf(a, now, runTime), FeasibilityOf(b, now, runTime)
 	if feasibilityA != feasibilityB {
 		return feasibilityA < feasibilityB
 	}
-	if a.NewProgram != b.NewProgram {
-		return b.NewProgram
+	if a.begins() != b.begins() {
+		return b.begins()
 	}
-	if a.NewProgram {
+	if a.begins() {
+		if a.ShareUse != b.ShareUse {
+			return a.ShareUse < b.ShareUse
+		}
 		if spentA, spentB := spentShare(a, now), spentShare(b, now); spentA != spentB {
 			return spentA < spentB
 		}
+	} else if a.Urgency != b.Urgency {
+		return a.Urgency < b.Urgency
 	}
 	if objectiveA, objectiveB := objective(a), objective(b); objectiveA != objectiveB {
 		return objectiveA < objectiveB
@@ -171,6 +191,20 @@
 	return c.slots() / c.MeanRunTime.Seconds()
 }
 
+// reservedPart is the part of the slots that workspaces leave to the others while they
+// exceed their share.
+const reservedPart = 0.15
+
+// NewProgramReserve returns how much of the capacity for new programs a request leaves to
+// other workspaces. While one exceeds its share, programs of the others would start in time,
+// but find the endpoints too busy to end in time.
+func (c ServiceCapacity) NewProgramReserve(r *Request) int {
+	if !r.ExceedsShare {
+		return 0
+	}
+	return int(math.Ceil(c.slots() * reservedPart))
+}
+
 // OnlyLimited reports whether rate limits, and no slots, bound the capacity.
 func (c ServiceCapacity) OnlyLimited() bool { return c.Slots == 0 && c.LimitedPerSecond > 0 }
 
--- a/internal/system/dispatch/assign.go
+++ b/internal/system/dispatch/assign.go
@@ -62,6 +62,7 @@
 		return
 	}
 	if len(p.waiting) > 1 {
+		p.rankFlows(now)
 		sort.SliceStable(p.waiting, func(i, j int) bool {
 			return scheduling.Before(&p.waiting[i].policyRequest, &p.waiting[j].policyRequest, now, p.meanRun)
 		})
@@ -70,11 +71,12 @@
 		e.queuedFor = 0
 	}
 	p.medianRun = p.lowerMedianRun()
-	newPrograms := p.newProgramCapacity(now)
+	capacity := p.capacity(now)
+	newPrograms := p.newProgramCapacity(capacity, now)
 	kept := p.waiting[:0]
 	considered := 0
 	for _, r := range p.waiting {
-		if considered >= maxConsidered || free == 0 || r.level == quarantine.Alone || r.startsProgram() && newPrograms <= 0 {
+		if considered >= maxConsidered || free == 0 || r.level == quarantine.Alone || r.startsProgram() && newPrograms <= capacity.NewProgramReserve(&r.policyRequest) {
 			kept = append(kept, r)
 			continue
 		}
@@ -104,7 +106,7 @@
 }
 
 // newProgramCapacity returns how many new programs may start; 0 or less means none.
-func (p *pool) newProgramCapacity(now time.Duration) int {
+func (p *pool) newProgramCapacity(c scheduling.ServiceCapacity, now time.Duration) int {
 	busy := 0
 	for _, e := range p.sortedEndpoints {
 		busy += e.running
@@ -114,7 +116,7 @@
 			busy++
 		}
 	}
-	return p.activePrograms.NewProgramCapacity(p.capacity(now), busy, now)
+	return p.activePrograms.NewProgramCapacity(c, busy, now)
 }
 
 // assignBest assigns the request a slot at its best endpoint and reports whether one was
@@ -224,6 +226,9 @@
 
 func (s *Scheduler) assign(r *request, e *endpoint, now time.Duration) {
 	e.running++
+	if r.flow != nil {
+		r.flow.Start(now)
+	}
 	e.limit.take()
 	r.response.Limit = e.limit.state()
 	if e.health.Unhealthy() {
@@ -317,6 +322,7 @@
 		r.response.RetryAfter = p.activePrograms.NewProgramRetryAfter(s.cfg, capacity, now)
 		p.activePrograms = p.activePrograms.RecordRefusal(now)
 	}
+	s.recordShareRefusal(r, now)
 	if capacity.OnlyLimited() {
 		r.response.RetryAfter = max(r.response.RetryAfter, p.limits.recordRefusal(capacity, len(p.waiting), now))
 	}
--- a/internal/system/dispatch/bench_test.go
+++ b/internal/system/dispatch/bench_test.go
@@ -14,7 +14,12 @@
 
 // BenchmarkScheduler_Saturated measures the scheduling work per turn while the
 // queue is much longer than the number of slots.
-func BenchmarkScheduler_Saturated(b *testing.B) {
+func BenchmarkScheduler_Saturated(b *testing.B) { benchmarkSaturated(b, 0) }
+
+// BenchmarkScheduler_Workspaces is the same while 550 workspaces compete.
+func BenchmarkScheduler_Workspaces(b *testing.B) { benchmarkSaturated(b, 550) }
+
+func benchmarkSaturated(b *testing.B, workspaces uint64) {
 	c := &manualClock{now: time.Second}
 	s := NewScheduler(c, scheduling.DefaultConfig())
 	var list []forward.Endpoint
@@ -28,6 +33,9 @@
 		conversation++
 		a := turn(conversation%400, 1000)
 		a.Program = fmt.Sprint(conversation % 400)
+		if workspaces > 0 {
+			a.Workspace = fmt.Sprint(conversation % workspaces)
+		}
 		open = append(open, s.Submit(a))
 	}
 	for range 600 {
--- a/internal/system/dispatch/burst_test.go
+++ b/internal/system/dispatch/burst_test.go
@@ -31,6 +31,8 @@
 
 type simProgram struct {
 	conversation       uint64
+	customer           int           // who sends the program
+	workspace          string        // empty unless workspaces compete
 	turns, done        int           // all turns, and those completed
 	prompt             int32         // tokens of the next turn's prompt
 	start, finish, end time.Duration // arrival, objective, and end of the last completed turn
@@ -163,10 +165,15 @@
 // the programs is sent to random engines, as by VMs that are cut off from the
 // scheduler.
 func simulateScheduled(programs []*simProgram, length time.Duration, bypassing float64) (onTime, all int) {
+	return simulateEndpoints(engineList(), programs, length, bypassing)
+}
+
+// simulateEndpoints is simulateScheduled with the engines as the scheduler sees them.
+func simulateEndpoints(list []forward.Endpoint, programs []*simProgram, length time.Duration, bypassing float64) (onTime, all int) {
 	random := rand.New(rand.NewPCG(3, 3))
 	c := &manualClock{}
 	s := NewScheduler(c, scheduling.DefaultConfig())
-	s.SetEndpoints(engineList(), map[string]int{"model": simCacheTokens})
+	s.SetEndpoints(list, map[string]int{"model": simCacheTokens})
 	open := map[uint64]*simProgram{}
 	refusals := map[*simProgram]int{}
 	apply := func(p *simProgram, a SlotResponse, now time.Duration, engines []*simEngine) {
@@ -192,7 +199,7 @@
 			return
 		}
 		apply(p, s.Submit(SlotRequest{
-			Service: "model", Program: fmt.Sprint(p.conversation), DC: "dc-1", Deadline: 3 * time.Second, HasFinish: true, Finish: p.finish - now,
+			Service: "model", Program: fmt.Sprint(p.conversation), Workspace: p.workspace, DC: "dc-1", Deadline: 3 * time.Second, HasFinish: true, Finish: p.finish - now,
 			LateFinish: 2*p.finish - p.start - now, First: p.done == 0, AnswerTokens: simAnswerTokens,
 			Prefixes: []uint64{p.conversation}, PartTokens: []int32{p.prompt},
 		}), now, engines)
--- a/internal/system/dispatch/client.go
+++ b/internal/system/dispatch/client.go
@@ -34,11 +34,19 @@
 	Reason     string
 	RetryAfter time.Duration
 	QueueWait  time.Duration
+	// Workspace is that of the request, and ShareUse how much of its share it uses; empty
+	// where requests need no key.
+	Workspace string
+	ShareUse  float64
 }
 
 // Error implements error.
 func (e *RefusedError) Error() string {
-	return fmt.Sprintf("no slot assigned: %s; retry after %v", e.Reason, e.RetryAfter)
+	text := fmt.Sprintf("no slot assigned: %s; retry after %v", e.Reason, e.RetryAfter)
+	if e.Workspace != "" {
+		text += fmt.Sprintf("; workspace %s uses %.2f of its share", e.Workspace, e.ShareUse)
+	}
+	return text
 }
 
 // Quarantined reports whether the request was refused because endpoints ended while they
@@ -190,7 +198,9 @@
 		return nil, errNotReady
 	}
 	if resp.State == Refused {
-		return nil, &RefusedError{Reason: resp.Reason, RetryAfter: resp.RetryAfter, QueueWait: resp.Waited}
+		return nil, &RefusedError{
+			Reason: resp.Reason, RetryAfter: resp.RetryAfter, QueueWait: resp.Waited, Workspace: req.Workspace, ShareUse: resp.ShareUse,
+		}
 	}
 	if resp.Limit.Changes > 0 {
 		c.limits.set(req.Service, resp.Endpoint, resp.Limit.PerSecond, resp.Limit.Limited, time.Now())
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -17,7 +17,9 @@
 
 	"ibisstall.example/ibisstall/internal/clock"
 	"ibisstall.example/ibisstall/internal/forward"
+	"ibisstall.example/ibisstall/internal/metric"
 	"ibisstall.example/ibisstall/internal/policy/estimate"
+	"ibisstall.example/ibisstall/internal/policy/fairshare"
 	"ibisstall.example/ibisstall/internal/policy/placement"
 	"ibisstall.example/ibisstall/internal/policy/quarantine"
 	"ibisstall.example/ibisstall/internal/policy/scheduling"
@@ -59,6 +61,8 @@
 	Fleet func(service string) Fleet
 	Lag   *clock.Lag  // of this VM; may be nil
 	Log   *zap.Logger // may be nil
+	// Refusals counts refused requests by workspace; may be nil.
+	Refusals *metric.CounterVec
 
 	clock  clock.Clock
 	cfg    scheduling.Config
@@ -93,6 +97,7 @@
 	activePrograms  scheduling.ActivePrograms
 	lastTurns       map[string]time.Duration // when each active program's last turn started or ended
 	limits          poolLimits
+	shares          *fairshare.Shares // nil while no request has a workspace
 	// reserved is the endpoint that is kept for requests that run alone; nil if there are none.
 	reserved *endpoint
 	alone    alonePause
@@ -129,7 +134,8 @@
 	args          SlotRequest
 	policyRequest scheduling.Request // args as input to the scheduling policy, with absolute times
 	pool          *pool
-	endpoint      *endpoint // nil while the request waits
+	flow          *fairshare.Flow // nil unless workspaces compete for the service
+	endpoint      *endpoint       // nil while the request waits
 	assignedAt    time.Duration
 	level         quarantine.Level // when the request was submitted
 	response      SlotResponse
@@ -236,7 +242,7 @@
 	r := &request{args: args, pool: p, decided: make(chan struct{}), lastPolled: now}
 	r.response.Ticket, r.response.Instance = s.lastTicket, s.instance
 	r.policyRequest = scheduling.Request{
-		Arrived: now, Deadline: now + args.Deadline, Priority: args.Priority, NewProgram: args.First,
+		Arrived: now, Deadline: now + args.Deadline, NewProgram: args.First,
 	}
 	if _, known := p.lastTurns[args.Program]; known {
 		r.policyRequest.NewProgram = false // its first turn was sent through another VM
@@ -244,6 +250,7 @@
 	if args.HasFinish {
 		r.policyRequest.Objective, r.policyRequest.LateObjective = now+args.Finish, now+args.LateFinish
 	}
+	p.joinShares(r, now)
 	s.answerWithNews(r, now)
 	if s.refuseQuarantined(r, now) {
 		return r.response
@@ -253,7 +260,7 @@
 		return r.response
 	}
 	s.requests[r.response.Ticket] = r
-	p.waiting = append(p.waiting, r)
+	p.enqueue(r, now)
 	s.assignSlots(p)
 	if r.response.State == Queued {
 		s.shed(p, now)
@@ -346,155 +353,6 @@
 	return s.Poll(ticket), nil
 }
 
-// Release frees a slot or removes a waiting request. Unknown tickets are ignored,
-// since the slot or request may have expired.
-func (s *Scheduler) Release(release SlotRelease) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	r := s.requests[release.Ticket]
-	if r == nil {
-		return
-	}
-	now := s.clock.Now()
-	if r.endpoint != nil && r.endpoint.recordLoss(r, release.Loss, now) {
-		s.observeEnd(r.endpoint, now)
-	}
-	s.recordRunEnd(r, release, now)
-	s.remove(r)
-	if r.endpoint != nil {
-		r.endpoint.applyRelease(r, release, now)
-		r.pool.recordTurnEnd(r, now)
-		if release.Result == Completed && release.Run > 0 {
-			r.pool.meanRun = movingAverage(r.pool.meanRun, release.Run)
-		}
-	}
-	s.assignSlots(r.pool)
-}
-
-// recordTurnStart records that a turn of a program was assigned a slot.
-func (p *pool) recordTurnStart(r *request, now time.Duration) {
-	if !r.isTurn() {
-		return
-	}
-	var gap time.Duration
-	if ended, known := p.lastTurns[r.args.Program]; known {
-		gap = r.policyRequest.Arrived - ended
-	}
-	p.activePrograms = p.activePrograms.RecordTurnStart(r.policyRequest.NewProgram, max(0, gap))
-	p.lastTurns[r.args.Program] = now
-}
-
-// recordTurnEnd records that a turn of a program released its slot.
-func (p *pool) recordTurnEnd(r *request, now time.Duration) {
-	if !r.isTurn() {
-		return
-	}
-	p.activePrograms = p.activePrograms.RecordTurnEnd(now)
-	p.lastTurns[r.args.Program] = now
-}
-
-// dropIdlePrograms removes programs whose last turn started or ended more than
-// programRetention ago.
-func (p *pool) dropIdlePrograms(now time.Duration) {
-	for program, at := range p.lastTurns {
-		if now-at > programRetention {
-			delete(p.lastTurns, program)
-		}
-	}
-}
-
-// runTimeWeight is the weight of a new sample in the mean run time of a service.
-const runTimeWeight = 0.05
-
-func movingAverage(mean, sample time.Duration) time.Duration {
-	return mean + time.Duration(runTimeWeight*float64(sample-mean))
-}
-
-// remove deletes a request. It frees the request's slot or, if the request has none,
-// removes it from the queue.
-func (s *Scheduler) remove(r *request) {
-	delete(s.requests, r.response.Ticket)
-	if r.endpoint != nil {
-		r.endpoint.running--
-		if r.level == quarantine.Spread {
-			r.endpoint.suspects--
-		}
-		return
-	}
-	p := r.pool
-	for i, w := range p.waiting {
-		if w == r {
-			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
-			return
-		}
-	}
-}
-
-// applyRelease updates the endpoint's rates, health and backoff from the result of a request.
-func (e *endpoint) applyRelease(r *request, release SlotRelease, now time.Duration) {
-	if release.EndpointLeaves {
-		e.leaves, e.Draining = true, true
-	}
-	switch release.Result {
-	case Completed:
-		e.backoff = 0
-		e.observeTimes(int(r.args.promptTokens())-r.cachedTokens, release)
-		if r.args.AnswerTokens > 0 && release.First > 0 {
-			e.concurrencyLimit = e.concurrencyLimit.Observe(release.First-e.prefillTime(int(r.args.promptTokens())-r.cachedTokens), r.pool.meanRun, e.Slots)
-		}
-	case Full:
-		e.backoffUntil = max(e.backoffUntil, now+fullBackoff)
-	case ConnectTimeout:
-		if !e.recordConnectTimeout(r.args.VM, now) {
-			break
-		}
-		fallthrough
-	case Unreachable:
-		e.backoff = min(max(initialBackoff, 2*e.backoff), maxBackoff)
-		e.backoffUntil = now + e.backoff
-		if e.promptCache != nil {
-			e.promptCache.clear()
-		}
-	}
-	if release.Result == Completed || release.Result == Failed {
-		e.health = e.health.Observe(estimate.DefaultHealthConfig(), release.Result == Failed, time.Unix(0, int64(now)))
-	}
-}
-
-// recordConnectTimeout records a VM's connect timeout at the endpoint and reports
-// whether connectTimeoutVMs had one within connectTimeoutWindow: a single VM may be
-// cut off or slow itself.
-func (e *endpoint) recordConnectTimeout(vm string, now time.Duration) bool {
-	if e.connectTimeouts == nil {
-		e.connectTimeouts = make(map[string]time.Duration)
-	}
-	e.connectTimeouts[vm] = now
-	for other, at := range e.connectTimeouts {
-		if now-at > connectTimeoutWindow {
-			delete(e.connectTimeouts, other)
-		}
-	}
-	return len(e.connectTimeouts) >= connectTimeoutVMs
-}
-
-// slotLimit returns the number of requests that the scheduler lets run at the endpoint at once.
-func (e *endpoint) slotLimit() int { return e.concurrencyLimit.Slots(e.Slots) }
-
-// prefillTime returns the time to prefill a number of tokens at the endpoint's best rate.
-func (e *endpoint) prefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / e.prefillRate * float64(time.Second))
-}
-
-// observeTimes updates the endpoint's rates from a request that prefilled a number of tokens.
-func (e *endpoint) observeTimes(prefilled int, release SlotRelease) {
-	e.rates = e.rates.Observe(estimate.CallSample{
-		FirstToken: release.First, RunTime: release.Run, Prefilled: int64(prefilled), Generated: int64(release.Tokens),
-	})
-	if prefilled >= minPrefillSample && release.First > 0 {
-		e.prefillRate = max(float64(prefilled)/release.First.Seconds(), e.prefillRate*prefillRateDecay)
-	}
-}
-
 // Tick frees expired slots, removes requests whose VM stopped polling, assigns
 // free slots and refuses requests whose estimated wait has become too long.
 func (s *Scheduler) Tick() {
@@ -511,6 +369,7 @@
 	}
 	for service, p := range s.pools {
 		p.dropIdlePrograms(now)
+		p.dropIdleFlows(now)
 		s.reviveListed(p, now)
 		s.updateLimits(p, service, now)
 		s.assignSlots(p)
--- a/internal/system/dispatch/messages.go
+++ b/internal/system/dispatch/messages.go
@@ -86,7 +86,10 @@
 	Waited       time.Duration // from the submission to the decision
 	RetryAfter   time.Duration // set if refused
 	Reason       string        // set if refused
-	Instance     uint64        // of the scheduler; another one knows nothing of this one's limits
+	// ShareUse is how much of its share the request's workspace uses; above 1 it exceeds
+	// the share. Set if refused and the request has a workspace.
+	ShareUse float64
+	Instance uint64 // of the scheduler; another one knows nothing of this one's limits
 	// Limit is the endpoint's rate limit as far as the scheduler knows; set once assigned.
 	Limit LimitState
 	// Process identifies the endpoint's process, and SoftwareVersion is that of its
