platform: one account of what is held for callers, derived from the memory and descriptors of the settings

Cause: bodies were read whole into doubling buffers without a bound on their sum, heads and connections were not counted, a body over the limit was read up to the limit, and a budgeted turn without a limit of output reserved no tokens again and again. Change: policy/callermemory accounts for connections, heads, bodies and unread responses in a fifth of the VM's memory. What makes no progress goes first, the oldest first; a body that finds no room is refused with 503, unrun. Such a turn reserves by steps of 256 tokens.

--- a/internal/drainserver/drainserver.go
+++ b/internal/drainserver/drainserver.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"ibisstall.example/ibisstall/internal/policy/callermemory"
 )
 
 // pollInterval is the time between two checks whether all connections have ended.
@@ -22,6 +24,7 @@
 	mu       sync.Mutex
 	listener net.Listener       // guarded by mu
 	conns    map[*conn]struct{} // guarded by mu; open connections
+	memory   *callerMemory      // nil if what is held for callers is not limited
 }
 
 // conn is an open connection. server.mu guards its fields.
@@ -32,6 +35,7 @@
 	handling    bool // the request was read and is being handled
 	readingBody bool
 	interrupted bool // Stop has ended a read
+	held        heldBytes
 }
 
 // errInterrupted is the error of a response to a request that Stop has kept from being read.
@@ -41,10 +45,14 @@
 func (c *conn) Write(b []byte) (int, error) {
 	c.server.mu.Lock()
 	discard := c.interrupted && !c.handling
+	if !discard {
+		c.beginWrite(len(b))
+	}
 	c.server.mu.Unlock()
 	if discard {
 		return 0, errInterrupted
 	}
+	defer c.endWrite()
 	return c.TCPConn.Write(b)
 }
 
@@ -56,17 +64,32 @@
 
 // Accept implements net.Listener.
 func (l connListener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := raw.(*net.TCPConn)
+		if !ok {
+			return nil, errors.Join(fmt.Errorf("connection of type %T, want TCP", raw), raw.Close())
+		}
+		c := &conn{TCPConn: tcp, server: l.server}
+		if l.server.open(c) {
+			return c, nil
+		}
+		_ = tcp.Close() // fails only if the caller has reset it
 	}
-	tcp, ok := raw.(*net.TCPConn)
-	if !ok {
-		return nil, errors.Join(fmt.Errorf("connection of type %T, want TCP", raw), raw.Close())
+}
+
+// open adds a new connection, and reports false if there is no room for it.
+func (s *Server) open(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.admit(c) {
+		return false
 	}
-	c := &conn{TCPConn: tcp, server: l.server}
-	l.server.update(func() { l.server.conns[c] = struct{}{} })
-	return c, nil
+	s.conns[c] = struct{}{}
+	return true
 }
 
 // update changes fields that mu guards.
@@ -87,7 +110,10 @@
 	handler := h.Handler
 	h.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r)
-		s.update(func() { c.handling = true })
+		s.update(func() {
+			c.handling = true
+			c.enter(callermemory.Handling)
+		})
 		defer s.update(func() { c.readingBody = true }) // net/http reads what is left of the body
 		handler.ServeHTTP(&responseWriter{w, closing}, r)
 	})
@@ -128,8 +154,16 @@
 	if c == nil {
 		return func() {}
 	}
-	c.server.update(func() { c.readingBody = true })
-	return func() { c.server.update(func() { c.readingBody = false }) }
+	c.server.update(func() {
+		c.readingBody = true
+		c.enter(callermemory.Body)
+	})
+	return func() {
+		c.server.update(func() {
+			c.readingBody = false
+			c.enter(callermemory.Handling)
+		})
+	}
 }
 
 func (s *Server) recordState(raw net.Conn, state http.ConnState) {
@@ -140,8 +174,10 @@
 			c.active = true
 		case http.StateIdle:
 			c.active, c.handling, c.readingBody = false, false, false
+			c.endRequest()
 		case http.StateClosed, http.StateHijacked:
 			delete(s.conns, c)
+			c.forget()
 		}
 	})
 }
--- a/internal/system/forwarder/refusal.go
+++ b/internal/system/forwarder/refusal.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"ibisstall.example/ibisstall/internal/forward"
 	"ibisstall.example/ibisstall/internal/system/dispatch"
 )
 
@@ -57,3 +58,13 @@
 	x.w.WriteHeader(status)
 	fmt.Fprintf(x.w, `{"error":{"type":%q,"message":%q}}`+"\n", http.StatusText(status), reason)
 }
+
+// fullRetryAfter is the retry-after of refusals for want of memory: other VMs may have room.
+const fullRetryAfter = 300 * time.Millisecond
+
+// RefuseFull refuses a request whose body has not arrived, since this VM has no room for it.
+func (f *Forwarder) RefuseFull(w http.ResponseWriter, req *forward.Request) {
+	x := &exchange{f: f, w: w, request: req}
+	defer x.logAndMeasure()
+	x.refuse(http.StatusServiceUnavailable, "no room for the body", fullRetryAfter)
+}
--- a/internal/system/forwarder/tokens.go
+++ b/internal/system/forwarder/tokens.go
@@ -2,10 +2,21 @@
 
 import "ibisstall.example/ibisstall/internal/system/tokenbudget"
 
+const (
+	// unlimitedTurnTokens is what a turn reserves whose caller sets no limit for its output.
+	unlimitedTurnTokens = 256
+	// maxTurnTokens is the largest limit of a turn's output; larger ones could overflow sums.
+	maxTurnTokens = 1 << 40
+)
+
 // reserveTokens reserves tokens for a turn or, once those are used up, for its next events.
 func (x *exchange) reserveTokens() error {
 	perEvent := int64(max(1, x.service.TokensPerEvent))
-	maxTokens := roundUp(int64(x.request.MaxTokens), perEvent)
+	maxTokens := min(int64(x.request.MaxTokens), maxTurnTokens)
+	if maxTokens <= 0 {
+		maxTokens = min(unlimitedTurnTokens, x.request.Budget)
+	}
+	maxTokens = roundUp(maxTokens, perEvent)
 	req := tokenbudget.ReserveRequest{
 		Program: x.request.Program, Budget: x.request.Budget, Turn: maxTokens,
 		Step: min(maxTokens, roundUp(maxTokens/reservationSteps, perEvent)),
@@ -21,6 +32,10 @@
 	if err != nil {
 		return endOf(ctx, err)
 	}
+	if r.Tokens() <= 0 {
+		r.Settle(0)
+		return tokenbudget.ErrSpent
+	}
 	x.reservations = append(x.reservations, r)
 	x.reservedTokens += r.Tokens()
 	x.reservedEvents = int(x.reservedTokens / perEvent)
