--- a/internal/system/conversations/conversations.go
+++ b/internal/system/conversations/conversations.go
@@ -132,6 +132,9 @@
 	Table, Direct platform.VersionedTable
 	// Reachable reports whether this VM reaches the table service itself.
 	Reachable func() bool
+	// Isolated reports whether this VM reaches neither the table service nor other data centres, so
+	// that no turn can be made safe. It may be nil.
+	Isolated func() bool
 	// TableTime returns the time of the table service, which all VMs share, as far as this VM
 	// knows it.
 	TableTime func() (now time.Duration, known bool)
@@ -478,6 +481,8 @@
 			return t, asCopies, nil
 		case errors.Is(err, errOtherContent):
 			return nil, nowhere, err
+		case k.isolated():
+			return nil, nowhere, ErrIsolated
 		}
 		if !clock.Sleep(ctx, pause) {
 			return nil, nowhere, fmt.Errorf("%w: neither the table service nor enough other VMs", platform.ErrUnavailable)
--- a/internal/system/conversations/conversations_test.go
+++ b/internal/system/conversations/conversations_test.go
@@ -257,3 +257,20 @@
 	c.put("much", Key{"much", "large"}.id(), turnOf(20_000), 10_000)
 	is.Equal(c.bytes, int64(10_000))
 }
+
+// Turns were run at VMs that were cut off, and their callers waited in vain for the end.
+func TestKeeper_TakesNoTurnThatItCouldNotKeep(t *testing.T) {
+	is := is.New(t)
+	table := newFakeTable()
+	k := newKeeper(table)
+	isolated := false
+	k.Isolated = func() bool { return isolated }
+	is.NoErr(k.Admit(true))
+	is.NoErr(say(k, "w", "a", "", "in", "out"))
+	isolated = true
+	table.fail = platform.ErrUnavailable
+	is.Equal(k.Admit(true), ErrIsolated)
+	is.Equal(k.Admit(false), ErrIsolated)
+	err := k.Keep(context.Background(), Turn{Key: Key{"w", "b"}, Input: []byte("x"), Retention: testRetention})
+	is.True(errors.Is(err, ErrIsolated)) // and not the end of the time for it
+}
--- a/internal/system/conversations/sweep.go
+++ b/internal/system/conversations/sweep.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"strings"
 	"time"
 
@@ -205,8 +206,20 @@
 // ErrFull means that the table service has no room for new conversations.
 var ErrFull = errors.New("no room for new conversations")
 
-// AdmitNew returns ErrFull if no new conversation may begin now.
-func (k *Keeper) AdmitNew() error {
+// ErrIsolated means that this VM is cut off from all that could make a turn safe.
+var ErrIsolated = fmt.Errorf("%w: this VM is cut off", platform.ErrUnavailable)
+
+func (k *Keeper) isolated() bool { return k.Isolated != nil && k.Isolated() }
+
+// Admit returns ErrIsolated if a turn that runs now could not be kept, and ErrFull if it may not
+// run since it begins a conversation.
+func (k *Keeper) Admit(begins bool) error {
+	if k.isolated() {
+		return ErrIsolated
+	}
+	if !begins {
+		return nil
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.Clock.Now() < k.fullUntil {
--- a/internal/system/forwarder/preparation.go
+++ b/internal/system/forwarder/preparation.go
@@ -31,10 +31,10 @@
 
 // ConversationStore keeps the turns of conversations.
 type ConversationStore interface {
+	// Admit returns an error if a turn may not run now. begins is true if it begins a conversation.
+	Admit(begins bool) error
 	// Load returns the conversation up to a turn, of at most maxBytes.
 	Load(ctx context.Context, previous conversations.Key, maxBytes int64) (*conversations.History, error)
-	// AdmitNew returns an error if no new conversation may begin.
-	AdmitNew() error
 	// Keep returns nil once the turn survives the loss of all VMs.
 	Keep(ctx context.Context, turn conversations.Turn) error
 }
@@ -67,19 +67,19 @@
 func (x *exchange) startPreparation() *preparation {
 	p := &preparation{}
 	ctx := x.drain.startCtx
+	if x.retained() {
+		if err := x.f.Conversations.Admit(x.request.PreviousTurn == ""); err != nil {
+			p.history = make(chan error, 1)
+			p.history <- err
+			return p
+		}
+	}
 	if w := x.workspace; w != nil && w.Quota.Limited() && x.f.Quota != nil {
 		p.quota = make(chan error, 1)
 		req := quota.Request{Workspace: w.Name, First: x.firstTurn, Program: x.request.Program}
 		go func() { p.quota <- x.f.Quota.Acquire(ctx, w.Quota, req) }()
 	}
-	switch {
-	case !x.retained():
-	case x.request.PreviousTurn == "":
-		if err := x.f.Conversations.AdmitNew(); err != nil {
-			p.history = make(chan error, 1)
-			p.history <- err
-		}
-	default:
+	if x.retained() && x.request.PreviousTurn != "" {
 		p.history = make(chan error, 1)
 		key := conversations.Key{Workspace: x.workspaceName(), Turn: x.request.PreviousTurn}
 		maxBytes := int64(math.MaxInt64 - 1)
@@ -133,6 +133,8 @@
 		x.refuse(http.StatusNotFound, "no such turn", 0)
 	case errors.Is(err, conversations.ErrTooLarge):
 		x.refuse(http.StatusRequestEntityTooLarge, "conversation too long", 0)
+	case errors.Is(err, conversations.ErrIsolated), errors.Is(err, conversations.ErrFull):
+		x.failPreparation(err, "the turn can't be kept")
 	default:
 		x.failPreparation(err, "conversation can't be read")
 	}
