quota, tokenbudget: a VM waits before it asks for tokens ahead again; tests of who keeps a bucket

Cause: while a share was paused the loop that asks went on with the same tokens ahead and used a core until the pause ended (found by the tests, which took seconds on a busy machine).

--- a/internal/system/quota/quotas.go
+++ b/internal/system/quota/quotas.go
@@ -190,6 +190,9 @@
 		now := q.Keeper.Clock.Now()
 		waiting, spare := q.nextWaiting(a, now), a.spare(now)
 		a.asking = len(waiting) > 0 || spare > 0
+		if spare > 0 {
+			a.noSpare = now + maxPause // unless some are granted
+		}
 		q.mu.Unlock()
 		if len(waiting) == 0 && spare == 0 {
 			return
@@ -296,8 +299,8 @@
 		a.usage = a.usage.Less(req.Ask.Usage)
 	}
 	a.purse.Add(answer.Spare, askedAt)
-	if spare > 0 && answer.Spare == 0 {
-		a.noSpare = now + maxPause
+	if answer.Spare > 0 {
+		a.noSpare = 0
 	}
 	return q.deliver(a, dc, waiting, firsts, answer, now)
 }
--- a/internal/system/quota/quotas_test.go
+++ b/internal/system/quota/quotas_test.go
@@ -134,6 +134,15 @@
 	}
 }
 
+// awaitAnswers waits until no question is under way.
+func (vm *testVM) awaitAnswers() {
+	for asking := true; asking; time.Sleep(100 * time.Microsecond) {
+		vm.mu.Lock()
+		asking = vm.accounts["w"].asking
+		vm.mu.Unlock()
+	}
+}
+
 func isExceeded(err error) bool {
 	var e *ExceededError
 	return errors.As(err, &e) && e.RetryAfter > 0
@@ -148,6 +157,7 @@
 		is.True(isExceeded(err))
 		is.True(strings.Contains(err.Error(), `workspace "w": limit 30.0/s with a burst of 30`))
 		sum += n
+		vm.awaitAnswers() // tokens ahead, which there are none of, are not asked for again and again
 	}
 	is.Equal(sum, 30)
 	is.NoErr(f.vms["0-2"].Acquire(context.Background(), limited, Request{Workspace: "other"}))
@@ -285,21 +295,21 @@
 func TestQuotas_AskOnceForRequestsThatComeTogether(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(1, 2)
-	hold := make(chan struct{})
-	f.before = func(string, string) error { <-hold; return nil }
+	hold, held := make(chan struct{}), make(chan struct{}, 10)
+	f.before = func(string, string) error { held <- struct{}{}; <-hold; return nil }
 	vm := f.vms["0-1"]
 	var wait sync.WaitGroup
 	errs := make(chan error, 20)
-	for range cap(errs) {
-		wait.Go(func() { errs <- vm.acquire(limited) })
+	send := func() { errs <- vm.acquire(limited) }
+	wait.Go(send)
+	<-held
+	for range cap(errs) - 1 {
+		wait.Go(send)
 	}
-	for waiting := 0; waiting < cap(errs)-1; { // all but the one that is asked for
+	for waiting := 0; waiting < cap(errs)-1; time.Sleep(time.Millisecond) {
 		vm.mu.Lock()
-		if a := vm.accounts["w"]; a != nil {
-			waiting = len(a.waiting)
-		}
+		waiting = len(vm.accounts["w"].waiting)
 		vm.mu.Unlock()
-		time.Sleep(time.Millisecond)
 	}
 	close(hold)
 	wait.Wait()
@@ -319,11 +329,7 @@
 	for range requests {
 		f.advance(10 * time.Millisecond)
 		is.NoErr(vm.acquire(q))
-		for asking := true; asking; {
-			vm.mu.Lock()
-			asking = vm.accounts["w"].asking
-			vm.mu.Unlock()
-		}
+		vm.awaitAnswers()
 	}
 	is.True(f.calls < requests/5)
 	f.advance(idleTime + 1)
