quota, tokenbudget: a question goes to the recorded keeper without ranking all VMs

Cause: finding the candidates sorts the VMs of a data centre by hash for each question. Change: the others are ranked only if the recorded keeper doesn't answer or keeps the share no more.

--- a/internal/system/quota/keeper.go
+++ b/internal/system/quota/keeper.go
@@ -16,7 +16,10 @@
 	// KeptSince returns since when this process has kept the share of a workspace in its data
 	// centre, and false if it doesn't. Any other process has stopped keeping it before.
 	KeptSince(workspace string) (since time.Duration, ok bool)
-	// Candidates returns the processes that may keep it, the most likely first.
+	// Recorded returns the process that keeps the share of a workspace in a data centre as
+	// last recorded, or "".
+	Recorded(workspace, dc string) string
+	// Candidates returns the processes that may keep it, the most likely first. It costs more.
 	Candidates(workspace, dc string) []string
 }
 
--- a/internal/system/quota/quotas.go
+++ b/internal/system/quota/quotas.go
@@ -369,29 +369,51 @@
 	v.left = max(v.left, left)
 }
 
-// callKeeper asks the processes that may keep a data centre's share, one after the other.
+// callKeeper asks the recorded keeper of a data centre's share, and if that doesn't answer or
+// keeps it no more the others that may keep it, one after the other.
 func (q *Quotas) callKeeper(ctx context.Context, dc string, req GrantRequest) (quota.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, dcTimeout)
 	defer cancel()
 	err := errNotKept
+	recorded := q.Keeper.Ownership.Recorded(req.Workspace, dc)
+	if recorded != "" {
+		var answer quota.Answer
+		if answer, err = q.callProcess(ctx, recorded, req); err == nil {
+			return answer, nil
+		}
+	}
 	for i, process := range q.Keeper.Ownership.Candidates(req.Workspace, dc) {
 		if i >= maxCandidates || ctx.Err() != nil {
 			break
 		}
-		var resp GrantResponse
-		if process == q.Process {
-			resp = q.Keeper.grant(req)
-		} else if callErr := q.Peers.Call(ctx, process, methodGrant, keeperTimeout, req, &resp); callErr != nil {
-			err = fmt.Errorf("%w: %w", errNotKept, callErr)
+		if process == recorded {
 			continue
 		}
-		if resp.Kept {
-			return resp.Answer, nil
+		answer, callErr := q.callProcess(ctx, process, req)
+		if callErr == nil {
+			return answer, nil
+		}
+		if recorded == "" {
+			err = callErr
 		}
 	}
 	return quota.Answer{}, err
 }
 
+// callProcess asks a process that may keep a share. The error wraps errNotKept.
+func (q *Quotas) callProcess(ctx context.Context, process string, req GrantRequest) (quota.Answer, error) {
+	var resp GrantResponse
+	if process == q.Process {
+		resp = q.Keeper.grant(req)
+	} else if err := q.Peers.Call(ctx, process, methodGrant, keeperTimeout, req, &resp); err != nil {
+		return quota.Answer{}, fmt.Errorf("%w: %s: %w", errNotKept, process, err)
+	}
+	if !resp.Kept {
+		return quota.Answer{}, fmt.Errorf("%w: %s keeps the share no more or not yet", errNotKept, process)
+	}
+	return resp.Answer, nil
+}
+
 // Sweep drops what is known of workspaces that send nothing. It is called periodically.
 func (q *Quotas) Sweep() {
 	q.Keeper.Sweep()
--- a/internal/system/quota/quotas_test.go
+++ b/internal/system/quota/quotas_test.go
@@ -91,6 +91,13 @@
 	return vm.f.since[vm.dc], vm.f.keepers[vm.dc] == vm.process
 }
 
+// Recorded implements Ownership.
+func (vm *testVM) Recorded(_, dc string) string {
+	vm.f.mu.Lock()
+	defer vm.f.mu.Unlock()
+	return vm.f.keepers[dc]
+}
+
 // Candidates implements Ownership.
 func (vm *testVM) Candidates(_, dc string) []string {
 	vm.f.mu.Lock()
--- a/internal/system/tokenbudget/ownership.go
+++ b/internal/system/tokenbudget/ownership.go
@@ -31,8 +31,20 @@
 	return kept.keptSince, true
 }
 
+// Recorded returns the process that keeps the bucket of a name in a data centre as its row
+// says, or "" if that names none.
+func (q *Quotas) Recorded(name, dc string) string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	row := q.keepers[keeperRowName(dc, bucketOf(name))]
+	if row.Released {
+		return ""
+	}
+	return row.Process
+}
+
 // Candidates returns the processes that may keep the bucket of a name in a data centre, the
-// most likely first.
+// most likely first, beginning with the recorded one. It ranks all VMs.
 func (q *Quotas) Candidates(name, dc string) []string { return q.keeperCandidates(name, dc) }
 
 // Call calls a method of a process. One that does not answer is not called again until it
