--- a/internal/system/quota/quotas.go
+++ b/internal/system/quota/quotas.go
@@ -24,9 +24,11 @@
 	maxCandidates = 3
 	// maxRequests bounds the requests of one question.
 	maxRequests = 256
-	// maxPause bounds the time for which a data centre's share is not asked for after its
-	// keeper had nothing left, and is that after none was found.
-	maxPause = 100 * time.Millisecond
+	// maxPause bounds the time for which the share of this data centre is not asked for after
+	// its keeper had nothing left, and is that after none was found; maxOtherPause is for the
+	// other data centres, of which there may be many.
+	maxPause      = 100 * time.Millisecond
+	maxOtherPause = 300 * time.Millisecond
 	// maxQuestions is how often a request is asked for if the tokens came too late.
 	maxQuestions = 2
 	// idleTime is how long the account of a workspace that sends nothing is kept.
@@ -352,7 +354,11 @@
 	}
 	a.usage.Begun += answer.Begun
 	if answer.WaitMore > 0 {
-		a.pauses[dc] = pause{until: now + min(answer.WaitMore, maxPause), free: now + answer.WaitMore}
+		longest := maxOtherPause
+		if dc == q.DC {
+			longest = maxPause
+		}
+		a.pauses[dc] = pause{until: now + min(answer.WaitMore, longest), free: now + answer.WaitMore}
 	}
 	return left
 }
