--- a/internal/system/quota/quotas.go
+++ b/internal/system/quota/quotas.go
@@ -24,9 +24,11 @@
 	maxCandidates = 3
 	// maxRequests bounds the requests of one question.
 	maxRequests = 256
-	// maxPause bounds the time for which a data centre's share is not asked for after its
-	// keeper had nothing left, and is that after none was found.
-	maxPause = 100 * time.Millisecond
+	// maxPause bounds the time for which the share of this data centre is not asked for after
+	// its keeper had nothing left, and is that after none was found; maxOtherPause is for the
+	// other data centres, of which there may be many.
+	maxPause      = 100 * time.Millisecond
+	maxOtherPause = 300 * time.Millisecond
 	// maxQuestions is how often a request is asked for if the tokens came too late.
 	maxQuestions = 2
 	// idleTime is how long the account of a workspace that sends nothing is kept.
@@ -190,6 +192,9 @@
 		now := q.Keeper.Clock.Now()
 		waiting, spare := q.nextWaiting(a, now), a.spare(now)
 		a.asking = len(waiting) > 0 || spare > 0
+		if spare > 0 {
+			a.noSpare = now + maxPause // unless some are granted
+		}
 		q.mu.Unlock()
 		if len(waiting) == 0 && spare == 0 {
 			return
@@ -296,8 +301,8 @@
 		a.usage = a.usage.Less(req.Ask.Usage)
 	}
 	a.purse.Add(answer.Spare, askedAt)
-	if spare > 0 && answer.Spare == 0 {
-		a.noSpare = now + maxPause
+	if answer.Spare > 0 {
+		a.noSpare = 0
 	}
 	return q.deliver(a, dc, waiting, firsts, answer, now)
 }
@@ -349,7 +354,11 @@
 	}
 	a.usage.Begun += answer.Begun
 	if answer.WaitMore > 0 {
-		a.pauses[dc] = pause{until: now + min(answer.WaitMore, maxPause), free: now + answer.WaitMore}
+		longest := maxOtherPause
+		if dc == q.DC {
+			longest = maxPause
+		}
+		a.pauses[dc] = pause{until: now + min(answer.WaitMore, longest), free: now + answer.WaitMore}
 	}
 	return left
 }
@@ -366,29 +375,51 @@
 	v.left = max(v.left, left)
 }
 
-// callKeeper asks the processes that may keep a data centre's share, one after the other.
+// callKeeper asks the recorded keeper of a data centre's share, and if that doesn't answer or
+// keeps it no more the others that may keep it, one after the other.
 func (q *Quotas) callKeeper(ctx context.Context, dc string, req GrantRequest) (quota.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, dcTimeout)
 	defer cancel()
 	err := errNotKept
+	recorded := q.Keeper.Ownership.Recorded(req.Workspace, dc)
+	if recorded != "" {
+		var answer quota.Answer
+		if answer, err = q.callProcess(ctx, recorded, req); err == nil {
+			return answer, nil
+		}
+	}
 	for i, process := range q.Keeper.Ownership.Candidates(req.Workspace, dc) {
 		if i >= maxCandidates || ctx.Err() != nil {
 			break
 		}
-		var resp GrantResponse
-		if process == q.Process {
-			resp = q.Keeper.grant(req)
-		} else if callErr := q.Peers.Call(ctx, process, methodGrant, keeperTimeout, req, &resp); callErr != nil {
-			err = fmt.Errorf("%w: %w", errNotKept, callErr)
+		if process == recorded {
 			continue
 		}
-		if resp.Kept {
-			return resp.Answer, nil
+		answer, callErr := q.callProcess(ctx, process, req)
+		if callErr == nil {
+			return answer, nil
+		}
+		if recorded == "" {
+			err = callErr
 		}
 	}
 	return quota.Answer{}, err
 }
 
+// callProcess asks a process that may keep a share. The error wraps errNotKept.
+func (q *Quotas) callProcess(ctx context.Context, process string, req GrantRequest) (quota.Answer, error) {
+	var resp GrantResponse
+	if process == q.Process {
+		resp = q.Keeper.grant(req)
+	} else if err := q.Peers.Call(ctx, process, methodGrant, keeperTimeout, req, &resp); err != nil {
+		return quota.Answer{}, fmt.Errorf("%w: %s: %w", errNotKept, process, err)
+	}
+	if !resp.Kept {
+		return quota.Answer{}, fmt.Errorf("%w: %s keeps the share no more or not yet", errNotKept, process)
+	}
+	return resp.Answer, nil
+}
+
 // Sweep drops what is known of workspaces that send nothing. It is called periodically.
 func (q *Quotas) Sweep() {
 	q.Keeper.Sweep()
