--- a/internal/policy/callermemory/callermemory.go
+++ b/internal/policy/callermemory/callermemory.go
@@ -40,6 +40,9 @@
 	minStall = 500 * time.Millisecond
 	// stalledWriteTimeout bounds the time for which a caller reads nothing of a response.
 	stalledWriteTimeout = 15 * time.Second
+	// maxCheckGap is the longest time between two calls of Overdue after which the VM counts as
+	// not paused: in a pause it reads nothing.
+	maxCheckGap = 3 * time.Second
 )
 
 // Cause is what bytes are held for.
@@ -121,8 +124,9 @@
 	Limits  Limits
 	holders map[*Holder]struct{}
 	used    [Causes]int64
-	evicted int   // number of evicted holders
-	leaving int64 // bytes that they hold
+	checked time.Duration // last call of Overdue
+	evicted int           // number of evicted holders
+	leaving int64         // bytes that they hold
 }
 
 // New returns an empty budget.
@@ -252,8 +256,12 @@
 }
 
 // Overdue evicts and returns the connections that have been idle, have sent a head or have not
-// read for too long.
+// read for too long. It evicts none after a pause of the VM.
 func (b *Budget) Overdue(now time.Duration) []*Holder {
+	paused := now-b.checked > maxCheckGap
+	if b.checked = now; paused {
+		return nil
+	}
 	var evicted []*Holder
 	for h := range b.holders {
 		limit := time.Duration(0)
@@ -273,7 +281,11 @@
 	return evicted
 }
 
+// add changes what an open connection holds.
 func (b *Budget) add(h *Holder, c Cause, n int64) {
+	if _, open := b.holders[h]; !open {
+		return
+	}
 	h.bytes[c] += n
 	b.used[c] += n
 	if h.evicted {
