--- a/internal/drainserver/memory.go
+++ b/internal/drainserver/memory.go
@@ -41,7 +41,8 @@
 	NewHead       Reason = "head"       // no room for a head
 	NewBody       Reason = "body"       // no room for a body
 	Evicted       Reason = "evicted"    // made room for others
-	Overdue       Reason = "overdue"    // idle or without progress for too long
+	Overdue       Reason = "overdue"    // a head or the reading of a response took too long
+	TooIdle       Reason = "idle"       // idle for too long
 )
 
 // callerMemory accounts for what is held for callers. server.mu guards it.
@@ -104,7 +105,11 @@
 func (m *callerMemory) end(victims []*callermemory.Holder, reason Reason) {
 	for _, h := range victims {
 		c := m.conns[h]
-		m.observe(reason, c.RemoteAddr())
+		if reason == Overdue && h.Phase() == callermemory.Idle {
+			m.observe(TooIdle, c.RemoteAddr())
+		} else {
+			m.observe(reason, c.RemoteAddr())
+		}
 		if h.Phase() == callermemory.Writing {
 			_ = c.TCPConn.Close() // net/http closes it, too
 			continue
