forwarder: histories count among the bytes held for callers

Cause: the body of a turn that goes on from another one was held with its history, which nobody accounted for. Change: the history and its copy are taken from the same account until the response has ended; without room the turn is refused with 503, unrun.

--- a/internal/drainserver/drainserver_test.go
+++ b/internal/drainserver/drainserver_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"ibisstall.example/ibisstall/internal/policy/callermemory"
 )
 
 // testTimeout bounds the wait for an expected event. No result depends on its length.
@@ -270,3 +272,30 @@
 	is.Equal(answered.Load(), s.handled.Load())
 	is.Equal(refused.Load(), s.refused.Load()+s.interruptedBodies.Load())
 }
+
+// A history that was put before a body was not accounted for.
+func TestHold_TakesAndGivesBackWithTheRequest(t *testing.T) {
+	is := is.New(t)
+	s := &testServer{}
+	results := make(chan bool, 2)
+	s.Server = New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := ReadBody(r, 100)
+		results <- err == nil && Hold(r.Context(), 1<<20)
+		results <- s.Held(callermemory.Bodies) >= 1<<20 && !Hold(r.Context(), 1<<30)
+	})}, s.stopping.Load)
+	s.LimitMemory(callermemory.Limits{Bytes: 8 << 20}, func(Reason, net.Addr) {})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s.addr = l.Addr().String()
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	_, answer := s.dial(t, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc")
+	resp, err := http.ReadResponse(answer, nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 200)
+	for range cap(results) {
+		is.True(<-results)
+	}
+	s.awaitConns(t, func(c *conn) bool { return c.held.holder.Phase() == callermemory.Idle }, 1)
+	is.Equal(s.Held(callermemory.Bodies), int64(0))
+}
--- a/internal/drainserver/memory.go
+++ b/internal/drainserver/memory.go
@@ -1,6 +1,7 @@
 package drainserver
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -328,3 +329,21 @@
 		c.server.update(func() { c.server.memory.budget.Received(c.held.holder, n, c.server.memory.now()) })
 	}
 }
+
+// Hold accounts for n more bytes that are held for the request of a context until its response has
+// ended. It reports false if there is no room.
+func Hold(ctx context.Context, n int64) bool {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	if c == nil || c.server.memory == nil {
+		return true
+	}
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	m := c.server.memory
+	evicted, ok := m.budget.Take(c.held.holder, callermemory.Bodies, n, m.now())
+	m.end(evicted, Evicted)
+	if !ok {
+		m.observe(NewBody, c.RemoteAddr())
+	}
+	return ok
+}
--- a/internal/system/forwarder/forwarder.go
+++ b/internal/system/forwarder/forwarder.go
@@ -123,8 +123,11 @@
 	Confirmer     ConfigConfirmer
 	Quota         QuotaKeeper
 	Conversations ConversationStore
-	Log           *zap.Logger
-	Metrics       *Metrics
+	// Hold accounts for bytes that are held for the request of a context, and reports false
+	// if there is no room; nil accounts for nothing.
+	Hold    func(ctx context.Context, bytes int64) bool
+	Log     *zap.Logger
+	Metrics *Metrics
 
 	inFlight     inFlight
 	plan         atomic.Pointer[draining.Plan] // nil until BeginDrain is called
--- a/internal/system/forwarder/preparation.go
+++ b/internal/system/forwarder/preparation.go
@@ -142,6 +142,8 @@
 	}
 	err := <-p.history
 	switch {
+	case err == nil && !x.hold(len(p.loaded)+len(x.request.Body)):
+		x.refuse(http.StatusServiceUnavailable, "no room for the history", fullRetryAfter)
 	case err == nil:
 		x.input = x.request.Body
 		x.request.Body = append(p.loaded, x.input...)
@@ -189,3 +191,8 @@
 		x.cause, x.complete, x.failureReason = err, false, "turn not kept"
 	}
 }
+
+// hold accounts for bytes that the request needs besides its body.
+func (x *exchange) hold(bytes int) bool {
+	return x.f.Hold == nil || x.f.Hold(x.ctx, int64(bytes))
+}
