--- a/internal/drainserver/memory.go
+++ b/internal/drainserver/memory.go
@@ -1,6 +1,7 @@
 package drainserver
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -41,7 +42,8 @@
 	NewHead       Reason = "head"       // no room for a head
 	NewBody       Reason = "body"       // no room for a body
 	Evicted       Reason = "evicted"    // made room for others
-	Overdue       Reason = "overdue"    // idle or without progress for too long
+	Overdue       Reason = "overdue"    // a head or the reading of a response took too long
+	TooIdle       Reason = "idle"       // idle for too long
 )
 
 // callerMemory accounts for what is held for callers. server.mu guards it.
@@ -104,7 +106,11 @@
 func (m *callerMemory) end(victims []*callermemory.Holder, reason Reason) {
 	for _, h := range victims {
 		c := m.conns[h]
-		m.observe(reason, c.RemoteAddr())
+		if reason == Overdue && h.Phase() == callermemory.Idle {
+			m.observe(TooIdle, c.RemoteAddr())
+		} else {
+			m.observe(reason, c.RemoteAddr())
+		}
 		if h.Phase() == callermemory.Writing {
 			_ = c.TCPConn.Close() // net/http closes it, too
 			continue
@@ -323,3 +329,21 @@
 		c.server.update(func() { c.server.memory.budget.Received(c.held.holder, n, c.server.memory.now()) })
 	}
 }
+
+// Hold accounts for n more bytes that are held for the request of a context until its response has
+// ended. It reports false if there is no room.
+func Hold(ctx context.Context, n int64) bool {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	if c == nil || c.server.memory == nil {
+		return true
+	}
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	m := c.server.memory
+	evicted, ok := m.budget.Take(c.held.holder, callermemory.Bodies, n, m.now())
+	m.end(evicted, Evicted)
+	if !ok {
+		m.observe(NewBody, c.RemoteAddr())
+	}
+	return ok
+}
--- a/internal/system/forwarder/preparation.go
+++ b/internal/system/forwarder/preparation.go
@@ -125,6 +125,8 @@
 	}
 	err := <-p.history
 	switch {
+	case err == nil && !x.hold(p.loaded.Len()+len(x.request.Body)):
+		x.refuse(http.StatusServiceUnavailable, "no room for the history", fullRetryAfter)
 	case err == nil:
 		x.history, x.input = p.loaded, x.request.Body
 		x.request.Body = p.loaded.Append(x.input)
@@ -174,3 +176,8 @@
 		x.cause, x.complete, x.failureReason = err, false, "turn not kept"
 	}
 }
+
+// hold accounts for bytes that the request needs besides its body.
+func (x *exchange) hold(bytes int) bool {
+	return x.f.Hold == nil || x.f.Hold(x.ctx, int64(bytes))
+}
