fairshare, scheduling: a workspace that asks for unusually much leaves room to the others

What tells it apart is its demand: programs that ask to begin, in relation to its usual and to all.

Without workspaces the order is the same as before.

--- a/internal/policy/fairshare/fairshare.go
+++ b/internal/policy/fairshare/fairshare.go
@@ -8,6 +8,9 @@
 // once. The weight of a workspace is its usual use, but at least the mean of all: one that sends
 // more than usual takes from itself alone, a small one may grow to the mean, and while nothing
 // is known of the usual, shares are even.
+//
+// A workspace whose demand is unusual is told apart as well: it gets what the others leave, so that
+// its use alone doesn't show that it presses them.
 package fairshare
 
 import (
@@ -19,15 +22,17 @@
 	// recentTime and usualTime are the time constants of the recent and of the usual use.
 	recentTime = time.Second
 	usualTime  = 20 * time.Second
+	// learnTime is the time constant with which what is known of the usual use begins to count.
+	learnTime = 5 * time.Second
 	// urgencyFactor is how many times as much of its share an urgent flow gets before one of the
 	// next level, as long as neither exceeds its share. Priorities from lowestPriority on are
 	// equal.
 	urgencyFactor  = 4
 	lowestPriority = 4
-	// exceededUse and exceededSlots are the use of a share, and the slots beyond it, above which
-	// a flow counts as exceeding its share: less varies by itself.
-	exceededUse   = 1.5
-	exceededSlots = 2
+	// unusualFactor and unusualPerSecond are the multiple of its usual demand, and the programs a
+	// second beyond it, above which a flow asks for more than usual: less varies by itself.
+	unusualFactor    = 1.5
+	unusualPerSecond = 3
 	// retention is how long an idle flow is remembered, and counts among those that share.
 	retention = 3 * usualTime
 )
@@ -52,6 +57,37 @@
 	u.recent, u.usual = decay(u.recent, recentTime), decay(u.usual, usualTime)
 }
 
+// demand is an exponential average of the programs that ask to begin.
+type demand struct {
+	recent, usual float64 // per second; usual counts the time before the start as 0
+	updatedAt     time.Duration
+}
+
+// advance decays the averages. The usual demand follows only what is not unusual, so that a
+// flow doesn't make its excess usual by keeping it up.
+func (d *demand) advance(now, started time.Duration) {
+	elapsed := now - d.updatedAt
+	if elapsed <= 0 {
+		return
+	}
+	limit := unusualFactor*d.usualSince(started) + unusualPerSecond
+	d.updatedAt = now
+	periods := float64(elapsed) / float64(recentTime)
+	kept, keptUsual := math.Exp(-periods), math.Exp(-float64(elapsed)/float64(usualTime))
+	mean := d.recent * (1 - kept) / periods
+	d.usual = d.usual*keptUsual + min(mean, limit)*(1-keptUsual)
+	d.recent *= kept
+}
+
+// usualSince returns the usual demand over the time since the start.
+func (d *demand) usualSince(started time.Duration) float64 {
+	seen := 1 - math.Exp(-float64(d.updatedAt-started)/float64(usualTime))
+	if seen <= 0 {
+		return 0
+	}
+	return d.usual / seen
+}
+
 // Key identifies a flow: the requests of a workspace with one priority; 0 is the most urgent.
 type Key struct {
 	Workspace string
@@ -61,6 +97,7 @@
 // Flow is the use of a service by one flow.
 type Flow struct {
 	usage
+	asked  demand
 	key    Key
 	shares *Shares
 	seenAt time.Duration
@@ -70,25 +107,46 @@
 type Shares struct {
 	flows   map[Key]*Flow
 	total   usage
+	asked   demand
 	started time.Duration
 }
 
 // New returns shares that nobody uses.
 func New(now time.Duration) *Shares {
-	return &Shares{flows: make(map[Key]*Flow), total: usage{updatedAt: now}, started: now}
+	return &Shares{flows: make(map[Key]*Flow), total: usage{updatedAt: now}, asked: demand{updatedAt: now}, started: now}
 }
 
 // Flow returns the flow of a request that arrives.
 func (s *Shares) Flow(k Key, now time.Duration) *Flow {
 	f := s.flows[k]
 	if f == nil {
-		f = &Flow{key: k, shares: s, usage: usage{updatedAt: now}}
+		f = &Flow{key: k, shares: s, usage: usage{updatedAt: now}, asked: demand{updatedAt: now}}
 		s.flows[k] = f
 	}
 	f.seenAt = now
 	return f
 }
 
+// Ask records that a program of the flow asks to begin.
+func (f *Flow) Ask(now time.Duration) {
+	for _, d := range []*demand{&f.asked, &f.shares.asked} {
+		d.advance(now, f.shares.started)
+		d.recent += 1 / recentTime.Seconds()
+	}
+}
+
+// unusual reports whether the flow asks for clearly more than usual, in relation to all.
+func (f *Flow) unusual(now time.Duration) bool {
+	s := f.shares
+	f.asked.advance(now, s.started)
+	s.asked.advance(now, s.started)
+	limit := unusualFactor * f.asked.usualSince(s.started)
+	if all := s.asked.usualSince(s.started); all > 0 {
+		limit *= max(1, s.asked.recent/all)
+	}
+	return f.asked.recent > limit+unusualPerSecond
+}
+
 // Start records that a request of the flow occupies a slot from now on.
 func (f *Flow) Start(now time.Duration) { f.change(now, 1) }
 
@@ -105,14 +163,14 @@
 
 // Rank is the place of a flow among all. Lower values come first.
 type Rank struct {
-	// Urgency is the priority of the flow, or the lowest one if the flow exceeds its share.
+	// Urgency is the priority of the flow, or the lowest one if its demand is unusual.
 	Urgency int
 	// Use is how much of its share the flow uses. Below 1 it is scaled down by the priority, so
 	// that an urgent flow is behind others only once it had urgencyFactor times as much of its
 	// share for each level.
 	Use float64
-	// Exceeds means that the flow uses clearly more than its share.
-	Exceeds bool
+	// Unusual means that the flow asks for clearly more than usual, in relation to all.
+	Unusual bool
 }
 
 // Rank returns the rank of the flow. runTime is the estimated run time of a request, which
@@ -124,11 +182,11 @@
 	if share > 0 {
 		r.Use = used / share
 	}
-	switch {
-	case r.Use <= 1:
+	if r.Use <= 1 {
 		r.Use *= urgencyScale[level]
-	case r.Use > exceededUse && used > share+exceededSlots:
-		r.Exceeds, r.Urgency = true, lowestPriority
+	}
+	if f.unusual(now) {
+		r.Unusual, r.Urgency = true, lowestPriority
 	}
 	return r
 }
@@ -167,7 +225,7 @@
 	if s.total.usual <= 0 {
 		return even
 	}
-	known := 1 - math.Exp(-float64(now-s.started)/float64(usualTime))
+	known := 1 - math.Exp(-float64(now-s.started)/float64(learnTime))
 	return max(even, known*f.usual/s.total.usual)
 }
 
--- a/internal/policy/scheduling/scheduling.go
+++ b/internal/policy/scheduling/scheduling.go
@@ -35,11 +35,11 @@
 	// Independent means that the request is part of no program. It is set only among
 	// workspaces that compete.
 	Independent bool
-	// Urgency, ShareUse and ExceedsShare rank the request's workspace (fairshare.Rank); zero
+	// Urgency, ShareUse and Unusual rank the request's workspace (fairshare.Rank); zero
 	// where none compete.
-	Urgency      int
-	ShareUse     float64
-	ExceedsShare bool
+	Urgency  int
+	ShareUse float64
+	Unusual  bool
 }
 
 // begins reports whether the request begins something, rather than going on with it.
@@ -63,10 +63,11 @@
 // Requests of programs that can end on time come first. Among these, programs
 // under way come before new ones: the work done on a program under way is lost
 // if it ends late, while a new one can still be refused cheaply. New programs
-// are ordered by how much of its share their workspace uses, then by the share of
-// their time that is already spent, least first. Programs under way are ordered by
-// urgency: shares decide what begins, and what has begun is finished. All others, and
-// ties, are ordered by earliest objective.
+// that have spent too much of their time come last, the others are ordered by how much
+// of its share their workspace uses, then by the share of their time that is already
+// spent, least first. Programs under way are ordered by urgency: shares decide what
+// begins, and what has begun is finished. All others, and ties, are ordered by earliest
+// objective.
 func Before(a, b *Request, now, runTime time.Duration) bool {
 	feasibilityA, feasibilityB := FeasibilityOf(a, now, runTime), FeasibilityOf(b, now, runTime)
 	if feasibilityA != feasibilityB {
@@ -76,10 +77,14 @@
 		return b.begins()
 	}
 	if a.begins() {
+		spentA, spentB := spentShare(a, now), spentShare(b, now)
+		if lateA, lateB := spentA > maxSpentShare, spentB > maxSpentShare; lateA != lateB {
+			return lateB
+		}
 		if a.ShareUse != b.ShareUse {
 			return a.ShareUse < b.ShareUse
 		}
-		if spentA, spentB := spentShare(a, now), spentShare(b, now); spentA != spentB {
+		if spentA != spentB {
 			return spentA < spentB
 		}
 	} else if a.Urgency != b.Urgency {
@@ -91,6 +96,10 @@
 	return a.Arrived < b.Arrived
 }
 
+// maxSpentShare is the share of its time above which a new program that begins under load
+// will hardly end on time: a share of the service would be wasted on it.
+const maxSpentShare = 0.15
+
 // spentShare returns the share of a new program's time that has passed before
 // its start. A program that was refused earlier has spent more of its time and
 // is less likely to end on time than a fresh one.
@@ -191,15 +200,15 @@
 	return c.slots() / c.MeanRunTime.Seconds()
 }
 
-// reservedPart is the part of the slots that workspaces leave to the others while they
-// exceed their share.
-const reservedPart = 0.15
+// reservedPart is the part of the slots that a workspace leaves to the others while it asks for
+// more than usual.
+const reservedPart = 0.2
 
 // NewProgramReserve returns how much of the capacity for new programs a request leaves to
-// other workspaces. While one exceeds its share, programs of the others would start in time,
-// but find the endpoints too busy to end in time.
+// other workspaces. While one asks for much more than usual, programs of the others would
+// start in time, but find the endpoints too busy to end in time.
 func (c ServiceCapacity) NewProgramReserve(r *Request) int {
-	if !r.ExceedsShare {
+	if !r.Unusual {
 		return 0
 	}
 	return int(math.Ceil(c.slots() * reservedPart))
--- a/internal/policy/scheduling/scheduling_test.go
+++ b/internal/policy/scheduling/scheduling_test.go
@@ -32,6 +32,29 @@
 	}
 }
 
+func TestBefore_RanksWorkspacesAmongEquals(t *testing.T) {
+	const now, runTime = 1000 * ms, 200 * ms
+	fresh := Request{Objective: 2000 * ms, LateObjective: 3000 * ms, NewProgram: true}
+	with := func(r Request, change func(*Request)) Request { change(&r); return r }
+	exceeding := with(fresh, func(r *Request) { r.ShareUse = 2 })
+	tests := []struct {
+		name          string
+		first, second Request
+	}{
+		{"less of its share before more", with(fresh, func(r *Request) { r.ShareUse, r.Objective = 0.5, 2050*ms; r.LateObjective = 3150 * ms }), exceeding},
+		{"under way before new, whatever the share", with(exceeding, func(r *Request) { r.NewProgram = false }), fresh},
+		{"a program that can end on time before one that can't", exceeding, with(fresh, func(r *Request) { r.Objective, r.LateObjective = 1800*ms, 2800*ms })},
+		{"urgent before others under way", Request{Objective: 2000 * ms, LateObjective: 3000 * ms}, Request{Urgency: 1, Objective: 1500 * ms, LateObjective: 2500 * ms}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(Before(&tt.first, &tt.second, now, runTime))
+			is.True(!Before(&tt.second, &tt.first, now, runTime))
+		})
+	}
+}
+
 func TestMaxWait_EndsWhenTheRequestCanNoLongerBeOfUse(t *testing.T) {
 	const now, runTime = 1000 * ms, 200 * ms
 	cfg := DefaultConfig()
--- a/internal/system/dispatch/shares.go
+++ b/internal/system/dispatch/shares.go
@@ -30,6 +30,9 @@
 		p.shares = fairshare.New(now)
 	}
 	r.flow = p.shares.Flow(fairshare.Key{Workspace: r.args.Workspace, Priority: r.args.Priority}, now)
+	if r.startsProgram() {
+		r.flow.Ask(now)
+	}
 	r.policyRequest.Independent = r.args.Program == ""
 }
 
@@ -61,7 +64,7 @@
 		return
 	}
 	rank := r.flow.Rank(now, p.meanRun)
-	r.policyRequest.Urgency, r.policyRequest.ShareUse, r.policyRequest.ExceedsShare = rank.Urgency, rank.Use, rank.Exceeds
+	r.policyRequest.Urgency, r.policyRequest.ShareUse, r.policyRequest.Unusual = rank.Urgency, rank.Use, rank.Unusual
 }
 
 // dropIdleFlows forgets workspaces that were idle for long.
