currency: the feed of the configuration confirms it often enough for two fifths of the bound

Calls of this feed now wait 0.8 s with a bound of 5 s: the age stays below 2 s. One feed of four makes a sixth more calls, where the settings have a bound.

--- a/internal/system/changefeed/changefeed.go
+++ b/internal/system/changefeed/changefeed.go
@@ -19,7 +19,8 @@
 // Timing parameters of a follower. A VM has to act on a change within two seconds, also
 // if the connection on which it waits for changes goes silent.
 const (
-	// pollWait is how long the feed may hold a call while there are no changes.
+	// pollWait is how long the feed may hold a call while there are no changes, unless
+	// Follower.Wait is set.
 	pollWait = time.Second
 	// pollTimeoutSlack is how much longer than its wait a call may take: the feed
 	// may go silent without closing its connection.
@@ -56,6 +57,8 @@
 	// CoalesceInterval is the pause after each successful call, in which changes
 	// accumulate: each call has a cost, and rows change often.
 	CoalesceInterval time.Duration
+	// Wait replaces pollWait if it is set.
+	Wait time.Duration
 	// OnSnapshot is called with all rows of the table, OnChanges with changed rows.
 	OnSnapshot, OnChanges func(Reading)
 	// OnRead is called after the rows of a response were passed on, with the time when its
@@ -123,6 +126,9 @@
 		return nil
 	}
 	wait := pollWait
+	if f.Wait > 0 {
+		wait = f.Wait
+	}
 	if lost {
 		wait = 0 // the call returns as soon as the feed responds again
 	}
--- a/internal/system/currency/currency.go
+++ b/internal/system/currency/currency.go
@@ -25,6 +25,12 @@
 	// silentRatio is the part of the bound after which the configuration is read beside the
 	// feed. The rest leaves time for several attempts.
 	silentRatio = 0.6
+	// calmRatio is the largest age of the configuration, as a part of the bound, while its feed
+	// responds: a VM that is cut off then serves callers for the rest of the bound.
+	calmRatio = 0.4
+	// minFeedWait and maxFeedWait bound FeedWait.
+	minFeedWait = 100 * time.Millisecond
+	maxFeedWait = time.Second
 	// readTimeout bounds a read, which may be passed on by other VMs.
 	readTimeout = time.Second
 	// confirmTimeout bounds the wait of a request for a read.
@@ -83,6 +89,13 @@
 	readAgainAt time.Duration // guarded by mu; end of the pause after a failed read
 }
 
+// FeedWait returns how long the feed of the configuration may hold a call, with a pause
+// between two calls: an answer confirms the start of its call and is in force until the next.
+func FeedWait(bound, pause time.Duration) time.Duration {
+	wait := (time.Duration(float64(bound)*calmRatio) - pause) / 2
+	return min(max(minFeedWait, wait), maxFeedWait)
+}
+
 // Metrics counts reads beside the feed.
 type Metrics struct{ reads *metric.CounterVec }
 
