currency: other VMs vouch with the age of their last reads while nobody reaches the store

Three VMs are asked after a failed read, from memory; an answer's age counts from the question, so neither a slow answer nor a suspended VM makes it look newer.

--- a/internal/system/currency/currency.go
+++ b/internal/system/currency/currency.go
@@ -66,14 +66,25 @@
 // Unwrap returns ErrUnconfirmed.
 func (*StaleError) Unwrap() error { return ErrUnconfirmed }
 
+// Config is the configuration of this VM.
+type Config interface {
+	// Read reads the configuration, also through other VMs, and puts it in force. It returns
+	// nil only if the newest configuration at the time of the call, or a newer one, is in force.
+	Read(ctx context.Context) error
+	// InForce returns the row of the configuration in force, or an error if a newer one is known.
+	InForce() (version uint64, row []byte, err error)
+	// Adopt puts a row in force that another VM has in force.
+	Adopt(version uint64, row []byte) error
+}
+
 // Monitor knows when the configuration in force was last known to be the newest one. It is
 // safe for concurrent use.
 type Monitor struct {
 	// Bound is how long a key may be used after it was taken away.
-	Bound time.Duration
-	// Read reads the configuration, also through other VMs, and puts it in force. It returns
-	// nil only if the newest configuration at the time of the call, or a newer one, is in force.
-	Read func(ctx context.Context) error
+	Bound  time.Duration
+	Config Config
+	// Others asks other VMs how recent their configurations are; nil where there are none.
+	Others func(VouchRequest) []Vouch
 	// Clock goes on while the VM is suspended.
 	Clock   clock.Clock
 	Log     *zap.Logger
@@ -102,8 +113,9 @@
 // Values of the result label of reads.
 const (
 	readConfirmed = "confirmed"
+	readVouched   = "vouched" // another VM's read was more recent
 	readFailed    = "failed"
-	readResults   = 2
+	readResults   = 3
 )
 
 // Register registers the metrics of a monitor.
@@ -189,7 +201,12 @@
 func (m *Monitor) runRead(began time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
-	err := m.Read(ctx)
+	err := m.Config.Read(ctx)
+	var vouchedAt time.Duration
+	var vouched bool
+	if err != nil {
+		vouchedAt, vouched = m.askOthers()
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	close(m.reading)
@@ -200,8 +217,14 @@
 		m.Log.Info("configuration confirmed by a read beside its feed", tag.Duration(m.Clock.Now()-began))
 		return
 	}
-	m.Metrics.reads.With(readFailed).Inc()
-	if m.backoff == 0 {
+	result := readFailed
+	if vouched && vouchedAt > m.confirmedAt {
+		result = readVouched
+		m.confirmed, m.confirmedAt = true, vouchedAt
+		m.Log.Info("configuration confirmed by another VM's last read", tag.Age(m.age()))
+	}
+	m.Metrics.reads.With(result).Inc()
+	if m.backoff == 0 && result == readFailed {
 		m.Log.Warn("configuration not confirmed; requests with keys are refused once its age reaches the bound",
 			tag.Age(m.age()), tag.Error(err))
 	}
--- a/internal/system/currency/currency_test.go
+++ b/internal/system/currency/currency_test.go
@@ -33,9 +33,13 @@
 	reads atomic.Int32
 	down  atomic.Bool
 	delay time.Duration
+
+	version uint64
+	row     []byte
+	err     error
 }
 
-func (w *fakeWay) read(ctx context.Context) error {
+func (w *fakeWay) Read(ctx context.Context) error {
 	w.reads.Add(1)
 	if !clock.Sleep(ctx, w.delay) {
 		return ctx.Err()
@@ -46,9 +50,19 @@
 	return nil
 }
 
+func (w *fakeWay) InForce() (uint64, []byte, error) { return w.version, w.row, w.err }
+
+func (w *fakeWay) Adopt(version uint64, row []byte) error {
+	if string(row) == "invalid" {
+		return errors.New("invalid")
+	}
+	w.version, w.row = version, row
+	return nil
+}
+
 func newMonitor(way *fakeWay) (*Monitor, *pausableClock) {
 	c := &pausableClock{}
-	m := &Monitor{Bound: bound, Read: way.read, Clock: c, Log: zap.NewNop()}
+	m := &Monitor{Bound: bound, Config: way, Clock: c, Log: zap.NewNop()}
 	m.Register(metric.NewRegistry())
 	return m, c
 }
@@ -156,3 +170,38 @@
 		is.True(way.reads.Load()-reads <= int32(time.Minute/maxBackoff)) // spaced
 	})
 }
+
+func TestMonitor_OtherVMsVouchWithTheAgeOfTheirReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		own, peer := &fakeWay{version: 1}, &fakeWay{version: 2, row: []byte("newer")}
+		own.down.Store(true)
+		m, c := newMonitor(own)
+		other, _ := newMonitor(peer)
+		other.Clock = c
+		m.Others = func(req VouchRequest) []Vouch {
+			v := other.vouch(req)
+			time.Sleep(time.Second) // the answer is slow: its age counts from the question
+			return []Vouch{v, {Known: true, RowVersion: 9, Row: []byte("invalid")}}
+		}
+		confirm := func() error {
+			m.mu.Lock()
+			done := m.read()
+			m.mu.Unlock()
+			<-done
+			return m.Confirm(t.Context(), c.Now()+bound-2*time.Second)
+		}
+		is.True(confirm() != nil) // the other one was never confirmed
+		other.Confirmed(c.Now())
+		time.Sleep(time.Second / 2)
+		is.NoErr(confirm())
+		is.Equal(m.Age(), 3*time.Second/2)
+		is.Equal(string(own.row), "newer")
+		own.err = errors.New("undecodable")
+		time.Sleep(time.Second)
+		other.Confirmed(c.Now())
+		is.True(confirm() != nil) // this VM knows of a newer one
+		own.err, peer.err = nil, own.err
+		is.True(confirm() != nil) // so does the other one
+	})
+}
