quota: a refused program asks other data centres' keepers less often

Cause: each first request of a workspace over its quota asked all data centres. Change: while another data centre's share has nothing for programs that begin, only the own keeper is asked about a request that it says begins one; the answer says so for each request.

--- a/internal/policy/quota/share.go
+++ b/internal/policy/quota/share.go
@@ -97,7 +97,7 @@
 // Answer is the answer to an Ask.
 type Answer struct {
 	Granted  []bool // of Ask.Programs
-	Begun    int    // of those granted, the programs that were not known to be under way
+	New      []bool // of Ask.Programs, those that were not known to be under way
 	Others   int
 	Spare    int
 	WaitNew  time.Duration // if a program was refused: until one will be granted that begins
@@ -175,17 +175,16 @@
 	a.Others = s.take(ask.Others, 0)
 	a.WaitMore = s.refuseOthers(ask.Others - a.Others)
 	if len(ask.Programs) > 0 {
-		a.Granted = make([]bool, len(ask.Programs))
+		a.Granted, a.New = make([]bool, len(ask.Programs)), make([]bool, len(ask.Programs))
 	}
 	for i, program := range ask.Programs {
-		if s.underWay.has(program) {
-			if a.Granted[i] = s.take(1, 0) == 1; !a.Granted[i] {
-				a.WaitMore = s.refuseOthers(1)
+		a.New[i] = !s.underWay.has(program)
+		if a.New[i] {
+			if a.Granted[i] = s.begin(); !a.Granted[i] {
+				a.WaitNew = s.refuseNew()
 			}
-		} else if a.Granted[i] = s.begin(); a.Granted[i] {
-			a.Begun++
-		} else {
-			a.WaitNew = s.refuseNew()
+		} else if a.Granted[i] = s.take(1, 0) == 1; !a.Granted[i] {
+			a.WaitMore = s.refuseOthers(1)
 		}
 		if a.Granted[i] {
 			s.underWay.add(program)
--- a/internal/system/quota/quotas_test.go
+++ b/internal/system/quota/quotas_test.go
@@ -359,6 +359,9 @@
 	is.True(errors.As(err, &e))
 	is.True(e.Begins && e.RetryAfter > 0)
 	is.True(n > 3)
+	calls := f.calls
+	is.True(isExceeded(ask("0-1", "q")))
+	is.Equal(f.calls, calls+1) // only its own data centre's keeper is asked again at once
 	is.NoErr(ask("0-2", "p0")) // its next turn, at a VM that doesn't know it
 	is.NoErr(f.vms["1-2"].acquire(limited))
 }
