quota: the reserve for programs under way follows what they send

Cause: after the loss of all VMs no program began at a share until its bucket was half full. Change: the reserve is what requests that don't begin programs take in 2 s, at most half of the bucket as before.

--- a/internal/policy/quota/quota_test.go
+++ b/internal/policy/quota/quota_test.go
@@ -292,6 +292,18 @@
 	}
 }
 
+// After the loss of all VMs, when the buckets are empty, programs begin as soon as there are tokens.
+func TestShare_ProgramsBeginWhileTheBucketOfANewKeeperFills(t *testing.T) {
+	is := is.New(t)
+	limit := Limit{100, 100}
+	s := NewShare(limit, 1, time.Minute, time.Minute)
+	_, refused, ended := programs(s, limit, 5, 12, 700*time.Millisecond, 10*time.Second)
+	is.Equal(refused, 0)
+	is.True(ended > 12*10/2) // those of the last seconds are under way
+	s = NewShare(limit, 1, time.Minute, time.Minute)
+	is.True(s.Grant(limit, 1, Ask{Programs: []uint64{1}}, time.Minute+20*time.Millisecond).Granted[0])
+}
+
 func TestShare_RetryAfterIsWhenTheQuotaServesThoseRefusedBefore(t *testing.T) {
 	is := is.New(t)
 	limit := Limit{10, 10}
--- a/internal/policy/quota/share.go
+++ b/internal/policy/quota/share.go
@@ -38,8 +38,11 @@
 	minCapacity = 12
 	// maxRate bounds the quota, in requests a second, and maxBurst its burst.
 	maxRate, maxBurst = 1e6, 1e7
-	// reservedPart is the part of a bucket that is left for programs under way.
+	// reservedTime times the rate at which programs under way send is what is left for them in
+	// the bucket, at most reservedPart of it. The rate is estimated over senderMemory.
+	reservedTime = 2 * time.Second
 	reservedPart = 0.5
+	senderMemory = 2 * time.Second
 	// maxWait bounds the time after which a refused request is told to return.
 	maxWait = 30 * time.Second
 )
@@ -113,6 +116,7 @@
 	tokens     float64 // requests that may be granted at once
 	credit     float64 // requests that programs which begin now may need
 	length     programLength
+	sending    float64 // requests a second that don't begin programs
 	underWay   programSet
 	refusedNew ratelimit.Backlog
 	refused    ratelimit.Backlog
@@ -138,6 +142,7 @@
 	s.tokens = min(s.tokens+refill, capacity)
 	_, maxCredit := s.creditLimits()
 	s.credit = min(s.credit+refill, maxCredit)
+	s.sending *= math.Exp(-(now - s.updatedAt).Seconds() / senderMemory.Seconds())
 	s.updatedAt = now
 }
 
@@ -173,6 +178,7 @@
 	s.refuseOthers(ask.Usage.Refused)
 	var a Answer
 	a.Others = s.take(ask.Others, 0)
+	s.send(a.Others)
 	a.WaitMore = s.refuseOthers(ask.Others - a.Others)
 	if len(ask.Programs) > 0 {
 		a.Granted, a.New = make([]bool, len(ask.Programs)), make([]bool, len(ask.Programs))
@@ -183,7 +189,9 @@
 			if a.Granted[i] = s.begin(); !a.Granted[i] {
 				a.WaitNew = s.refuseNew()
 			}
-		} else if a.Granted[i] = s.take(1, 0) == 1; !a.Granted[i] {
+		} else if a.Granted[i] = s.take(1, 0) == 1; a.Granted[i] {
+			s.send(1)
+		} else {
 			a.WaitMore = s.refuseOthers(1)
 		}
 		if a.Granted[i] {
@@ -198,9 +206,12 @@
 // reserve is the number of tokens that are left for programs under way.
 func (s *Share) reserve() float64 {
 	_, capacity := s.limit.share(s.dcs)
-	return (capacity - 1) * reservedPart
+	return min((capacity-1)*reservedPart, s.sending*reservedTime.Seconds())
 }
 
+// send records granted requests that don't begin a program.
+func (s *Share) send(n int) { s.sending += float64(n) / senderMemory.Seconds() }
+
 // take takes up to n tokens as long as some are left, and returns how many.
 func (s *Share) take(n int, left float64) int {
 	n = max(0, min(n, int(math.Floor(s.tokens-left))))
