--- a/internal/policy/quota/quota_test.go
+++ b/internal/policy/quota/quota_test.go
@@ -214,7 +214,7 @@
 		a := s.Grant(l, 3, Ask{Programs: []uint64{1, 2, 3}, Others: 1 << 30, Spare: 1}, time.Hour)
 		is.True(a.Others >= 0 && a.Others < 1e7)
 		is.True(a.WaitMore > 0 && a.WaitMore <= maxWait)
-		is.True(a.WaitNew > 0 && a.WaitNew <= maxWait || a.Begun == 3)
+		is.True(a.WaitNew > 0 && a.WaitNew <= maxWait || a.Granted[2])
 	}
 	is.New(t).True(!Limit{PerSecond: math.NaN()}.Limited() && !Limit{PerSecond: -1}.Limited() && !Limit{Burst: 5}.Limited())
 }
@@ -261,8 +261,8 @@
 	return granted, refused, ended
 }
 
-// Before, a workspace that sent several times its quota had most of its programs cut off in
-// the middle, and few of them ended.
+// If first requests are granted like others, most programs of such a workspace are cut off in
+// the middle, and few end.
 func TestShare_TurnsFirstRequestsAwayRatherThanLaterOnes(t *testing.T) {
 	for _, length := range []int{3, 5, 10} {
 		t.Run(fmt.Sprint(length, " requests a program"), func(t *testing.T) {
@@ -292,6 +292,18 @@
 	}
 }
 
+// After the loss of all VMs, when the buckets are empty, programs begin as soon as there are tokens.
+func TestShare_ProgramsBeginWhileTheBucketOfANewKeeperFills(t *testing.T) {
+	is := is.New(t)
+	limit := Limit{100, 100}
+	s := NewShare(limit, 1, time.Minute, time.Minute)
+	_, refused, ended := programs(s, limit, 5, 12, 700*time.Millisecond, 10*time.Second)
+	is.Equal(refused, 0)
+	is.True(ended > 12*10/2) // those of the last seconds are under way
+	s = NewShare(limit, 1, time.Minute, time.Minute)
+	is.True(s.Grant(limit, 1, Ask{Programs: []uint64{1}}, time.Minute+20*time.Millisecond).Granted[0])
+}
+
 func TestShare_RetryAfterIsWhenTheQuotaServesThoseRefusedBefore(t *testing.T) {
 	is := is.New(t)
 	limit := Limit{10, 10}
