--- a/internal/system/conversations/copies.go
+++ b/internal/system/conversations/copies.go
@@ -152,6 +152,14 @@
 	return true
 }
 
+// holdsOther reports whether this VM holds a copy of another turn of the same name.
+func (k *Keeper) holdsOther(c *Copy) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	h := k.copies[c.ID]
+	return h != nil && h.Digest != c.Digest
+}
+
 // dropCopy drops a copy, since its turn is in the table service.
 func (k *Keeper) dropCopy(i id) {
 	k.mu.Lock()
@@ -225,9 +233,10 @@
 // certain reports whether this VM would know if a turn was kept as a copy not long ago: it has
 // run, and has reached the table service, long enough for all copies to be written.
 func (k *Keeper) certain() bool {
+	reachable := k.Reachable()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.Reachable() && k.reachable && k.Clock.Now()-k.since >= k.SettleTime
+	return reachable && k.reachable && k.Clock.Now()-k.since >= k.SettleTime
 }
 
 // Run writes copies to the table service and deletes turns that have expired, until ctx ends.
@@ -402,6 +411,7 @@
 		out.Conflict = true
 	case transient(err):
 		out.Held = k.addCopy(&heldCopy{Copy: c})
+		out.Conflict = !out.Held && k.holdsOther(&c)
 		k.Metrics.copies.Inc()
 	default:
 		k.Log.Warn("turn of another VM not written", tag.Error(err))
