--- a/internal/system/conversations/rpc.go
+++ b/internal/system/conversations/rpc.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/rpc"
 	"slices"
 	"time"
 
@@ -61,7 +60,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, timeout+p.Suspects.Lag.TimeoutExtension())
 	defer cancel()
 	err := p.Mesh.Call(callCtx, address, serviceName+"."+method, args, reply)
-	var answered rpc.ServerError
+	var answered *mesh.Fault
 	if err != nil && ctx.Err() == nil && !errors.As(err, &answered) {
 		p.Suspects.Suspect(address, err)
 	}
