--- a/internal/system/forwarder/preparation.go
+++ b/internal/system/forwarder/preparation.go
@@ -37,6 +37,10 @@
 	Keep(ctx context.Context, turn conversations.Turn) error
 }
 
+// errTakenUp means that a caller takes up the stream of a turn that is to be kept: the turn would
+// lack the events before.
+var errTakenUp = errors.New("the stream of a kept turn can't be taken up")
+
 // unconfirmedRetryAfter is the retry-after of refusals without a confirmed configuration:
 // other VMs may have one.
 const unconfirmedRetryAfter = 100 * time.Millisecond
@@ -105,6 +109,9 @@
 	}
 	switch {
 	case !x.retained():
+	case x.request.LastEventID != "":
+		p.history = make(chan error, 1)
+		p.history <- errTakenUp
 	case x.request.PreviousTurn == "":
 		if err := x.f.Conversations.AdmitNew(); err != nil {
 			p.history = make(chan error, 1)
