--- a/internal/system/forwarder/preparation.go
+++ b/internal/system/forwarder/preparation.go
@@ -39,6 +39,10 @@
 	Keep(ctx context.Context, turn conversations.Turn) error
 }
 
+// errTakenUp means that a caller takes up the stream of a turn that is to be kept: the turn would
+// lack the events before.
+var errTakenUp = errors.New("the stream of a kept turn can't be taken up")
+
 // workspaceName returns the name of the request's workspace, "" if it has none.
 func (x *exchange) workspaceName() string {
 	if x.workspace == nil {
@@ -68,7 +72,7 @@
 	p := &preparation{}
 	ctx := x.drain.startCtx
 	if x.retained() {
-		if err := x.f.Conversations.Admit(x.request.PreviousTurn == ""); err != nil {
+		if err := x.admitTurn(); err != nil {
 			p.history = make(chan error, 1)
 			p.history <- err
 			return p
@@ -95,6 +99,14 @@
 	return p
 }
 
+// admitTurn returns an error if a turn that is to be kept may not run now.
+func (x *exchange) admitTurn() error {
+	if x.request.LastEventID != "" {
+		return errTakenUp
+	}
+	return x.f.Conversations.Admit(x.request.PreviousTurn == "")
+}
+
 // finishPreparation waits for what startPreparation has asked for, and refuses the request
 // if it may not run.
 func (x *exchange) finishPreparation(p *preparation) bool {
@@ -135,7 +147,7 @@
 		x.refuse(http.StatusNotFound, "no such turn", 0)
 	case errors.Is(err, conversations.ErrTooLarge):
 		x.refuse(http.StatusRequestEntityTooLarge, "conversation too long", 0)
-	case errors.Is(err, conversations.ErrIsolated), errors.Is(err, conversations.ErrFull):
+	case errors.Is(err, conversations.ErrIsolated), errors.Is(err, conversations.ErrFull), errors.Is(err, errTakenUp):
 		x.failPreparation(err, "the turn can't be kept")
 	default:
 		x.failPreparation(err, "conversation can't be read")
