--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -5,7 +5,6 @@
 import (
 	"crypto/rand"
 	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/base64"
 	"encoding/hex"
 	"errors"
@@ -77,11 +76,10 @@
 
 // Set is an immutable set of accepted keys. Each key has a holder: the name of
 // its workspace, or "operator".
-type Set struct{ entries []entry }
-
-type entry struct {
-	hash   Hash
-	holder string
+type Set struct {
+	// holders has the holder of each key. How long a look-up takes depends on hashes only, from
+	// which nothing about a key can be learned.
+	holders map[Hash]string
 }
 
 // NewOperatorSet returns the set of the operators' keys with the given hashes in
@@ -113,35 +111,31 @@
 	}
 	if other, ok := s.Holder(key); ok && other != holder {
 		return fmt.Errorf("%w: %q and %q", ErrSharedKey, other, holder)
-	} else if !ok {
-		s.entries = append(s.entries, entry{HashKey(key), holder})
 	}
+	s.put(HashKey(key), holder)
 	return nil
 }
 
 func (s *Set) add(holder string, hashes []string) {
 	for _, text := range hashes {
 		if h, ok := ParseHash(text); ok {
-			s.entries = append(s.entries, entry{h, holder})
+			s.put(h, holder)
 		}
 	}
 }
 
-// Holder returns the holder of a key, or false if the key is not in the set. Every
-// call compares the key with all entries, so the duration of a call doesn't reveal
-// which entry matched.
-func (s *Set) Holder(key string) (string, bool) {
-	h := HashKey(key)
-	found := -1
-	for i := range s.entries {
-		equal := subtle.ConstantTimeCompare(h[:], s.entries[i].hash[:])
-		found = subtle.ConstantTimeSelect(equal, i, found)
-	}
-	if found < 0 {
-		return "", false
+func (s *Set) put(h Hash, holder string) {
+	if s.holders == nil {
+		s.holders = make(map[Hash]string)
 	}
-	return s.entries[found].holder, true
+	s.holders[h] = holder
+}
+
+// Holder returns the holder of a key, or false if the key is not in the set.
+func (s *Set) Holder(key string) (string, bool) {
+	holder, ok := s.holders[HashKey(key)]
+	return holder, ok
 }
 
 // Len returns the number of accepted keys.
-func (s *Set) Len() int { return len(s.entries) }
+func (s *Set) Len() int { return len(s.holders) }
