conversations: copies are passed to other VMs one at a time while none is known to reach the store

Each VM with copies sent a batch of up to 400 KB to two VMs four times a second through an outage. Now one copy every 2 s shows whether a VM reaches the store; the rest follow it.

--- a/internal/system/conversations/conversations.go
+++ b/internal/system/conversations/conversations.go
@@ -160,6 +160,7 @@
 	copyBytes int64            // guarded by mu; sum of the sizes of copies
 	reachable bool             // guarded by mu; what Run last saw
 	since     time.Duration    // guarded by mu; of reachable, on Clock
+	relayedAt time.Duration    // guarded by mu; when copies were last passed to other VMs to be written
 	// Of turns to delete.
 	sweeps     map[string][]sweptTurn // guarded by mu; by partition, the oldest first
 	remembered int                    // guarded by mu; turns in sweeps
--- a/internal/system/conversations/copies.go
+++ b/internal/system/conversations/copies.go
@@ -26,6 +26,8 @@
 	// flushInterval is the pause between attempts to write copies, and flushTimeout bounds one.
 	flushInterval = 250 * time.Millisecond
 	flushTimeout  = 2 * time.Second
+	// relayInterval is the pause between attempts to write copies through other VMs.
+	relayInterval = 2 * time.Second
 	// copyGrace is how long a witness leaves a copy to the VM that made it.
 	copyGrace = 3 * time.Second
 	// Limits of one transaction of copies.
@@ -273,8 +275,16 @@
 // flush writes the copies whose turn it is.
 func (k *Keeper) flush(ctx context.Context) {
 	now := k.Clock.Now()
+	relayed := !k.Reachable()
 	byPartition := make(map[string][]*heldCopy)
 	k.mu.Lock()
+	if relayed && (len(k.copies) == 0 || now-k.relayedAt < relayInterval) {
+		k.mu.Unlock()
+		return
+	}
+	if relayed {
+		k.relayedAt = now
+	}
 	for i, h := range k.copies {
 		if h.own || k.reachable && now-max(h.since, k.since) >= copyGrace {
 			byPartition[i.partition()] = append(byPartition[i.partition()], h)
@@ -285,6 +295,9 @@
 	for _, list := range byPartition {
 		for len(list) > 0 {
 			batch := firstBatch(list)
+			if relayed { // one copy shows whether others reach the table service
+				batch, relayed = batch[:1], false
+			}
 			list = list[len(batch):]
 			if !k.flushBatch(ctx, batch) {
 				k.tellWitnesses(ctx, written)
