conversations: a VM that can't make turns safe refuses them unrun

In a data centre that is cut off each turn ran, and its answer was broken off 1.5 s after its last event.

--- a/internal/system/conversations/conversations.go
+++ b/internal/system/conversations/conversations.go
@@ -46,6 +46,9 @@
 // errOtherContent means that a turn with the same name and other content was kept before.
 var errOtherContent = errors.New("another turn was kept under this name")
 
+// errNotSafe means that a turn could be made safe nowhere in time.
+var errNotSafe = errors.New("neither the table service nor enough other VMs keep the turn")
+
 // Key names a turn.
 type Key struct {
 	Workspace string // empty where the configuration has no workspaces
@@ -166,6 +169,8 @@
 	remembered int                    // guarded by mu; turns in sweeps
 	scanned    map[string]string      // guarded by mu; name of the last row scanned, by partition
 	fullUntil  time.Duration          // guarded by mu; no new conversations begin before
+
+	unsafeUntil time.Duration // guarded by mu; no turns begin before, unless the table service is reachable
 }
 
 // DefaultSettleTime is the SettleTime for production: copies are written within some seconds of
@@ -368,6 +373,8 @@
 	if err != nil {
 		if errors.Is(err, platform.ErrFull) {
 			k.observeFull()
+		} else if errors.Is(err, errNotSafe) {
+			k.observeUnsafe()
 		}
 		k.Log.Warn("turn not kept", append(fields, tag.Error(err))...)
 		return err
@@ -481,7 +488,7 @@
 			return nil, nowhere, err
 		}
 		if !clock.Sleep(ctx, pause) {
-			return nil, nowhere, fmt.Errorf("%w: neither the table service nor enough other VMs", platform.ErrUnavailable)
+			return nil, nowhere, errNotSafe
 		}
 	}
 }
--- a/internal/system/conversations/model_test.go
+++ b/internal/system/conversations/model_test.go
@@ -493,9 +493,12 @@
 		_, err = heard(other.keeper, "w", "never")
 		is.True(err != nil && !errors.Is(err, ErrNotFound)) // can't be told while the table is away
 		m.locked(func() { m.cutDC = third.dc })
+		is.NoErr(other.keeper.Admit(false))
 		is.True(say(other.keeper, "w", "b", "", "B", "") != nil) // fewer than two other data centres
+		is.Equal(other.keeper.Admit(false), ErrUnsafe)
 		m.locked(func() { m.cutDC, m.away = -1, false })
 		time.Sleep(time.Second)
+		is.NoErr(other.keeper.Admit(false))
 		for _, v := range []*modelVM{other, m.vms[4]} { // among them a witness, which loses what it holds
 			v.kill()
 			m.locked(func() { m.startVM(v) })
--- a/internal/system/conversations/sweep.go
+++ b/internal/system/conversations/sweep.go
@@ -202,19 +202,39 @@
 // turn: what room there is goes to those under way.
 const fullPause = 10 * time.Second
 
-// ErrFull means that the table service has no room for new conversations.
-var ErrFull = errors.New("no room for new conversations")
+// Errors of Admit.
+var (
+	// ErrFull means that the table service has no room for new conversations.
+	ErrFull = errors.New("no room for new conversations")
+	// ErrUnsafe means that a turn could not be made safe now.
+	ErrUnsafe = errors.New("turns can't be kept at present")
+)
+
+// unsafePause is how long this VM takes no turns after it could not make one safe, unless it
+// reaches the table service before.
+const unsafePause = time.Second
 
-// AdmitNew returns ErrFull if no new conversation may begin now.
-func (k *Keeper) AdmitNew() error {
+// Admit returns an error if no turn, or no first turn of a conversation, may begin now.
+func (k *Keeper) Admit(first bool) error {
+	reachable := k.Reachable()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.Clock.Now() < k.fullUntil {
+	switch now := k.Clock.Now(); {
+	case !reachable && now < k.unsafeUntil:
+		return ErrUnsafe
+	case first && now < k.fullUntil:
 		return ErrFull
 	}
 	return nil
 }
 
+// observeUnsafe records that a turn could not be made safe.
+func (k *Keeper) observeUnsafe() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.unsafeUntil = k.Clock.Now() + unsafePause
+}
+
 // observeFull records that the table service had no room for a turn.
 func (k *Keeper) observeFull() {
 	k.mu.Lock()
--- a/internal/system/forwarder/preparation.go
+++ b/internal/system/forwarder/preparation.go
@@ -31,8 +31,8 @@
 type ConversationStore interface {
 	// Load returns the conversation up to a turn, of at most maxBytes.
 	Load(ctx context.Context, previous conversations.Key, maxBytes int64) (*conversations.History, error)
-	// AdmitNew returns an error if no new conversation may begin.
-	AdmitNew() error
+	// Admit returns an error if no turn, or no first turn of a conversation, may begin.
+	Admit(first bool) error
 	// Keep returns nil once the turn survives the loss of all VMs.
 	Keep(ctx context.Context, turn conversations.Turn) error
 }
@@ -107,17 +107,18 @@
 		req := quota.Request{Workspace: w.Name, First: x.firstTurn}
 		go func() { p.quota <- x.f.Quota.Acquire(ctx, w.Quota, req) }()
 	}
+	if !x.retained() {
+		return p
+	}
+	err := x.f.Conversations.Admit(x.request.PreviousTurn == "")
+	if x.request.LastEventID != "" {
+		err = errTakenUp
+	}
 	switch {
-	case !x.retained():
-	case x.request.LastEventID != "":
+	case err != nil:
 		p.history = make(chan error, 1)
-		p.history <- errTakenUp
-	case x.request.PreviousTurn == "":
-		if err := x.f.Conversations.AdmitNew(); err != nil {
-			p.history = make(chan error, 1)
-			p.history <- err
-		}
-	default:
+		p.history <- err
+	case x.request.PreviousTurn != "":
 		p.history = make(chan error, 1)
 		key := conversations.Key{Workspace: x.workspaceName(), Turn: x.request.PreviousTurn}
 		maxBytes := int64(math.MaxInt64 - 1)
