--- a/internal/system/conversations/conversations_test.go
+++ b/internal/system/conversations/conversations_test.go
@@ -269,8 +269,8 @@
 	is.NoErr(say(k, "w", "a", "", "in", "out"))
 	isolated = true
 	table.fail = platform.ErrUnavailable
-	is.Equal(k.Admit(true), ErrIsolated)
-	is.Equal(k.Admit(false), ErrIsolated)
+	is.Equal(k.Admit(true), ErrUnsafe)
+	is.Equal(k.Admit(false), ErrUnsafe)
 	err := k.Keep(context.Background(), Turn{Key: Key{"w", "b"}, Input: []byte("x"), Retention: testRetention})
-	is.True(errors.Is(err, ErrIsolated)) // and not the end of the time for it
+	is.True(errors.Is(err, ErrUnsafe)) // and not the end of the time for it
 }
--- a/internal/system/conversations/sweep.go
+++ b/internal/system/conversations/sweep.go
@@ -5,7 +5,6 @@
 	"encoding/binary"
 	"encoding/hex"
 	"errors"
-	"fmt"
 	"strings"
 	"time"
 
@@ -203,31 +202,41 @@
 // turn: what room there is goes to those under way.
 const fullPause = 10 * time.Second
 
-// ErrFull means that the table service has no room for new conversations.
-var ErrFull = errors.New("no room for new conversations")
+// Errors of Admit.
+var (
+	// ErrFull means that the table service has no room for new conversations.
+	ErrFull = errors.New("no room for new conversations")
+	// ErrUnsafe means that a turn could not be made safe now.
+	ErrUnsafe = errors.New("turns can't be kept at present")
+)
 
-// ErrIsolated means that this VM is cut off from all that could make a turn safe.
-var ErrIsolated = fmt.Errorf("%w: this VM is cut off", platform.ErrUnavailable)
+// unsafePause is how long this VM takes no turns after it could not make one safe, unless it
+// reaches the table service before.
+const unsafePause = time.Second
 
 func (k *Keeper) isolated() bool { return k.Isolated != nil && k.Isolated() }
 
-// Admit returns ErrIsolated if a turn that runs now could not be kept, and ErrFull if it may not
-// run since it begins a conversation.
-func (k *Keeper) Admit(begins bool) error {
-	if k.isolated() {
-		return ErrIsolated
-	}
-	if !begins {
-		return nil
-	}
+// Admit returns an error if no turn, or no first turn of a conversation, may begin now.
+func (k *Keeper) Admit(first bool) error {
+	reachable, isolated := k.Reachable(), k.isolated()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.Clock.Now() < k.fullUntil {
+	switch now := k.Clock.Now(); {
+	case isolated, !reachable && now < k.unsafeUntil:
+		return ErrUnsafe
+	case first && now < k.fullUntil:
 		return ErrFull
 	}
 	return nil
 }
 
+// observeUnsafe records that a turn could not be made safe.
+func (k *Keeper) observeUnsafe() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.unsafeUntil = k.Clock.Now() + unsafePause
+}
+
 // observeFull records that the table service had no room for a turn.
 func (k *Keeper) observeFull() {
 	k.mu.Lock()
--- a/internal/system/forwarder/preparation.go
+++ b/internal/system/forwarder/preparation.go
@@ -147,7 +147,7 @@
 		x.refuse(http.StatusNotFound, "no such turn", 0)
 	case errors.Is(err, conversations.ErrTooLarge):
 		x.refuse(http.StatusRequestEntityTooLarge, "conversation too long", 0)
-	case errors.Is(err, conversations.ErrIsolated), errors.Is(err, conversations.ErrFull), errors.Is(err, errTakenUp):
+	case errors.Is(err, conversations.ErrUnsafe), errors.Is(err, conversations.ErrFull), errors.Is(err, errTakenUp):
 		x.failPreparation(err, "the turn can't be kept")
 	default:
 		x.failPreparation(err, "conversation can't be read")
