--- a/internal/system/conversations/copies.go
+++ b/internal/system/conversations/copies.go
@@ -19,8 +19,6 @@
 const (
 	// witnessShards is the number of groups of turns that have the same witnesses.
 	witnessShards = 8
-	// wantedCopies is the number of other data centres that must have a copy.
-	wantedCopies = 2
 	// holdTimeout bounds a call to a witness, which tries to write the turn first.
 	holdTimeout = 500 * time.Millisecond
 	// flushInterval is the pause between attempts to write copies, and flushTimeout bounds one.
@@ -101,7 +99,8 @@
 	Conflict bool // another turn was kept under the name
 }
 
-// hold makes witnesses write a turn or, if they can't, hold copies of it. It reports whether the
+// hold makes witnesses write a turn or, if they can't, hold copies of it, in each other data centre
+// that answers: with the copy here, the turn survives the loss of a data centre. It reports whether the
 // turn is in the table service, or safe as copies at the witnesses that it returns.
 func (k *Keeper) hold(ctx context.Context, c *Copy) (stored bool, witnesses []string, err error) {
 	_, others := k.Peers.Witnesses(id(c.ID).witnessKey())
@@ -126,7 +125,7 @@
 			}
 		}
 	}
-	if len(witnesses) == 0 || len(witnesses) < min(wantedCopies, len(others)) {
+	if len(witnesses) == 0 {
 		return false, nil, platform.ErrUnavailable
 	}
 	return false, witnesses, nil
@@ -378,9 +377,11 @@
 func (k *Keeper) HandOver(ctx context.Context) {
 	k.flush(ctx)
 	k.mu.Lock()
-	list := make([]*heldCopy, 0, len(k.copies))
+	list := make([]heldCopy, 0, len(k.copies))
 	for _, h := range k.copies {
-		list = append(list, h)
+		held := *h
+		held.witnesses = slices.Clone(h.witnesses) // a copy that is held may get further ones
+		list = append(list, held)
 	}
 	k.mu.Unlock()
 	var wg sync.WaitGroup
