--- a/internal/endpoint/silence_test.go
+++ b/internal/endpoint/silence_test.go
@@ -31,6 +31,32 @@
 	return p, entity.Endpoint{Name: "e1", URL: "http://" + p.Addr()}
 }
 
+// gatedWriter writes a few chunks of a response, and the others once the gate is open.
+type gatedWriter struct {
+	http.ResponseWriter
+	writes int
+	gate   <-chan struct{}
+}
+
+const ungatedWrites = 5
+
+func (w *gatedWriter) Write(b []byte) (int, error) {
+	if w.writes++; w.writes > ungatedWrites {
+		<-w.gate
+	}
+	return w.ResponseWriter.Write(b)
+}
+
+func (w *gatedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// gated returns a handler whose responses wait for the gate after a few chunks, so that the
+// rest of them meets whatever the test has changed in between.
+func gated(h http.Handler, gate <-chan struct{}) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.ServeHTTP(&gatedWriter{ResponseWriter: w, gate: gate}, r)
+	})
+}
+
 func TestEngineClient_ChatOverFaultyNetwork(t *testing.T) {
 	cases := []struct {
 		name  string
@@ -46,13 +72,15 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			standin := runner.NewEngine(runner.EngineOptions{Models: []string{model}, DecodePerToken: 2 * time.Millisecond})
-			p, ep := newProxied(t, httptest.NewServer(standin))
+			faulty := make(chan struct{}) // closed once the fault is in force
+			p, ep := newProxied(t, httptest.NewServer(gated(standin, faulty)))
 			client := endpoint.NewEngineClient(ep, newClient(t), endpoint.Options{SilenceTimeout: 60 * time.Millisecond, UnreachableTimeout: time.Minute})
 			rec := &recorder{t: t}
 			var healing *time.Timer
 			got, err := client.Chat(t.Context(), chatRequest("c-1", runner.MarkerSay+sentence), func(chunk endpoint.Chunk) error {
 				if chunk.Seq == 3 {
 					is.NoErr(c.fault(p))
+					close(faulty)
 					if c.heals {
 						healing = time.AfterFunc(150*time.Millisecond, func() { is.NoErr(p.SetMode(faultproxy.Pass)) })
 					}
