--- a/internal/forward/config.go
+++ b/internal/forward/config.go
@@ -65,6 +65,8 @@
 	Slots          int // requests that an engine runs in one batch; 0 for a service without engines
 	KVCacheTokens  int // capacity of an engine's prompt cache in tokens
 	TokensPerEvent int // generated tokens in one event of a stream
+	// LearnCapacity means that the scheduler learns how much each endpoint takes well.
+	LearnCapacity bool
 }
 
 // CallerLimits bounds the connections and requests of callers.
--- a/internal/system/dispatch/assign.go
+++ b/internal/system/dispatch/assign.go
@@ -99,7 +99,7 @@
 	sum := 0
 	for _, e := range p.sortedEndpoints {
 		if e.backoffUntil <= now && !e.Draining && e.limit.allows() && e != p.reserved {
-			sum += max(0, e.slotLimit()-e.running)
+			sum += max(0, e.slotLimit(now)-e.running)
 		}
 	}
 	return sum
@@ -123,11 +123,16 @@
 // free there. A suspect is assigned to one without other suspects if that has a free slot.
 func (s *Scheduler) assignBest(p *pool, r *request, now time.Duration) bool {
 	if r.level == quarantine.Spread {
-		unsuspected := func(e *endpoint) bool { return e.suspects == 0 && e.running < e.slotLimit() }
+		unsuspected := func(e *endpoint) bool { return e.suspects == 0 && e.running < e.slotLimit(now) }
 		if s.assignBestOf(p, r, unsuspected, now) {
 			return true
 		}
 	}
+	if p.learned != nil && r.args.AnswerTokens == 0 && len(p.waiting) > batchThreshold {
+		// Few waiting requests are considered at once: if all waited for fast endpoints, the
+		// slots of slower ones would stay free.
+		return s.assignBestOf(p, r, func(e *endpoint) bool { return e.running < e.slotLimit(now) }, now)
+	}
 	return s.assignBestOf(p, r, func(*endpoint) bool { return true }, now)
 }
 
@@ -151,7 +156,7 @@
 		return false
 	}
 	best := endpoints[choice.Index]
-	if best.running >= best.slotLimit() {
+	if best.running >= best.slotLimit(now) {
 		best.queuedFor++
 		return false
 	}
@@ -162,7 +167,7 @@
 // candidate returns the endpoint's state as input to the placement of a request.
 func (e *endpoint) candidate(p *pool, r *request, now time.Duration) placement.Candidate {
 	c := placement.Candidate{
-		Name: e.ID, Running: e.running, Waiting: e.queuedFor, Permits: e.slotLimit(), CallTime: p.meanRun,
+		Name: e.ID, Running: e.running, Waiting: e.queuedFor, Permits: e.slotLimit(now), CallTime: p.meanRun,
 		Penalty:   1 + float64(e.running)/float64(max(1, e.Slots))*loadPenalty,
 		Unhealthy: e.health.Unhealthy(), ProbeDue: e.health.ProbeDue(time.Unix(0, int64(now))),
 	}
@@ -179,6 +184,7 @@
 	if e.promptCache != nil {
 		c.CachedTokens = int64(e.promptCache.cachedTokens(r.args.Prefixes, r.args.PartTokens))
 	}
+	e.applyCapacity(&c, p, r, now)
 	switch {
 	case e.DC == r.args.DC:
 	case r.args.Once:
@@ -238,7 +244,7 @@
 		r.cachedTokens = e.promptCache.cachedTokens(r.args.Prefixes, r.args.PartTokens)
 		e.promptCache.record(r.args.Prefixes, r.args.PartTokens)
 	}
-	r.endpoint, r.assignedAt = e, now
+	r.endpoint, r.assignedAt, r.inFlight = e, now, e.running
 	if r.level == quarantine.Spread {
 		e.suspects++
 	}
@@ -300,7 +306,7 @@
 		if !e.eligible(&SlotRequest{}, now) || e.health.Unhealthy() {
 			continue
 		}
-		slots := e.slotLimit()
+		slots := e.slotLimit(now)
 		if rate, limited := e.limit.rate(p.limits.share); limited && rate*p.meanRun.Seconds() < float64(slots) {
 			c.LimitedPerSecond += rate
 		} else {
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -18,6 +18,7 @@
 	"ibisstall.example/ibisstall/internal/clock"
 	"ibisstall.example/ibisstall/internal/forward"
 	"ibisstall.example/ibisstall/internal/metric"
+	"ibisstall.example/ibisstall/internal/policy/capacity"
 	"ibisstall.example/ibisstall/internal/policy/estimate"
 	"ibisstall.example/ibisstall/internal/policy/fairshare"
 	"ibisstall.example/ibisstall/internal/policy/placement"
@@ -59,8 +60,11 @@
 	// Fleet returns the VMs that may schedule a service; nil if there are no others. The
 	// result is not modified.
 	Fleet func(service string) Fleet
-	Lag   *clock.Lag  // of this VM; may be nil
-	Log   *zap.Logger // may be nil
+	// LearnCapacity reports whether the scheduler learns how much each endpoint of a service
+	// takes well; nil if of none. It is called by SetEndpoints.
+	LearnCapacity func(service string) bool
+	Lag           *clock.Lag  // of this VM; may be nil
+	Log           *zap.Logger // may be nil
 	// Refusals counts refused requests by workspace; may be nil.
 	Refusals *metric.CounterVec
 
@@ -100,7 +104,9 @@
 	shares          *fairshare.Shares // nil while no request has a workspace
 	// reserved is the endpoint that is kept for requests that run alone; nil if there are none.
 	reserved *endpoint
-	alone    alonePause
+	// learned is what the models of the endpoints' capacity have in common; nil if none is learned.
+	learned *capacity.Service
+	alone   alonePause
 	// reviewedVersion is the version of the quarantine when the waiting requests were last
 	// checked against it.
 	reviewedVersion uint64
@@ -123,7 +129,8 @@
 	concurrencyLimit scheduling.ConcurrencyLimit
 	promptCache      *promptCache
 	limit            endpointLimit
-	ended            bool // its process is known to have ended
+	capacity         *capacity.Model // nil if none is learned
+	ended            bool            // its process is known to have ended
 	endedAt          time.Duration
 	suspects         int // running requests that are to be spread over endpoints
 	recent           []endedRun
@@ -137,6 +144,7 @@
 	flow          *fairshare.Flow // nil unless workspaces compete for the service
 	endpoint      *endpoint       // nil while the request waits
 	assignedAt    time.Duration
+	inFlight      int              // requests at the endpoint once the slot was assigned
 	level         quarantine.Level // when the request was submitted
 	response      SlotResponse
 	decided       chan struct{} // closed once a slot is assigned or the request is refused
@@ -185,7 +193,8 @@
 			}
 		}
 	}
-	for _, p := range s.pools {
+	for service, p := range s.pools {
+		p.setLearnCapacity(s.LearnCapacity != nil && s.LearnCapacity(service))
 		p.sortedEndpoints = slices.SortedFunc(maps.Values(p.endpoints), func(a, b *endpoint) int { return strings.Compare(a.ID, b.ID) })
 		s.assignSlots(p)
 	}
@@ -208,6 +217,9 @@
 		current = &endpoint{prefillRate: initialPrefillRate}
 		p.endpoints[e.ID] = current
 	}
+	if current.capacity != nil && current.SoftwareVersion != e.SoftwareVersion {
+		*current.capacity = capacity.Model{}
+	}
 	current.Endpoint = e
 	current.Draining = e.Draining || current.leaves
 	if kvTokens > 0 && current.promptCache == nil {
--- a/internal/system/dispatch/release.go
+++ b/internal/system/dispatch/release.go
@@ -105,6 +105,7 @@
 	case Completed:
 		e.backoff = 0
 		e.observeTimes(int(r.args.promptTokens())-r.cachedTokens, release)
+		e.observeCapacity(r, release, now)
 		if r.args.AnswerTokens > 0 && release.First > 0 {
 			e.concurrencyLimit = e.concurrencyLimit.Observe(release.First-e.prefillTime(int(r.args.promptTokens())-r.cachedTokens), r.pool.meanRun, e.Slots)
 		}
@@ -143,9 +144,6 @@
 	return len(e.connectTimeouts) >= connectTimeoutVMs
 }
 
-// slotLimit returns the number of requests that the scheduler lets run at the endpoint at once.
-func (e *endpoint) slotLimit() int { return e.concurrencyLimit.Slots(e.Slots) }
-
 // prefillTime returns the time to prefill a number of tokens at the endpoint's best rate.
 func (e *endpoint) prefillTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / e.prefillRate * float64(time.Second))
