--- a/internal/policy/capacity/capacity.go
+++ b/internal/policy/capacity/capacity.go
@@ -30,12 +30,17 @@
 	changeAllowance = 0.5
 	slowerThreshold = 4
 	fasterThreshold = 8
+	// steadyThreshold is the sum above which samples don't count towards the curve: a slow
+	// endpoint has more requests in flight as well.
+	steadyThreshold = 2
+	// provenDeviations is by how many standard deviations a slow-down at a level is proven.
+	provenDeviations = 2
 	// minLevelSamples is the number below which a level says nothing.
 	minLevelSamples = 8
 	// kneeShare is the share of the best throughput that the limit must reach.
 	kneeShare = 0.95
 	// exploreInterval is the time after which one request may run above the limit.
-	exploreInterval = time.Second
+	exploreInterval = 250 * time.Millisecond
 	// idleHalfLife is the time in which the slowness of an idle endpoint counts half.
 	idleHalfLife = 500 * time.Millisecond
 	// maxAge is the time without a sample after which a model is forgotten.
@@ -122,8 +127,11 @@
 	s.spread += weight * (math.Abs(residual) - s.spread)
 
 	m.last = now
-	l.samples, l.last = l.samples+1, now
-	l.mean += max(minLevelWeight, 1/l.samples) * clamp(relative-l.mean)
+	l.last = now
+	if m.slower.sum < steadyThreshold && m.faster.sum < steadyThreshold {
+		l.samples++
+		l.mean += max(minLevelWeight, 1/l.samples) * clamp(relative-l.mean)
+	}
 	m.samples++
 	m.speed += max(minSpeedWeight, 1/(m.samples+1)) * residual
 	m.detectChange(residual, s.deviation())
@@ -182,7 +190,7 @@
 		m.levels[i].fitted = b.mean - blocks[0].mean
 		m.slowdown[i] = 0
 		if at > 0 {
-			m.slowdown[i] = max(m.slowdown[i-1], m.levels[i].fitted-deviation*math.Sqrt(1/b.samples+1/blocks[0].samples))
+			m.slowdown[i] = max(m.slowdown[i-1], m.levels[i].fitted-provenDeviations*deviation*math.Sqrt(1/b.samples+1/blocks[0].samples))
 		}
 	}
 }
--- a/internal/system/dispatch/assign.go
+++ b/internal/system/dispatch/assign.go
@@ -128,7 +128,7 @@
 			return true
 		}
 	}
-	if p.learned != nil && r.args.AnswerTokens == 0 && len(p.waiting) > batchThreshold {
+	if p.learned != nil && r.args.AnswerTokens == 0 {
 		// Few waiting requests are considered at once: if all waited for fast endpoints, the
 		// slots of slower ones would stay free.
 		return s.assignBestOf(p, r, func(e *endpoint) bool { return e.running < e.slotLimit(now) }, now)
--- a/internal/system/dispatch/capacity.go
+++ b/internal/system/dispatch/capacity.go
@@ -57,7 +57,8 @@
 		}
 		took = (release.Run - release.First) / time.Duration(release.Tokens-1)
 	}
-	*e.capacity, *r.pool.learned = e.capacity.Observe(*r.pool.learned, took, r.inFlight, e.Slots, now)
+	inFlight := (r.inFlight + e.running + 1) / 2 // the mean of its start and its end
+	*e.capacity, *r.pool.learned = e.capacity.Observe(*r.pool.learned, took, inFlight, e.Slots, now)
 }
 
 // applyCapacity replaces the times of a candidate by those that were learned.
