--- a/internal/logging/tag/tag.go
+++ b/internal/logging/tag/tag.go
@@ -110,6 +110,12 @@
 // none.
 func RateLimit(text string) zap.Field { return zap.String("requests_per_second", text) }
 
+// SlotLimit is the number of requests that an endpoint gets at once.
+func SlotLimit(n int) zap.Field { return zap.Int("slot_limit", n) }
+
+// RelativeRunTime is the run time of requests at an endpoint over the usual one of its service.
+func RelativeRunTime(factor float64) zap.Field { return zap.Float64("relative_run_time", factor) }
+
 // Scheduler is the host:port address of the VM that assigned a slot; "" is the VM that
 // writes the line.
 func Scheduler(hostPort string) zap.Field { return zap.String("scheduler", hostPort) }
--- a/internal/policy/capacity/capacity.go
+++ b/internal/policy/capacity/capacity.go
@@ -30,6 +30,9 @@
 	changeAllowance = 0.5
 	slowerThreshold = 4
 	fasterThreshold = 8
+	// recoveryWeight multiplies the weight of a faster sample after a slow-down, until the
+	// endpoint has proven to be faster.
+	recoveryWeight = 0.5
 	// steadyThreshold is the sum above which samples don't count towards the curve: a slow
 	// endpoint has more requests in flight as well.
 	steadyThreshold = 2
@@ -67,9 +70,10 @@
 	speed          float64 // logarithm of the time relative to the service, at the lowest level
 	samples        float64
 	slower, faster change
+	slowed         bool // the last change was to slower
 	levels         [levels]level
 	slowdown       [levels]float64 // proven, by level, relative to the lowest; never falls
-	slots          int
+	slots, knee    int
 	last           time.Duration // last sample
 }
 
@@ -102,6 +106,14 @@
 	return min((max(inFlight, 1)-1)*levels/slots, levels-1)
 }
 
+// levelEnd returns the largest number of requests in flight of a level.
+func levelEnd(level, slots int) int {
+	if slots <= levels {
+		return level + 1
+	}
+	return ((level+1)*slots + levels - 1) / levels
+}
+
 // Observe returns the model and the service after a request that took a time, normalised by
 // the size of the request where that is known, and was one of inFlight when it was assigned.
 func (m Model) Observe(s Service, took time.Duration, inFlight, slots int, now time.Duration) (Model, Service) {
@@ -126,16 +138,20 @@
 	s.mean += weight * residual
 	s.spread += weight * (math.Abs(residual) - s.spread)
 
-	m.last = now
-	l.last = now
+	m.last, l.last = now, now
 	if m.slower.sum < steadyThreshold && m.faster.sum < steadyThreshold {
 		l.samples++
 		l.mean += max(minLevelWeight, 1/l.samples) * clamp(relative-l.mean)
 	}
 	m.samples++
-	m.speed += max(minSpeedWeight, 1/(m.samples+1)) * residual
+	weight = max(minSpeedWeight, 1/(m.samples+1))
+	if m.slowed && residual < 0 {
+		weight *= recoveryWeight
+	}
+	m.speed += weight * residual
 	m.detectChange(residual, s.deviation())
 	m.fit(s.deviation())
+	m.knee = m.kneeOf(slots)
 	return m, s
 }
 
@@ -145,10 +161,10 @@
 	switch {
 	case m.slower.sum > slowerThreshold:
 		m.speed += m.slower.mean() * deviation
-		m.samples = m.slower.samples
+		m.samples, m.slowed = m.slower.samples, true
 	case m.faster.sum > fasterThreshold:
 		m.speed -= m.faster.mean() * deviation
-		m.samples = m.faster.samples
+		m.samples, m.slowed = m.faster.samples, false
 	default:
 		return
 	}
@@ -213,25 +229,34 @@
 	return time.Duration(math.Exp(exponent) * float64(time.Second))
 }
 
-// Knee returns the least number of requests in flight with nearly the best throughput that
-// is known; at most slots.
-func (m *Model) Knee(slots int, now time.Duration) int {
-	if m.slots != slots || m.aged(now) || m.slowdown[levels-1] <= 0 {
-		return slots
+// kneeOf returns the least number of requests in flight, at the end of a level, with nearly the
+// best throughput that is known.
+func (m *Model) kneeOf(slots int) int {
+	last, best := levelOf(slots, slots), 0.0
+	throughput := func(level int) float64 { return float64(levelEnd(level, slots)) / math.Exp(m.slowdown[level]) }
+	for level := range last + 1 {
+		best = max(best, throughput(level))
 	}
-	throughput := func(n int) float64 { return float64(n) / math.Exp(m.slowdown[levelOf(n, slots)]) }
-	best := 0.0
-	for n := 1; n <= slots; n++ {
-		best = max(best, throughput(n))
-	}
-	for n := 1; n < slots; n++ {
-		if throughput(n) >= kneeShare*best {
-			return n
+	for level := range last {
+		if throughput(level) >= kneeShare*best {
+			return levelEnd(level, slots)
 		}
 	}
 	return slots
 }
 
+// Knee returns how many requests in flight the endpoint takes well; at most slots.
+func (m *Model) Knee(slots int, now time.Duration) int {
+	if m.slots != slots || m.knee == 0 || m.aged(now) {
+		return slots
+	}
+	return m.knee
+}
+
+// RelativeRunTime returns the run time of requests over the usual one of the service, with few
+// requests in flight.
+func (m *Model) RelativeRunTime() float64 { return math.Exp(m.speed) }
+
 // Limit returns how many requests may run at the endpoint at once: the knee, and from time
 // to time one more, by which room is given back.
 func (m *Model) Limit(slots int, now time.Duration) int {
--- a/internal/system/dispatch/capacity.go
+++ b/internal/system/dispatch/capacity.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"ibisstall.example/ibisstall/internal/logging/tag"
 	"ibisstall.example/ibisstall/internal/policy/capacity"
 	"ibisstall.example/ibisstall/internal/policy/placement"
 )
@@ -61,16 +62,48 @@
 	*e.capacity, *r.pool.learned = e.capacity.Observe(*r.pool.learned, took, inFlight, e.Slots, now)
 }
 
+// loggedCapacity is what the log says about an endpoint's capacity.
+type loggedCapacity struct {
+	knee            int
+	relativeRunTime float64
+}
+
+// loggedRunTimeFactor is the factor by which an endpoint's speed changes from one log line to
+// the next.
+const loggedRunTimeFactor = 1.5
+
+// logCapacity logs that an endpoint takes another number of requests well, or that its speed
+// has changed.
+func (s *Scheduler) logCapacity(e *endpoint, now time.Duration) {
+	if e.capacity == nil || s.Log == nil {
+		return
+	}
+	if e.loggedCapacity == (loggedCapacity{}) {
+		e.loggedCapacity = loggedCapacity{knee: e.Slots, relativeRunTime: 1}
+	}
+	l := loggedCapacity{knee: e.capacity.Knee(e.Slots, now), relativeRunTime: e.capacity.RelativeRunTime()}
+	change := l.relativeRunTime / e.loggedCapacity.relativeRunTime
+	if l.knee == e.loggedCapacity.knee && max(change, 1/change) < loggedRunTimeFactor {
+		return
+	}
+	e.loggedCapacity = l
+	s.Log.Info("learned capacity of an endpoint changed", tag.Endpoint(e.ID), tag.SlotLimit(l.knee), tag.RelativeRunTime(l.relativeRunTime))
+}
+
+// slowTokenFactor is the multiple of an engine's mean token time above which the learned one
+// replaces it. Below, the mean is better: it rises with the prompts that the engine prefills
+// at the moment.
+const slowTokenFactor = 1.5
+
 // applyCapacity replaces the times of a candidate by those that were learned.
 func (e *endpoint) applyCapacity(c *placement.Candidate, p *pool, r *request, now time.Duration) {
 	if e.capacity == nil || !p.learned.Known() || !e.learnsFrom(r) {
 		return
 	}
-	slots := e.Slots
-	c.TokenTime = e.capacity.Expected(*p.learned, e.running+1, slots, now)
-	c.CallTime = e.capacity.Expected(*p.learned, c.Permits, slots, now)
-	if r.args.AnswerTokens > 0 {
-		usual := (&capacity.Model{}).Expected(*p.learned, 1, slots, now)
-		c.CallTime = time.Duration(float64(p.meanRun) * float64(c.CallTime) / float64(usual))
+	expected := e.capacity.Expected(*p.learned, e.running+1, e.Slots, now)
+	if r.args.AnswerTokens == 0 {
+		c.TokenTime, c.CallTime = expected, e.capacity.Expected(*p.learned, c.Permits, e.Slots, now)
+	} else if float64(expected) > slowTokenFactor*float64(c.TokenTime) {
+		c.TokenTime = expected
 	}
 }
--- a/internal/system/dispatch/dispatch.go
+++ b/internal/system/dispatch/dispatch.go
@@ -130,7 +130,8 @@
 	promptCache      *promptCache
 	limit            endpointLimit
 	capacity         *capacity.Model // nil if none is learned
-	ended            bool            // its process is known to have ended
+	loggedCapacity   loggedCapacity
+	ended            bool // its process is known to have ended
 	endedAt          time.Duration
 	suspects         int // running requests that are to be spread over endpoints
 	recent           []endedRun
--- a/internal/system/dispatch/release.go
+++ b/internal/system/dispatch/release.go
@@ -26,6 +26,7 @@
 	s.remove(r)
 	if r.endpoint != nil {
 		r.endpoint.applyRelease(r, release, now)
+		s.logCapacity(r.endpoint, now)
 		r.pool.recordTurnEnd(r, now)
 		if release.Result == Completed && release.Run > 0 {
 			r.pool.meanRun = movingAverage(r.pool.meanRun, release.Run)
