--- a/internal/policy/capacity/capacity_test.go
+++ b/internal/policy/capacity/capacity_test.go
@@ -86,17 +86,13 @@
 			is.True(deviations[len(deviations)/2] < 0.35)
 		})
 	}
-	t.Run("a slow decline", func(t *testing.T) {
-		is := is.New(t)
-		f := newFleet(1, 0.5, 6)
-		factor := 1.0
-		for range 300 {
-			factor *= 1.003
-			f.rounds(1, always(factor))
-		}
-		t.Logf("declined to 1/%.1f of its speed; expected over true run time %.2f", factor, f.expected(0, 1)/factor)
-		is.True(math.Abs(math.Log(f.expected(0, 1)/factor)) < 0.35)
-	})
+	is, f, factor := is.New(t), newFleet(1, 0.5, 6), 1.0
+	for range 300 { // a slow decline
+		factor *= 1.003
+		f.rounds(1, always(factor))
+	}
+	t.Logf("declined to 1/%.1f of its speed; expected over true run time %.2f", factor, f.expected(0, 1)/factor)
+	is.True(math.Abs(math.Log(f.expected(0, 1)/factor)) < 0.35)
 }
 
 func TestModel_LimitsToTheKneeAndForgets(t *testing.T) {
