--- a/internal/system/dispatch/capacity_test.go
+++ b/internal/system/dispatch/capacity_test.go
@@ -78,7 +78,9 @@
 			}
 			waiting = append(waiting, r)
 		}
-		s.Tick()
+		if c.now%schedulerTick == 0 {
+			s.Tick()
+		}
 		waiting = slices.DeleteFunc(waiting, func(r *unevenRun) bool {
 			var best *unevenEndpoint
 			if resp := s.Poll(r.ticket); cost == nil && resp.State == Assigned {
