--- a/internal/system/dispatch/release.go
+++ b/internal/system/dispatch/release.go
@@ -26,6 +26,7 @@
 	s.remove(r)
 	if r.endpoint != nil {
 		r.endpoint.applyRelease(r, release, now)
+		s.logCapacity(r.endpoint, now)
 		r.pool.recordTurnEnd(r, now)
 		if release.Result == Completed && release.Run > 0 {
 			r.pool.meanRun = movingAverage(r.pool.meanRun, release.Run)
@@ -105,6 +106,7 @@
 	case Completed:
 		e.backoff = 0
 		e.observeTimes(int(r.args.promptTokens())-r.cachedTokens, release)
+		e.observeCapacity(r, release, now)
 		if r.args.AnswerTokens > 0 && release.First > 0 {
 			e.concurrencyLimit = e.concurrencyLimit.Observe(release.First-e.prefillTime(int(r.args.promptTokens())-r.cachedTokens), r.pool.meanRun, e.Slots)
 		}
@@ -143,9 +145,6 @@
 	return len(e.connectTimeouts) >= connectTimeoutVMs
 }
 
-// slotLimit returns the number of requests that the scheduler lets run at the endpoint at once.
-func (e *endpoint) slotLimit() int { return e.concurrencyLimit.Slots(e.Slots) }
-
 // prefillTime returns the time to prefill a number of tokens at the endpoint's best rate.
 func (e *endpoint) prefillTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / e.prefillRate * float64(time.Second))
