--- a/internal/system/conversations/conversations.go
+++ b/internal/system/conversations/conversations.go
@@ -143,9 +143,8 @@
 	TableTime func() (now time.Duration, known bool)
 	Clock     clock.Clock
 	RowBytes  int // largest value of a row
-	// CacheBytes bounds the turns that are held in memory.
-	// CacheBytes bounds the turns that are held in memory, and the copies of those that aren't in
-	// the table service yet.
+	// CacheBytes bounds the turns that are held in memory, and by themselves the copies of those
+	// that aren't in the table service yet.
 	CacheBytes int64
 	// SettleTime is how long this VM has to run, and to reach the table service, until it is
 	// certain that a turn which it doesn't find doesn't exist.
