--- a/review/standins-2/deployment.go
+++ b/review/standins-2/deployment.go
@@ -4,6 +4,7 @@
 const (
 	turnPath = "/lohu930/4b"
 	toolPath = "/pule252/4b"
+	newPath  = "/vofi541/4b" // of a route that is added later
 )
 
 // Services of the deployments.
@@ -18,19 +19,33 @@
 // writeConfig writes the operator's configuration: a route for turns, which retains
 // conversations or doesn't, and one for tools.
 func writeConfig(s *store, retain bool) {
-	turns := map[string]any{
-		"name": "kiosk-chat", "host": host, "prefix": "/lohu930/", "kind": "streaming", "service": engines, "timeout_ms": 3000,
+	writeConfigWith(s, 7, turnRoute("kiosk-chat", "/lohu930/", retain))
+}
+
+// turnRoute returns a route for turns.
+func turnRoute(name, prefix string, retain bool) map[string]any {
+	route := map[string]any{
+		"name": name, "host": host, "prefix": prefix, "kind": "streaming", "service": engines, "timeout_ms": 3000,
 		"target_latency_ms": 250, "gap_target_ms": 200, "max_attempts": 2, "priority": 1, "sticky": true, "resumable": false, "retain": retain,
 	}
 	if retain {
-		turns["retention_s"] = 60
+		route["retention_s"] = 60
+	}
+	return route
+}
+
+// writeConfigWith writes a version of the configuration with routes for turns.
+func writeConfigWith(s *store, version int, turns ...map[string]any) {
+	routes := []any{map[string]any{
+		"name": "status-check", "host": host, "prefix": "/pule252/", "kind": "idempotent", "service": tools, "timeout_ms": 3000,
+		"target_latency_ms": 1500, "max_attempts": 2, "priority": 2, "sticky": false, "resumable": false,
+	}}
+	for _, route := range turns {
+		routes = append(routes, route)
 	}
 	s.put("op", "config", map[string]any{
-		"version": 7,
-		"routes": []any{turns, map[string]any{
-			"name": "status-check", "host": host, "prefix": "/pule252/", "kind": "idempotent", "service": tools, "timeout_ms": 3000,
-			"target_latency_ms": 1500, "max_attempts": 2, "priority": 2, "sticky": false, "resumable": false,
-		}},
+		"version": version,
+		"routes":  routes,
 		"services": []any{
 			map[string]any{"name": engines, "health_path": "/health", "max_conns": 440, "engine": map[string]any{
 				"slots": 24, "kv_capacity": 200000, "tokens_per_event": tokensPerEvent, "token_kv_bytes": 163840,
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -104,6 +104,7 @@
 
 var cases = map[string]func(*setup){
 	"forgotten-home": forgottenHome,
+	"new-route":      newRoute,
 	"lost-turn":      lostTurn,
 	"spent-twice":    spentTwice,
 	"wrong-grant":    wrongGrant,
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -42,11 +42,12 @@
 	changed chan struct{} // closed and replaced at each change
 	down    bool          // for everybody: 503, nothing is done
 	cut     map[string]bool
+	silent  map[string]bool // VMs that are partitioned from the store
 	began   time.Time
 }
 
 func newStore() *store {
-	return &store{rows: make(map[rowID]row), changed: make(chan struct{}), cut: make(map[string]bool), began: time.Now()}
+	return &store{rows: make(map[rowID]row), changed: make(chan struct{}), cut: make(map[string]bool), silent: make(map[string]bool), began: time.Now()}
 }
 
 // listen opens a listener for the calls of one client, and returns its address.
@@ -59,6 +60,10 @@
 	mux.HandleFunc("GET /v1/rows-feed", func(w http.ResponseWriter, r *http.Request) { s.feed(w, r, client) })
 	mux.HandleFunc("GET /v1/rows-parts", s.parts)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.partitioned(client) {
+			s.waitWhilePartitioned(r.Context(), client)
+			panic(http.ErrAbortHandler)
+		}
 		if s.turnsAway(client) {
 			w.Header().Set("Content-Type", "application/json")
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -92,6 +97,36 @@
 	s.notify()
 }
 
+// setPartitioned cuts one VM off from the store, or ends that: its calls get no answer.
+func (s *store) setPartitioned(client string, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent[client] = on
+	s.notify()
+}
+
+func (s *store) partitioned(client string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent[client]
+}
+
+// waitWhilePartitioned returns when the caller gives up or its partition ends.
+func (s *store) waitWhilePartitioned(ctx context.Context, client string) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		changed, silent := s.changed, s.silent[client]
+		s.mu.Unlock()
+		if !silent {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // notify wakes the calls that wait for changes; mu is held.
 func (s *store) notify() {
 	close(s.changed)
@@ -239,7 +274,11 @@
 			func(a, b row) bool { return a.Version < b.Version })
 		changed, version, now := s.changed, s.version, s.nowMS()
 		s.mu.Unlock()
-		if s.turnsAway(client) { // also a call that has waited
+		if s.partitioned(client) { // a call that has waited gets no answer either
+			s.waitWhilePartitioned(r.Context(), client)
+			panic(http.ErrAbortHandler)
+		}
+		if s.turnsAway(client) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
