--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -40,6 +40,7 @@
 	record  *record
 	store   *store
 	vms     []*vm
+	engines []*runner
 	trouble bool
 }
 
@@ -103,11 +104,10 @@
 }
 
 var cases = map[string]func(*setup){
-	"forgotten-home": forgottenHome,
-	"new-route":      newRoute,
-	"lost-turn":      lostTurn,
-	"spent-twice":    spentTwice,
-	"wrong-grant":    wrongGrant,
+	"without-history": withoutHistory,
+	"new-route":       newRoute,
+	"lost-turn":       lostTurn,
+	"wrong-grant":     wrongGrant,
 }
 
 func main() {
--- a/review/standins-2/runner.go
+++ b/review/standins-2/runner.go
@@ -26,13 +26,22 @@
 	mu       sync.Mutex
 	sequence int64
 	running  int
+	bodies   map[string]string // of the requests that it ran, by attempt
+}
+
+// bodyOf returns the body of a request that the runner ran.
+func (r *runner) bodyOf(attempt string) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	body, ok := r.bodies[attempt]
+	return body, ok
 }
 
 // startRunner starts a runner that writes its entry into the store at each heartbeat.
 func startRunner(s *store, rec *record, id, service, zone string, slots int) *runner {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err, "listen for a runner")
-	r := &runner{id: id, service: service, address: l.Addr().String(), zone: zone, slots: slots, born: time.Now().UnixMilli(), store: s, record: rec}
+	r := &runner{id: id, service: service, address: l.Addr().String(), zone: zone, slots: slots, born: time.Now().UnixMilli(), store: s, record: rec, bodies: make(map[string]string)}
 	server := &http.Server{Handler: http.HandlerFunc(r.serve), IdleTimeout: 30 * time.Second}
 	go server.Serve(l)
 	r.register()
@@ -101,6 +110,7 @@
 	full := r.running >= r.slots
 	if !full {
 		r.running++
+		r.bodies[attempt] = string(body)
 	}
 	r.mu.Unlock()
 	if full {
