--- a/review/standins-2/caller.go
+++ b/review/standins-2/caller.go
@@ -70,6 +70,7 @@
 		set("Length-Hint", strconv.Itoa(t.hint))
 	}
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	rec.line("caller sends %s to %s: program %s, previous turn %q, %d bytes", res.attempt, v.name, t.program, t.previous, len(body))
 	began := time.Now()
 	resp, err := client.Do(req)
 	if err != nil {
