forwarder, currency: a denial needs a configuration that is newer than the request

Cause: findRoute denied by the configuration in force, however old, and a request that names a previous turn on a route that keeps none was passed on as it came.

Change: 404 for no route, 401 for an unknown key, and a turn that goes on where the route keeps none need a configuration that was confirmed since the request came (3 s before if it names no turn); the request waits up to 300 ms for a read, also through another VM, else it is a 503 with a Retry-After. Reads that requests wait for start at most every 50 ms. The monitor exists without strict revocation, too.

--- a/internal/system/currency/currency.go
+++ b/internal/system/currency/currency.go
@@ -35,6 +35,9 @@
 	readTimeout = time.Second
 	// confirmTimeout bounds the wait of a request for a read.
 	confirmTimeout = 300 * time.Millisecond
+	// readInterval is the shortest time between the starts of two reads that requests wait for:
+	// callers must not decide how often the store is read.
+	readInterval = 50 * time.Millisecond
 	// initialBackoff and maxBackoff bound the pause after a failed read, which doubles with
 	// each further failure.
 	initialBackoff = 100 * time.Millisecond
@@ -80,7 +83,7 @@
 // Monitor knows when the configuration in force was last known to be the newest one. It is
 // safe for concurrent use.
 type Monitor struct {
-	// Bound is how long a key may be used after it was taken away.
+	// Bound is how long a key may be used after it was taken away; 0 if there is no bound.
 	Bound  time.Duration
 	Config Config
 	// Others asks other VMs how recent their configurations are; nil where there are none.
@@ -98,6 +101,8 @@
 	reading     chan struct{} // guarded by mu; closed at the end of the read under way; nil if there is none
 	backoff     time.Duration // guarded by mu; 0 unless the last read failed
 	readAgainAt time.Duration // guarded by mu; end of the pause after a failed read
+	hasRead     bool          // guarded by mu; a read has begun
+	readBeganAt time.Duration // guarded by mu; when the last one began
 }
 
 // FeedWait returns how long the feed of the configuration may hold a call, with a pause
@@ -159,7 +164,23 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.asked, m.askedAt = true, max(m.askedAt, arrived)
-	if m.suffices(arrived) {
+	if m.Bound == 0 {
+		return nil
+	}
+	return m.await(ctx, arrived-time.Duration(float64(m.Bound)*(1-clockTolerance)))
+}
+
+// ConfirmSince implements forwarder.ConfigConfirmer. It waits like Confirm.
+func (m *Monitor) ConfirmSince(ctx context.Context, since time.Duration) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.await(ctx, since)
+}
+
+// await waits until the configuration was confirmed at a time or later, unless the last read
+// failed. The error is a *StaleError; mu is held.
+func (m *Monitor) await(ctx context.Context, since time.Duration) error {
+	if m.confirmedSince(since) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
@@ -168,6 +189,12 @@
 		if m.backoff > 0 && (m.reading != nil || m.Clock.Now() < m.readAgainAt) {
 			break // there is no way at present
 		}
+		if pause := m.readBeganAt + readInterval - m.Clock.Now(); m.reading == nil && m.hasRead && pause > 0 {
+			m.mu.Unlock()
+			clock.Sleep(ctx, pause)
+			m.mu.Lock()
+			continue
+		}
 		done := m.read()
 		m.mu.Unlock()
 		select {
@@ -175,16 +202,16 @@
 		case <-ctx.Done():
 		}
 		m.mu.Lock()
-		if m.suffices(arrived) {
+		if m.confirmedSince(since) {
 			return nil
 		}
 	}
 	return &StaleError{Age: m.age()}
 }
 
-// suffices reports whether the configuration is recent enough for a request; mu is held.
-func (m *Monitor) suffices(arrived time.Duration) bool {
-	return m.confirmed && m.confirmedAt >= arrived-time.Duration(float64(m.Bound)*(1-clockTolerance))
+// confirmedSince reports whether the configuration was confirmed at a time or later; mu is held.
+func (m *Monitor) confirmedSince(since time.Duration) bool {
+	return m.confirmed && m.confirmedAt >= since
 }
 
 // read starts a read unless one is under way, and returns the channel that is closed at its
@@ -192,7 +219,8 @@
 func (m *Monitor) read() <-chan struct{} {
 	if m.reading == nil {
 		m.reading = make(chan struct{})
-		go m.runRead(m.Clock.Now())
+		m.hasRead, m.readBeganAt = true, m.Clock.Now()
+		go m.runRead(m.readBeganAt)
 	}
 	return m.reading
 }
--- a/internal/system/currency/currency_test.go
+++ b/internal/system/currency/currency_test.go
@@ -205,3 +205,30 @@
 		is.True(confirm() != nil) // so does the other one
 	})
 }
+
+// Guards against a denial by a configuration that was outdated when the request came.
+func TestMonitor_ConfirmsSinceATimeByAReadThatBeganLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		way := &fakeWay{delay: 10 * time.Millisecond}
+		m, c := newMonitor(way)
+		m.Bound = 0
+		is.NoErr(m.Confirm(t.Context(), c.Now())) // no bound
+		is.Equal(way.reads.Load(), int32(0))
+		for range 20 {
+			is.NoErr(m.ConfirmSince(t.Context(), c.Now()))
+		}
+		is.Equal(way.reads.Load(), int32(20))
+		began := c.Now()
+		for range 100 {
+			go m.ConfirmSince(t.Context(), c.Now())
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		is.True(way.reads.Load() <= 20+4) // many requests cause few reads
+		is.NoErr(m.ConfirmSince(t.Context(), began))
+		way.down.Store(true)
+		is.NoErr(m.ConfirmSince(t.Context(), began))
+		is.True(errors.Is(m.ConfirmSince(t.Context(), c.Now()), ErrUnconfirmed))
+	})
+}
--- a/internal/system/forwarder/authentication.go
+++ b/internal/system/forwarder/authentication.go
@@ -26,10 +26,14 @@
 	errConfigNotLoaded = errors.New("no configuration yet")
 )
 
+// maxDenialAge is the largest age of a configuration that proves that a route or a key doesn't
+// exist: longer than a feed that responds is silent.
+const maxDenialAge = 3 * time.Second
+
 // authenticate finds the route of a request and, by its key, its workspace. It refuses the
 // request if there is no such route, or if the route needs a key and the request has none.
 func (x *exchange) authenticate(ctx context.Context) bool {
-	if !x.findRoute() {
+	if !x.findCurrentRoute(ctx) {
 		return false
 	}
 	if !x.requiresKey() {
@@ -42,7 +46,7 @@
 			return false
 		}
 		// Another configuration may be in force now.
-		if !x.findRoute() {
+		if !x.findCurrentRoute(ctx) {
 			return false
 		}
 		if !x.requiresKey() {
@@ -55,14 +59,35 @@
 	}
 	name, ok := x.config.Keys.Holder(x.request.Key)
 	if !ok {
-		x.refuseKey(http.StatusUnauthorized, errUnknownKey)
-		return false
+		if !x.confirmDenial(ctx) {
+			return false
+		}
+		if name, ok = x.config.Keys.Holder(x.request.Key); !ok {
+			x.refuseKey(http.StatusUnauthorized, errUnknownKey)
+			return false
+		}
 	}
 	x.workspace = x.config.Workspaces[name]
 	return true
 }
 
-// findRoute finds the route in the configuration in force.
+// findCurrentRoute finds the route in the configuration in force. A request that goes on from a
+// turn has a route that keeps turns, unless that was removed: if there is none, the configuration
+// may be outdated, as it may be if there is no route at all.
+func (x *exchange) findCurrentRoute(ctx context.Context) bool {
+	if !x.findRoute() {
+		return false
+	}
+	if (x.route == nil || x.request.PreviousTurn != "" && !x.route.Retain) && !x.confirmDenial(ctx) {
+		return false
+	}
+	if x.route == nil {
+		x.refuse(http.StatusNotFound, errRouteNotFound.Error(), 0)
+	}
+	return x.route != nil
+}
+
+// findRoute finds the route, if there is one, in the configuration in force.
 func (x *exchange) findRoute() bool {
 	x.config = x.f.Config()
 	if x.config == nil {
@@ -70,11 +95,27 @@
 		return false
 	}
 	x.route = x.config.Match(x.request.Host, path(x.request.Target))
-	if x.route == nil {
-		x.refuse(http.StatusNotFound, errRouteNotFound.Error(), 0)
+	return true
+}
+
+// confirmDenial makes sure that the configuration by which a request is to be denied isn't
+// outdated, and looks the route up again. A request that goes on from a turn proves that its route
+// existed when it came. Without proof it refuses the request: another VM may serve it.
+func (x *exchange) confirmDenial(ctx context.Context) bool {
+	if x.f.Confirmer == nil {
+		return true
+	}
+	since := x.receivedAt
+	if x.request.PreviousTurn == "" {
+		since -= maxDenialAge
+	}
+	if err := x.f.Confirmer.ConfirmSince(ctx, since); err != nil {
+		x.f.Metrics.unprovenDenials.Inc()
+		x.cause = err
+		x.refuse(http.StatusServiceUnavailable, errConfigTooOld.Error(), unconfirmedRetryAfter)
 		return false
 	}
-	return true
+	return x.findRoute()
 }
 
 // requiresKey reports whether the request needs a key, and records whether others do.
--- a/internal/system/forwarder/metrics.go
+++ b/internal/system/forwarder/metrics.go
@@ -30,22 +30,25 @@
 	// resumedStreams counts streams that callers take up, by how their version was found out.
 	resumedStreams *metric.CounterVec
 	// refusedKeys counts refusals for keys, by cause.
-	refusedKeys  *metric.CounterVec
-	limitChanges *metrics.Counter // rate limits of endpoints, as this VM learned them
+	refusedKeys *metric.CounterVec
+	// unprovenDenials counts requests refused since the configuration that denies them may be outdated.
+	unprovenDenials *metrics.Counter
+	limitChanges    *metrics.Counter // rate limits of endpoints, as this VM learned them
 }
 
 // NewMetrics registers the metrics.
 func NewMetrics(r *metric.Registry) *Metrics {
 	return &Metrics{
-		requests:       r.CounterVec("ibisstall_forwarded_requests_total", "status", maxStatuses),
-		latency:        r.HistogramVec("ibisstall_forwarded_request_seconds", "route", maxRoutes),
-		queueWaits:     r.Histogram("ibisstall_place_wait_seconds"),
-		resends:        r.Counter("ibisstall_forwarded_resumes_total"),
-		truncated:      r.Counter("ibisstall_forwarded_broken_total"),
-		interruptions:  r.CounterVec("ibisstall_forwarded_interruptions_total", "framing", maxFramings),
-		resumedStreams: r.CounterVec("ibisstall_forwarded_streams_taken_up_total", "origin", maxOrigins),
-		refusedKeys:    r.CounterVec("ibisstall_forwarded_key_refusals_total", "cause", len(refusedKeyLabels)),
-		limitChanges:   r.Counter("ibisstall_endpoint_limit_changes_total"),
+		requests:        r.CounterVec("ibisstall_forwarded_requests_total", "status", maxStatuses),
+		latency:         r.HistogramVec("ibisstall_forwarded_request_seconds", "route", maxRoutes),
+		queueWaits:      r.Histogram("ibisstall_place_wait_seconds"),
+		resends:         r.Counter("ibisstall_forwarded_resumes_total"),
+		truncated:       r.Counter("ibisstall_forwarded_broken_total"),
+		interruptions:   r.CounterVec("ibisstall_forwarded_interruptions_total", "framing", maxFramings),
+		resumedStreams:  r.CounterVec("ibisstall_forwarded_streams_taken_up_total", "origin", maxOrigins),
+		refusedKeys:     r.CounterVec("ibisstall_forwarded_key_refusals_total", "cause", len(refusedKeyLabels)),
+		unprovenDenials: r.Counter("ibisstall_forwarded_unproven_denials_total"),
+		limitChanges:    r.Counter("ibisstall_endpoint_limit_changes_total"),
 	}
 }
 
--- a/internal/system/forwarder/preparation.go
+++ b/internal/system/forwarder/preparation.go
@@ -18,6 +18,9 @@
 	// Forwarder.Clock, that a request which arrived then must not run. It may wait for a
 	// read of the configuration.
 	Confirm(ctx context.Context, arrived time.Duration) error
+	// ConfirmSince returns nil if the configuration in force was the newest one at a time, on
+	// Forwarder.Clock, or later. It may wait for a read of the configuration.
+	ConfirmSince(ctx context.Context, since time.Duration) error
 	// Age returns the time since the configuration was last confirmed, 0 if it never was.
 	Age() time.Duration
 }
