mesh, tokenbudget: messages about a process reach no other one at its address

Cause: a home and a keeper number reservations and grants from 1; a settlement is addressed to a process, but the address is looked up in a list of VMs that may be old, and whatever process listens there took it.

Change: mesh.Process is a type of its own, a VM's name and the start of its process. Each connection tells which process it leads to, asked once, when a call first needs it; CallProcess fails with ErrNotSent if that is another one. Budgets, grants, deposits, hand-overs and quotas of workspaces use it. VMs of earlier releases don't tell and are called as before; numbers start at random, so that their settlements don't meet those of another process.

--- a/internal/mesh/client.go
+++ b/internal/mesh/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"net/rpc"
@@ -63,11 +64,16 @@
 	closed bool
 }
 
-// clientConn is one connection.
+// clientConn is one connection. The process at its other end stays the same.
 type clientConn struct {
 	rpc     *rpc.Client
 	netConn *timeoutConn
 	stop    chan struct{} // ends the heartbeat
+
+	identify   sync.Once
+	identified chan struct{} // closed when process and err are set
+	process    Process       // at the other end; empty if it doesn't tell, as in earlier releases
+	err        error         // why the process is unknown
 }
 
 // dialAttempt is an attempt to connect that concurrent calls share. done is closed
@@ -89,14 +95,23 @@
 // method returned. It writes to reply, a pointer, only if it returns nil, and never
 // after it has returned.
 func (c *Client) Call(ctx context.Context, addr, method string, args, reply any) error {
+	return c.CallProcess(ctx, addr, "", method, args, reply)
+}
+
+// CallProcess is Call for what concerns one process of a VM: another one that has the address by
+// now is not called, and the error wraps ErrOtherProcess. Any process is called if it is empty.
+func (c *Client) CallProcess(ctx context.Context, addr string, process Process, method string, args, reply any) error {
 	conn, err := c.connect(ctx, addr)
+	if err == nil && process != "" {
+		err = conn.verify(ctx, process, c.options.SilenceTimeout)
+	}
 	if err != nil {
 		return fmt.Errorf("%s to %s: %w: %w", method, addr, ErrNotSent, err)
 	}
 	// net/rpc decodes a reply even if it arrives after ctx has ended, so it must
 	// not decode into the caller's value.
 	ownReply := reflect.New(reflect.TypeOf(reply).Elem())
-	call := conn.Go(method, args, ownReply.Interface(), make(chan *rpc.Call, 1))
+	call := conn.rpc.Go(method, args, ownReply.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
 		return callError(ctx, method, ctx.Err())
@@ -122,7 +137,7 @@
 
 // connect returns the connection to an address, dialing it if necessary. The wait
 // for a dial ends with ctx; the dial itself continues for the calls that share it.
-func (c *Client) connect(ctx context.Context, addr string) (*rpc.Client, error) {
+func (c *Client) connect(ctx context.Context, addr string) (*clientConn, error) {
 	p := c.peer(addr)
 	p.mu.Lock()
 	if p.closed {
@@ -131,7 +146,7 @@
 	}
 	if p.conn != nil && !p.conn.netConn.broken() {
 		defer p.mu.Unlock()
-		return p.conn.rpc, nil
+		return p.conn, nil
 	}
 	d := p.dial
 	if d == nil {
@@ -148,7 +163,7 @@
 	if d.err != nil {
 		return nil, d.err
 	}
-	return d.conn.rpc, nil
+	return d.conn, nil
 }
 
 // completeDial connects to an address, starts the heartbeat and completes d.
@@ -166,7 +181,7 @@
 		d.err = net.ErrClosed
 	default:
 		bounded := newTimeoutConn(conn, c.options.SilenceTimeout)
-		d.conn = &clientConn{rpc: rpc.NewClient(bounded), netConn: bounded, stop: make(chan struct{})}
+		d.conn = &clientConn{rpc: rpc.NewClient(bounded), netConn: bounded, stop: make(chan struct{}), identified: make(chan struct{})}
 		p.conn = d.conn
 		go c.heartbeatLoop(addr, p, d.conn)
 	}
@@ -191,6 +206,40 @@
 	return conn, nil
 }
 
+// verify returns an error unless a process is at the other end, or the other end doesn't tell.
+func (c *clientConn) verify(ctx context.Context, process Process, timeout time.Duration) error {
+	c.identify.Do(func() { go c.askProcess(timeout) })
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-c.identified:
+	}
+	if c.err == nil && c.process != "" && c.process != process {
+		return fmt.Errorf("%w: %s instead of %s", ErrOtherProcess, c.process, process)
+	}
+	return c.err
+}
+
+// askProcess asks for the process at the other end.
+func (c *clientConn) askProcess(timeout time.Duration) {
+	defer close(c.identified)
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	var reply Process
+	call := c.rpc.Go(identityServiceName+".Process", struct{}{}, &reply, make(chan *rpc.Call, 1))
+	var remote rpc.ServerError
+	select {
+	case <-timer.C:
+		c.err = context.DeadlineExceeded
+	case <-call.Done:
+		if call.Error == nil {
+			c.process = reply
+		} else if !errors.As(call.Error, &remote) { // earlier releases don't have the method
+			c.err = call.Error
+		}
+	}
+}
+
 // heartbeatLoop sends a heartbeat every HeartbeatInterval until stop is closed. If
 // one fails or the connection breaks, it closes the connection, and all pending calls
 // on it return ErrReplyLost.
--- a/internal/mesh/errors.go
+++ b/internal/mesh/errors.go
@@ -16,6 +16,9 @@
 	// ErrReplyLost means that no reply arrived; the call may have run on the
 	// other VM.
 	ErrReplyLost = errors.New("mesh answer lost")
+	// ErrOtherProcess means that another process has the address of the one that was called.
+	// It comes with ErrNotSent.
+	ErrOtherProcess = errors.New("another process has the address")
 )
 
 // Code is the kind of a Fault. It has the same value on both sides of a call.
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -309,3 +309,26 @@
 	is.True(errors.Is(err, ErrNotSent))
 	is.Equal(e.count(), 0)
 }
+
+// Guards against a message about one process that reaches the next one at its address.
+func TestClient_CallProcessReachesNoOtherProcess(t *testing.T) {
+	is := is.New(t)
+	first, e := serve(t, ServerOptions{Process: "vm.1"})
+	p := proxyTo(t, first)
+	c := newClient(t, ClientOptions{SilenceTimeout: time.Minute})
+	call := func(process Process) error {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		return c.CallProcess(ctx, p.Addr(), process, "Echo.Echo", "x", new(Reply))
+	}
+	is.NoErr(call("vm.1"))
+	err := call("vm.2")
+	is.True(errors.Is(err, ErrOtherProcess) && errors.Is(err, ErrNotSent))
+	is.Equal(e.count(), 1)
+	is.NoErr(call("")) // any process
+
+	unnamed, _ := serve(t, ServerOptions{}) // as servers of earlier releases
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	is.NoErr(c.CallProcess(ctx, unnamed.Addr(), "vm.1", "Echo.Echo", "x", new(Reply)))
+}
--- a/internal/mesh/server.go
+++ b/internal/mesh/server.go
@@ -30,6 +30,20 @@
 	return nil
 }
 
+// Process identifies a process: a VM has another one after each start.
+type Process string
+
+// identityService is the net/rpc service that tells the process of the server.
+type identityService struct{ process Process }
+
+// Process replies with the process of the server.
+func (s identityService) Process(_ struct{}, reply *Process) error {
+	*reply = s.process
+	return nil
+}
+
+const identityServiceName = "Identity"
+
 // acceptRetryDelay is the delay before Accept is retried after an error.
 const acceptRetryDelay = 50 * time.Millisecond
 
@@ -47,8 +61,10 @@
 
 // ServerOptions configure a Server.
 type ServerOptions struct {
-	Addr string      // host:port to listen on
-	TLS  *tls.Config // plain TCP if nil
+	Addr string // host:port to listen on
+	// Process is that of the server, which CallProcess compares; empty if it has no name.
+	Process Process
+	TLS     *tls.Config // plain TCP if nil
 	// SilenceTimeout is the maximum time of the handshake, a read or a write;
 	// DefaultSilenceTimeout if zero.
 	SilenceTimeout time.Duration
@@ -76,7 +92,8 @@
 		o.OnHandshakeFailure = func(string, error) {}
 	}
 	s := &Server{listener: l, rpc: rpc.NewServer(), options: o, conns: make(map[net.Conn]struct{})}
-	if err := s.Register(heartbeatServiceName, heartbeatService{}); err != nil {
+	err = errors.Join(s.Register(heartbeatServiceName, heartbeatService{}), s.Register(identityServiceName, identityService{o.Process}))
+	if err != nil {
 		return nil, err
 	}
 	return s, nil
--- a/internal/system/dispatch/directory.go
+++ b/internal/system/dispatch/directory.go
@@ -6,13 +6,14 @@
 	"slices"
 	"sync"
 
+	"ibisstall.example/ibisstall/internal/mesh"
 	"ibisstall.example/ibisstall/internal/policy/ownership"
 )
 
 // VM describes a VM of the system.
 type VM struct {
 	Name     string
-	Process  string // id of the current run of its process
+	Process  mesh.Process
 	Address  string // mesh address, host:port
 	DC       string
 	Version  uint64 // version of its row in the VM table
@@ -230,7 +231,7 @@
 }
 
 // AddressOf returns the mesh address of a process, or "" if it is not listed.
-func (d *Directory) AddressOf(process string) string {
+func (d *Directory) AddressOf(process mesh.Process) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, vm := range d.vms {
--- a/internal/system/quota/keeper.go
+++ b/internal/system/quota/keeper.go
@@ -18,9 +18,9 @@
 	KeptSince(workspace string) (since time.Duration, ok bool)
 	// Recorded returns the process that keeps the share of a workspace in a data centre as
 	// last recorded, or "".
-	Recorded(workspace, dc string) string
+	Recorded(workspace, dc string) mesh.Process
 	// Candidates returns the processes that may keep it, the most likely first. It costs more.
-	Candidates(workspace, dc string) []string
+	Candidates(workspace, dc string) []mesh.Process
 }
 
 // Keeper grants tokens of the shares that this process keeps. It is safe for concurrent use.
--- a/internal/system/quota/quotas.go
+++ b/internal/system/quota/quotas.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ibisstall.example/ibisstall/internal/forward"
+	"ibisstall.example/ibisstall/internal/mesh"
 	"ibisstall.example/ibisstall/internal/metric"
 	"ibisstall.example/ibisstall/internal/policy/quota"
 )
@@ -43,15 +44,15 @@
 
 // Caller calls methods of other processes. tokenbudget.PeerClient implements it.
 type Caller interface {
-	Call(ctx context.Context, process, method string, timeout time.Duration, args, reply any) error
+	Call(ctx context.Context, process mesh.Process, method string, timeout time.Duration, args, reply any) error
 }
 
 // Quotas takes requests from the quotas of workspaces. It is safe for concurrent use.
 type Quotas struct {
 	DC      string
-	DCs     []string // all data centres
-	Process string   // id of this process
-	Keeper  *Keeper  // of the shares that this process keeps
+	DCs     []string     // all data centres
+	Process mesh.Process // id of this process
+	Keeper  *Keeper      // of the shares that this process keeps
 	Peers   Caller
 	Metrics *Metrics
 
@@ -356,7 +357,7 @@
 }
 
 // callProcess asks a process that may keep a share. The error wraps errNotKept.
-func (q *Quotas) callProcess(ctx context.Context, process string, req GrantRequest) (quota.Answer, error) {
+func (q *Quotas) callProcess(ctx context.Context, process mesh.Process, req GrantRequest) (quota.Answer, error) {
 	var resp GrantResponse
 	if process == q.Process {
 		resp = q.Keeper.grant(req)
--- a/internal/system/quota/quotas_test.go
+++ b/internal/system/quota/quotas_test.go
@@ -22,14 +22,14 @@
 type fleet struct {
 	mu      sync.Mutex
 	now     time.Duration
-	vms     map[string]*testVM       // by process
-	keepers map[string]string        // process, by data centre
+	vms     map[mesh.Process]*testVM // by process
+	keepers map[string]mesh.Process  // by data centre
 	since   map[string]time.Duration // by data centre
 	calls   int
 	// before, if not nil, is called before a call is answered; an error means that the
 	// question is lost. after is called once it is answered, and an error means that the
 	// answer is lost.
-	before, after func(from, to string) error
+	before, after func(from, to mesh.Process) error
 }
 
 type testVM struct {
@@ -37,27 +37,27 @@
 	f       *fleet
 	dc      string
 	config  *forward.Config
-	process string
+	process mesh.Process
 }
 
 var errLost = errors.New("lost")
 
 func newFleet(dcs, vmsPerDC int) *fleet {
-	f := &fleet{now: time.Hour, vms: make(map[string]*testVM), keepers: make(map[string]string), since: make(map[string]time.Duration)}
+	f := &fleet{now: time.Hour, vms: make(map[mesh.Process]*testVM), keepers: make(map[string]mesh.Process), since: make(map[string]time.Duration)}
 	var names []string
 	for dc := range dcs {
 		names = append(names, fmt.Sprint(dc))
 	}
 	for _, dc := range names {
 		for i := range vmsPerDC {
-			vm := &testVM{f: f, dc: dc, process: fmt.Sprintf("%s-%d", dc, i)}
+			vm := &testVM{f: f, dc: dc, process: mesh.Process(fmt.Sprintf("%s-%d", dc, i))}
 			vm.Quotas = &Quotas{
 				DC: dc, DCs: names, Process: vm.process, Peers: vm, Metrics: NewMetrics(metric.NewRegistry()),
 				Keeper: &Keeper{DCs: dcs, Ownership: vm, Config: func() *forward.Config { return vm.config }, Clock: f},
 			}
 			f.vms[vm.process] = vm
 		}
-		f.keepers[dc] = dc + "-0"
+		f.keepers[dc] = mesh.Process(dc + "-0")
 	}
 	return f
 }
@@ -78,7 +78,7 @@
 }
 
 // replace makes a VM the keeper of a data centre's shares.
-func (f *fleet) replace(dc, process string) {
+func (f *fleet) replace(dc string, process mesh.Process) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.keepers[dc], f.since[dc] = process, f.now
@@ -92,21 +92,21 @@
 }
 
 // Recorded implements Ownership.
-func (vm *testVM) Recorded(_, dc string) string {
+func (vm *testVM) Recorded(_, dc string) mesh.Process {
 	vm.f.mu.Lock()
 	defer vm.f.mu.Unlock()
 	return vm.f.keepers[dc]
 }
 
 // Candidates implements Ownership.
-func (vm *testVM) Candidates(_, dc string) []string {
+func (vm *testVM) Candidates(_, dc string) []mesh.Process {
 	vm.f.mu.Lock()
 	defer vm.f.mu.Unlock()
-	return []string{vm.f.keepers[dc], dc + "-1"}
+	return []mesh.Process{vm.f.keepers[dc], mesh.Process(dc + "-1")}
 }
 
 // Call implements Caller.
-func (vm *testVM) Call(_ context.Context, process, _ string, _ time.Duration, args, reply any) error {
+func (vm *testVM) Call(_ context.Context, process mesh.Process, _ string, _ time.Duration, args, reply any) error {
 	vm.f.mu.Lock()
 	vm.f.calls++
 	before, after := vm.f.before, vm.f.after
@@ -175,8 +175,8 @@
 }
 
 // cut loses the questions between two groups of VMs.
-func cut(in func(process string) bool) func(from, to string) error {
-	return func(from, to string) error {
+func cut(in func(process mesh.Process) bool) func(from, to mesh.Process) error {
+	return func(from, to mesh.Process) error {
 		if in(from) != in(to) {
 			return mesh.ErrNotSent
 		}
@@ -194,7 +194,7 @@
 	}{
 		{"nothing fails", func(*fleet) {}, 25, 25, isExceeded},
 		{"the keeper is killed and nobody has replaced it", func(f *fleet) {
-			f.before = func(_, to string) error {
+			f.before = func(_, to mesh.Process) error {
 				if to == "0-0" {
 					return mesh.ErrNotSent
 				}
@@ -204,17 +204,17 @@
 		{"the keeper is killed between grant and use, and replaced", func(f *fleet) { f.replace("0", "0-2") }, 20, 20, isExceeded},
 		{"all VMs are lost", func(f *fleet) {
 			for _, dc := range []string{"0", "1", "2"} {
-				f.replace(dc, dc+"-2")
+				f.replace(dc, mesh.Process(dc+"-2"))
 			}
 		}, 0, 0, isExceeded},
 		{"the data centre is cut off", func(f *fleet) {
-			f.before = cut(func(process string) bool { return process[0] == '0' })
+			f.before = cut(func(process mesh.Process) bool { return process[0] == '0' })
 		}, 5, 5, isUnavailable},
 		{"the VM is cut off from all", func(f *fleet) {
-			f.before = func(string, string) error { return mesh.ErrNotSent }
+			f.before = func(mesh.Process, mesh.Process) error { return mesh.ErrNotSent }
 		}, 0, 0, isUnavailable},
 		{"answers of the keeper are lost", func(f *fleet) {
-			f.after = func(_, to string) error {
+			f.after = func(_, to mesh.Process) error {
 				if to == "0-0" {
 					return errLost
 				}
@@ -244,7 +244,7 @@
 func TestQuotas_HoldWhileTheFleetIsCutInTwo(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(3, 4)
-	f.before = cut(func(process string) bool { return process[2] < '2' }) // the keepers are on one side
+	f.before = cut(func(process mesh.Process) bool { return process[2] < '2' }) // the keepers are on one side
 	a, _ := f.vms["0-1"].acquireAll(limited)
 	b, err := f.vms["0-3"].acquireAll(limited)
 	is.Equal(a, 30)
@@ -256,7 +256,7 @@
 	is := is.New(t)
 	f := newFleet(1, 2)
 	paused := 0
-	f.after = func(string, string) error { // this VM, or the keeper, is paused
+	f.after = func(mesh.Process, mesh.Process) error { // this VM, or the keeper, is paused
 		if paused++; paused == 1 {
 			f.advance(quota.Validity + 1)
 		}
@@ -264,7 +264,7 @@
 	}
 	is.NoErr(f.vms["0-1"].acquire(limited)) // asked again
 	is.Equal(f.calls, 2)
-	f.after = func(string, string) error {
+	f.after = func(mesh.Process, mesh.Process) error {
 		f.advance(quota.Validity + 1)
 		return nil
 	}
@@ -303,7 +303,7 @@
 	is := is.New(t)
 	f := newFleet(1, 2)
 	hold, held := make(chan struct{}), make(chan struct{}, 10)
-	f.before = func(string, string) error { held <- struct{}{}; <-hold; return nil }
+	f.before = func(mesh.Process, mesh.Process) error { held <- struct{}{}; <-hold; return nil }
 	vm := f.vms["0-1"]
 	var wait sync.WaitGroup
 	errs := make(chan error, 20)
@@ -347,7 +347,7 @@
 func TestQuotas_TurnAwayProgramsThatBeginBeforeThoseUnderWay(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(3, 4)
-	ask := func(vm, program string) error {
+	ask := func(vm mesh.Process, program string) error {
 		return f.vms[vm].Acquire(context.Background(), limited, Request{Workspace: "w", First: true, Program: program})
 	}
 	var err error
@@ -371,7 +371,7 @@
 	f := newFleet(1, 2)
 	hold := make(chan struct{})
 	defer close(hold)
-	f.before = func(string, string) error { <-hold; return nil }
+	f.before = func(mesh.Process, mesh.Process) error { <-hold; return nil }
 	ctx, cancel := context.WithCancelCause(context.Background())
 	cancel(errLost)
 	is.Equal(f.vms["0-1"].Acquire(ctx, limited, Request{Workspace: "w"}), errLost)
--- a/internal/system/tokenbudget/fixture_test.go
+++ b/internal/system/tokenbudget/fixture_test.go
@@ -135,13 +135,14 @@
 }
 
 type testVM struct {
-	name, dc, process, addr string
-	entry                   uint64
-	ledger                  *Ledger
-	quotas                  *Quotas
-	store                   *RelayingStore
-	server                  *mesh.Server
-	client                  *mesh.Client
+	name, dc, addr string
+	process        mesh.Process
+	entry          uint64
+	ledger         *Ledger
+	quotas         *Quotas
+	store          *RelayingStore
+	server         *mesh.Server
+	client         *mesh.Client
 }
 
 func newFleet(t *testing.T, dcs ...string) *fleet {
@@ -149,16 +150,19 @@
 }
 
 // start starts a VM, or a new process of one that was killed.
-func (f *fleet) start(name, dc string) *testVM {
+func (f *fleet) start(name, dc string) *testVM { return f.startAt(name, dc, "127.0.0.1:0") }
+
+// startAt is start with the address of the VM.
+func (f *fleet) startAt(name, dc, addr string) *testVM {
 	is := is.New(f.t)
 	f.mu.Lock()
 	f.store.mu.Lock()
 	f.store.version++
 	entry := f.store.version
 	f.store.mu.Unlock()
-	vm := &testVM{name: name, dc: dc, entry: entry, process: fmt.Sprintf("%s.%d", name, entry)}
+	vm := &testVM{name: name, dc: dc, entry: entry, process: mesh.Process(fmt.Sprintf("%s.%d", name, entry))}
 	f.mu.Unlock()
-	l, err := mesh.Listen(mesh.ServerOptions{Addr: "127.0.0.1:0", SilenceTimeout: time.Minute})
+	l, err := mesh.Listen(mesh.ServerOptions{Addr: addr, Process: vm.process, SilenceTimeout: time.Minute})
 	is.NoErr(err)
 	vm.server, vm.addr = l, l.Addr()
 	vm.client = mesh.NewClient(mesh.ClientOptions{LocalIP: net.IPv4(127, 0, 0, 1), SilenceTimeout: time.Minute, DialTimeout: time.Minute})
@@ -191,7 +195,7 @@
 // kill ends a VM without a shutdown; its entry in the list of VMs stays.
 func (f *fleet) kill(vm *testVM) { vm.stop() }
 
-func (f *fleet) addressOf(process string) string {
+func (f *fleet) addressOf(process mesh.Process) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, vm := range f.vms {
--- a/internal/system/tokenbudget/handover.go
+++ b/internal/system/tokenbudget/handover.go
@@ -41,7 +41,7 @@
 	Wait, Valid time.Duration
 	// By are the ids of the processes that have handed the bucket over since the row had
 	// that version, this one last.
-	By []string
+	By []mesh.Process
 }
 
 // errNotAccepted means that a VM has certainly not accepted a bucket or a
@@ -75,10 +75,10 @@
 		err := q.Peers.handOver(ctx, id, q.newHandover(b, kept))
 		switch {
 		case err == nil:
-			q.Log.Info("bucket handed over", tag.Count(b), tag.PeerVM(id))
+			q.Log.Info("bucket handed over", tag.Count(b), tag.PeerVM(string(id)))
 			return true
 		case !errors.Is(err, errNotAccepted):
-			q.Log.Warn("no response to the hand-over of a bucket; it counts as handed over", tag.Count(b), tag.PeerVM(id), tag.Error(err))
+			q.Log.Warn("no response to the hand-over of a bucket; it counts as handed over", tag.Count(b), tag.PeerVM(string(id)), tag.Error(err))
 			return true
 		}
 	}
@@ -89,7 +89,7 @@
 	h := Handover{
 		DC: q.DC, Bucket: b, Version: kept.version, Used: kept.usedTokens(),
 		Wait: max(0, time.Until(kept.grantsAfter)), Valid: unrecordedTimeout,
-		By: []string{q.ProcessID},
+		By: []mesh.Process{q.ProcessID},
 	}
 	if !kept.recorded {
 		h.Valid = kept.expires - q.Clock.Now()
@@ -143,7 +143,7 @@
 		case !kept.recorded && slices.Contains(kept.handedOverBy, row.Process) && !row.Released:
 			kept.version = row.version
 		default:
-			q.Log.Warn("bucket dropped: its row names another VM", tag.Count(b), tag.PeerVM(row.Process))
+			q.Log.Warn("bucket dropped: its row names another VM", tag.Count(b), tag.PeerVM(string(row.Process)))
 			delete(q.buckets, b)
 		}
 	}
@@ -171,7 +171,7 @@
 	}
 	for _, id := range appendRankedProcesses(nil, keeperRowName(q.DC, b), processes, q.ProcessID) {
 		if q.Peers.callForAck(ctx, id, serviceName+".Keeps", b) == nil {
-			q.Log.Info("bucket not claimed: another VM has accepted it", tag.Count(b), tag.PeerVM(id))
+			q.Log.Info("bucket not claimed: another VM has accepted it", tag.Count(b), tag.PeerVM(string(id)))
 			return true
 		}
 	}
@@ -291,18 +291,18 @@
 	return nil
 }
 
-func (c *PeerClient) handOver(ctx context.Context, process string, h Handover) error {
+func (c *PeerClient) handOver(ctx context.Context, process mesh.Process, h Handover) error {
 	return c.callForAck(ctx, process, serviceName+".TakeOver", h)
 }
 
-func (c *PeerClient) deposit(ctx context.Context, process string, req DepositRequest) error {
+func (c *PeerClient) deposit(ctx context.Context, process mesh.Process, req DepositRequest) error {
 	return c.callForAck(ctx, process, serviceName+".Deposit", req)
 }
 
 // callForAck makes a call whose reply is a bool. It returns nil if the reply is
 // true, and an error that wraps errNotAccepted if the reply is false or the call
 // was not sent. After any other error the reply is unknown.
-func (c *PeerClient) callForAck(ctx context.Context, process, method string, args any) error {
+func (c *PeerClient) callForAck(ctx context.Context, process mesh.Process, method string, args any) error {
 	var accepted bool
 	err := c.call(ctx, process, method, c.Timeouts.Keeper, args, &accepted)
 	switch {
--- a/internal/system/tokenbudget/handover_test.go
+++ b/internal/system/tokenbudget/handover_test.go
@@ -342,3 +342,76 @@
 	_, err = a.store.Get(context.Background(), []platform.Key{{Table: Table, ID: "0/p"}})
 	is.NoErr(err)
 }
+
+// Guards against settlements of a process that has ended, which give back tokens of running turns
+// that its successor at the same address has numbered alike.
+func TestLedger_SettlementsReachOnlyTheProcessThatReserved(t *testing.T) {
+	const budget = 2400
+	for _, tt := range []struct {
+		name    string
+		reserve func(vm *testVM, program string) (settle func())
+	}{
+		{"reservations at a home", func(vm *testVM, program string) func() {
+			r, err := vm.ledger.Reserve(context.Background(), reserveRequest(program, budget))
+			if err != nil {
+				return nil
+			}
+			return func() { r.Settle(0) }
+		}},
+		{"grants of a keeper", func(vm *testVM, program string) func() {
+			grants, err := vm.reserveStep(program, budget)
+			if err != nil {
+				return nil
+			}
+			return func() { vm.quotas.Settle(grants[0].Keeper, grants[0].ID, 0) }
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, "dc-1")
+			home := f.start("home", "dc-1")
+			f.assignKeepers()
+			other := f.start("other", "dc-1")
+			other.quotas.ApplyRows(f.store.keepers(), true)
+			_, err := home.runTurn("p", budget, 1)
+			is.NoErr(err)
+			_, err = home.runTurn("q", budget, 1)
+			is.NoErr(err)
+			var late []func()
+			for range 3 {
+				settle := tt.reserve(other, "p")
+				is.True(settle != nil)
+				late = append(late, settle)
+			}
+			f.kill(home)
+			next := f.startAt("home", "dc-1", home.addr)
+			f.mu.Lock()
+			f.vms["stale"] = &testVM{process: home.process, addr: home.addr} // other has not read that the process has ended
+			f.mu.Unlock()
+			next.quotas.ApplyRows(f.store.keepers(), true)
+			next.quotas.ClaimBuckets(context.Background())
+			for _, kept := range next.quotas.buckets {
+				kept.grantsAfter = time.Time{}
+			}
+			other.quotas.ApplyRows(f.store.keepers(), true)
+			_, err = next.runTurn("q", budget, 1)
+			is.NoErr(err)
+			held := 0
+			for range 3 {
+				if tt.reserve(other, "q") != nil {
+					held++
+				}
+			}
+			is.Equal(held, 3)
+			for _, settle := range late {
+				settle()
+			}
+			time.Sleep(100 * time.Millisecond) // settlements are sent in the background
+			next.ledger.mu.Lock()
+			next.quotas.mu.Lock()
+			is.Equal(len(next.ledger.peerReservations)+len(next.quotas.openGrants), 3)
+			next.quotas.mu.Unlock()
+			next.ledger.mu.Unlock()
+		})
+	}
+}
--- a/internal/system/tokenbudget/home.go
+++ b/internal/system/tokenbudget/home.go
@@ -9,13 +9,14 @@
 
 	"ibisstall.example/ibisstall/internal/clock"
 	"ibisstall.example/ibisstall/internal/logging/tag"
+	"ibisstall.example/ibisstall/internal/mesh"
 	"ibisstall.example/ibisstall/internal/platform"
 )
 
 // This file implements the home of a program.
 
-// homeOf returns the process id of the home in the account's row, or "".
-func (l *Ledger) homeOf(a *account) string {
+// homeOf returns the home in the account's row, or "".
+func (l *Ledger) homeOf(a *account) mesh.Process {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return a.row.Home
--- a/internal/system/tokenbudget/keepers.go
+++ b/internal/system/tokenbudget/keepers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"ibisstall.example/ibisstall/internal/logging/tag"
+	"ibisstall.example/ibisstall/internal/mesh"
 	"ibisstall.example/ibisstall/internal/platform"
 	"ibisstall.example/ibisstall/internal/policy/ownership"
 )
@@ -18,8 +19,8 @@
 
 // Keeper is the value of a bucket's row.
 type Keeper struct {
-	VM      string `json:"vm"` // name of the keeper's VM
-	Process string `json:"p"`  // id of the keeper's process
+	VM      string       `json:"vm"` // name of the keeper's VM
+	Process mesh.Process `json:"p"`
 	// Entry is the version of the VM's entry in the list of VMs, as this
 	// process wrote it.
 	Entry uint64 `json:"e"`
@@ -193,13 +194,13 @@
 
 // keeperCandidates returns the processes that may keep a program's bucket in a
 // data centre, the most likely first.
-func (q *Quotas) keeperCandidates(program, dc string) []string {
+func (q *Quotas) keeperCandidates(program, dc string) []mesh.Process {
 	name := keeperRowName(dc, bucketOf(program))
 	processes := q.Processes(dc)
 	q.mu.Lock()
 	row := q.keepers[name]
 	q.mu.Unlock()
-	var list []string
+	var list []mesh.Process
 	if row.Process != "" && !row.Released {
 		list = append(list, row.Process)
 	}
@@ -208,7 +209,7 @@
 
 // appendRankedProcesses appends the processes of the VMs in the order of
 // rankedVMs, except one process, up to maxKeeperCandidates in all.
-func appendRankedProcesses(list []string, row string, processes map[string]Process, except string) []string {
+func appendRankedProcesses(list []mesh.Process, row string, processes map[string]Process, except mesh.Process) []mesh.Process {
 	for _, vm := range rankedVMs(row, processes) {
 		if id := processes[vm].ID; len(list) < maxKeeperCandidates && id != "" && id != except {
 			list = append(list, id)
--- a/internal/system/tokenbudget/ownership.go
+++ b/internal/system/tokenbudget/ownership.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"ibisstall.example/ibisstall/internal/mesh"
 )
 
 // Quotas of workspaces are shared by the same keepers, by the hash of the workspace's name.
@@ -33,7 +35,7 @@
 
 // Recorded returns the process that keeps the bucket of a name in a data centre as its row
 // says, or "" if that names none.
-func (q *Quotas) Recorded(name, dc string) string {
+func (q *Quotas) Recorded(name, dc string) mesh.Process {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	row := q.keepers[keeperRowName(dc, bucketOf(name))]
@@ -45,10 +47,10 @@
 
 // Candidates returns the processes that may keep the bucket of a name in a data centre, the
 // most likely first, beginning with the recorded one. It ranks all VMs.
-func (q *Quotas) Candidates(name, dc string) []string { return q.keeperCandidates(name, dc) }
+func (q *Quotas) Candidates(name, dc string) []mesh.Process { return q.keeperCandidates(name, dc) }
 
 // Call calls a method of a process. One that does not answer is not called again until it
 // answers a probe.
-func (c *PeerClient) Call(ctx context.Context, process, method string, timeout time.Duration, args, reply any) error {
+func (c *PeerClient) Call(ctx context.Context, process mesh.Process, method string, timeout time.Duration, args, reply any) error {
 	return c.call(ctx, process, method, timeout, args, reply)
 }
--- a/internal/system/tokenbudget/peers.go
+++ b/internal/system/tokenbudget/peers.go
@@ -149,7 +149,7 @@
 	Timeouts Timeouts
 	// AddressOf returns the mesh address of a process, or "" if the process is
 	// not in the list of VMs.
-	AddressOf func(process string) string
+	AddressOf func(process mesh.Process) string
 	// RelayAddresses returns the mesh addresses of VMs that may relay a call, in
 	// an order that depends on the key.
 	RelayAddresses func(key string) []string
@@ -157,35 +157,35 @@
 	mu sync.Mutex
 	// settling holds the settlements of grants that are on their way, by keeper and
 	// grant; guarded by mu.
-	settling map[string]map[uint64]int64
+	settling map[mesh.Process]map[uint64]int64
 }
 
-// call calls a method of a process.
-func (c *PeerClient) call(ctx context.Context, process, method string, timeout time.Duration, args, reply any) error {
+// call calls a method of a process. It fails with mesh.ErrNotSent if another process has its address.
+func (c *PeerClient) call(ctx context.Context, process mesh.Process, method string, timeout time.Duration, args, reply any) error {
 	addr := c.AddressOf(process)
 	if addr == "" {
 		return fmt.Errorf("%w: process %s is not in the list of VMs", mesh.ErrNotSent, process)
 	}
-	return c.callAddress(ctx, addr, method, timeout, args, reply)
+	return c.callAddress(ctx, addr, process, method, timeout, args, reply)
 }
 
-// callAddress calls a VM. A VM that did not respond is not called until it
-// responds to probes.
-func (c *PeerClient) callAddress(ctx context.Context, addr, method string, timeout time.Duration, args, reply any) error {
+// callAddress calls a VM, or only one process of it unless that is empty. A VM that did not
+// respond is not called until it responds to probes.
+func (c *PeerClient) callAddress(ctx context.Context, addr string, process mesh.Process, method string, timeout time.Duration, args, reply any) error {
 	if c.Suspects.Suspected(addr) {
 		return fmt.Errorf("%w: %s has not responded since a failed call", mesh.ErrNotSent, addr)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, timeout+c.Suspects.Lag.TimeoutExtension())
 	defer cancel()
-	err := c.Client.Call(callCtx, addr, method, args, reply)
-	if err != nil && ctx.Err() == nil {
+	err := c.Client.CallProcess(callCtx, addr, process, method, args, reply)
+	if err != nil && ctx.Err() == nil && !errors.Is(err, mesh.ErrOtherProcess) {
 		c.Suspects.Suspect(addr, err)
 	}
 	return err
 }
 
 // Reserve implements Peers.
-func (c *PeerClient) Reserve(ctx context.Context, home string, req ReserveRequest) (id uint64, tokens int64, err error) {
+func (c *PeerClient) Reserve(ctx context.Context, home mesh.Process, req ReserveRequest) (id uint64, tokens int64, err error) {
 	var resp ReserveResponse
 	err = c.call(ctx, home, serviceName+".Reserve", c.Timeouts.Reserve, req, &resp)
 	switch {
@@ -205,19 +205,19 @@
 }
 
 // Settle implements Peers.
-func (c *PeerClient) Settle(home string, id uint64, generated int64) {
+func (c *PeerClient) Settle(home mesh.Process, id uint64, generated int64) {
 	c.settleAsync(home, serviceName+".Settle", id, generated, func() {})
 }
 
 // settleAsync ends a reservation or a grant without waiting for the other VM,
 // which counts it as used if the call fails, and calls done afterwards.
-func (c *PeerClient) settleAsync(process, method string, id uint64, generated int64, done func()) {
+func (c *PeerClient) settleAsync(process mesh.Process, method string, id uint64, generated int64, done func()) {
 	go func() {
 		defer done()
 		var ok bool
 		err := c.call(context.Background(), process, method, c.Timeouts.Reserve, SettleRequest{id, generated}, &ok)
 		if err != nil {
-			c.Log.Info("settling a reservation failed; its tokens count as used", tag.PeerVM(process), tag.Error(err))
+			c.Log.Info("settling a reservation failed; its tokens count as used", tag.PeerVM(string(process)), tag.Error(err))
 		}
 	}()
 }
@@ -387,7 +387,7 @@
 			break
 		}
 		var out RelayResponse
-		callErr := r.Peers.callAddress(ctx, addr, serviceName+".Relay", r.Peers.Timeouts.Relay, call, &out)
+		callErr := r.Peers.callAddress(ctx, addr, "", serviceName+".Relay", r.Peers.Timeouts.Relay, call, &out)
 		switch {
 		case errors.Is(callErr, mesh.ErrNotSent):
 			continue
--- a/internal/system/tokenbudget/quotas.go
+++ b/internal/system/tokenbudget/quotas.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"ibisstall.example/ibisstall/internal/clock"
+	"ibisstall.example/ibisstall/internal/mesh"
 	"ibisstall.example/ibisstall/internal/platform"
 )
 
@@ -58,9 +59,9 @@
 // concurrent use.
 type Quotas struct {
 	DC        string
-	DCs       []string // all data centres
-	VM        string   // name of this VM
-	ProcessID string   // id of this process
+	DCs       []string     // all data centres
+	VM        string       // name of this VM
+	ProcessID mesh.Process // this process
 	Store     platform.VersionedTable
 	Peers     *PeerClient
 	// Processes returns the current process of each listed VM of a data centre,
@@ -88,7 +89,7 @@
 
 // Process is the current process of a VM.
 type Process struct {
-	ID           string
+	ID           mesh.Process
 	EntryVersion uint64 // version of its entry in the list of VMs
 }
 
@@ -114,7 +115,7 @@
 	keptSince time.Duration
 	// handedOverBy are the ids of the processes that have handed the bucket over since the
 	// row had that version. A write of theirs may still change the row.
-	handedOverBy []string
+	handedOverBy []mesh.Process
 }
 
 // newBucket returns a bucket with the usage that an earlier keeper has passed
@@ -240,7 +241,7 @@
 
 // Grant is tokens that a keeper has granted.
 type Grant struct {
-	Keeper string // its process id
+	Keeper mesh.Process
 	ID     uint64 // 0 if the grant can't be settled
 	Tokens int64
 }
@@ -310,7 +311,7 @@
 	if q.openGrants == nil {
 		q.openGrants = make(map[uint64]*openGrant)
 	}
-	q.lastID++
+	q.lastID = nextID(q.lastID)
 	q.openGrants[q.lastID] = &openGrant{req.Program, b, tokens, u.lastRequest}
 	return Grant{q.ProcessID, q.lastID, tokens}, nil
 }
@@ -343,7 +344,7 @@
 }
 
 // Settle ends a grant of a keeper, of which generated tokens were used.
-func (q *Quotas) Settle(keeper string, id uint64, generated int64) {
+func (q *Quotas) Settle(keeper mesh.Process, id uint64, generated int64) {
 	if keeper == q.ProcessID {
 		q.settleGrant(id, generated)
 		return
@@ -408,7 +409,7 @@
 	return nil
 }
 
-func (c *PeerClient) requestGrant(ctx context.Context, keeper string, req ReserveRequest, all bool) (Grant, error) {
+func (c *PeerClient) requestGrant(ctx context.Context, keeper mesh.Process, req ReserveRequest, all bool) (Grant, error) {
 	var resp GrantResponse
 	err := c.call(ctx, keeper, serviceName+".Allow", c.Timeouts.Keeper, GrantRequest{req, all, c.settlingAt(keeper)}, &resp)
 	switch {
@@ -424,16 +425,16 @@
 	return Grant{keeper, uint64(resp.ID), resp.Tokens}, nil
 }
 
-func (c *PeerClient) settleGrant(keeper string, id uint64, generated int64) {
+func (c *PeerClient) settleGrant(keeper mesh.Process, id uint64, generated int64) {
 	c.beginSettling(keeper, id, generated)
 	c.settleAsync(keeper, serviceName+".SettleAllowance", id, generated, func() { c.endSettling(keeper, id) })
 }
 
-func (c *PeerClient) beginSettling(keeper string, id uint64, generated int64) {
+func (c *PeerClient) beginSettling(keeper mesh.Process, id uint64, generated int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.settling == nil {
-		c.settling = make(map[string]map[uint64]int64)
+		c.settling = make(map[mesh.Process]map[uint64]int64)
 	}
 	if c.settling[keeper] == nil {
 		c.settling[keeper] = make(map[uint64]int64)
@@ -441,7 +442,7 @@
 	c.settling[keeper][id] = generated
 }
 
-func (c *PeerClient) endSettling(keeper string, id uint64) {
+func (c *PeerClient) endSettling(keeper mesh.Process, id uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.settling[keeper], id)
@@ -451,7 +452,7 @@
 }
 
 // settlingAt returns the settlements that are on their way to a keeper.
-func (c *PeerClient) settlingAt(keeper string) []SettleRequest {
+func (c *PeerClient) settlingAt(keeper mesh.Process) []SettleRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var list []SettleRequest
--- a/internal/system/tokenbudget/tokenbudget.go
+++ b/internal/system/tokenbudget/tokenbudget.go
@@ -34,6 +34,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -42,6 +43,7 @@
 	"go.uber.org/zap"
 
 	"ibisstall.example/ibisstall/internal/logging/tag"
+	"ibisstall.example/ibisstall/internal/mesh"
 	"ibisstall.example/ibisstall/internal/platform"
 )
 
@@ -98,7 +100,7 @@
 	Taken int64 `json:"t"`
 	// Home is the id of the process that may withdraw blocks; "" after that
 	// process has shut down.
-	Home string `json:"h"`
+	Home mesh.Process `json:"h"`
 }
 
 // Peers makes and settles reservations at other VMs.
@@ -106,9 +108,9 @@
 	// Reserve makes a reservation at a program's home. Its errors are those of
 	// Ledger.Reserve, and errNotHome if the process can't be reached or is no
 	// longer the home.
-	Reserve(ctx context.Context, home string, req ReserveRequest) (id uint64, tokens int64, err error)
+	Reserve(ctx context.Context, home mesh.Process, req ReserveRequest) (id uint64, tokens int64, err error)
 	// Settle ends a reservation at a program's home.
-	Settle(home string, id uint64, generated int64)
+	Settle(home mesh.Process, id uint64, generated int64)
 }
 
 // ReserveRequest is a request for tokens of a program's budget.
@@ -126,7 +128,7 @@
 // Ledger keeps this VM's accounts of programs and makes reservations. It is
 // safe for concurrent use.
 type Ledger struct {
-	ProcessID string // id of this process
+	ProcessID mesh.Process // this process
 	Store     platform.VersionedTable
 	Peers     Peers
 	Quotas    *Quotas // the data centres' quotas
@@ -163,11 +165,11 @@
 type Reservation struct {
 	ledger *Ledger
 	// At most one of account and home is set; neither is after Settle.
-	account *account // this VM's account of the program
-	home    string   // the home's process id, if another VM is the home
-	id      uint64   // of the reservation at home
-	own     int64    // tokens reserved from account or at home
-	grants  []Grant  // tokens granted by keepers; empty after Settle
+	account *account     // this VM's account of the program
+	home    mesh.Process // the home, if it is another process
+	id      uint64       // of the reservation at home
+	own     int64        // tokens reserved from account or at home
+	grants  []Grant      // tokens granted by keepers; empty after Settle
 }
 
 // Tokens returns how many tokens the turn may generate.
@@ -353,11 +355,20 @@
 	if l.peerReservations == nil {
 		l.peerReservations = make(map[uint64]*peerReservation)
 	}
-	l.lastID++
+	l.lastID = nextID(l.lastID)
 	l.peerReservations[l.lastID] = &peerReservation{Reservation: r, createdAt: time.Now()}
 	return l.lastID, r.Tokens(), nil
 }
 
+// nextID returns the number of the next reservation or grant after the last one, 0 if there is
+// none. Numbers start at random: VMs of earlier releases settle without saying with which process.
+func nextID(last uint64) uint64 {
+	if last == 0 {
+		last = rand.Uint64() >> 2 // they are sent as signed numbers, too
+	}
+	return last + 1
+}
+
 // settleForPeer ends a reservation of another VM.
 func (l *Ledger) settleForPeer(id uint64, generated int64) {
 	l.mu.Lock()
