tokenbudget: keepers remember programs that go on at their homes

Cause: a keeper takes what it has forgotten for unused; turns that are reserved at the home don't reach it. A keeper that replaced one that had died granted everything after 90 s, also to programs that went on all the time.

What a keeper first hears of while it waits, after a claim without its predecessor's records, counts as used as long as the program lives. An error that a VM returns no longer counts as silence, so that VMs of earlier releases stay in use.

Measured: TestQuotas_KeeperRemembersProgramsThatGoOnAtTheirHomes fails without the messages (both forms) and without the mark of unknown usage (the second form); TestQuotas_LongProgramGetsItsWholeBudget holds.

--- a/internal/system/tokenbudget/fixture_test.go
+++ b/internal/system/tokenbudget/fixture_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -277,3 +279,52 @@
 		vm.store.mu.Unlock()
 	}
 }
+
+// pass lets a time pass for all that the fleet remembers, in the steps of its periodic work.
+func (f *fleet) pass(d time.Duration) {
+	const step = 3 * time.Second
+	for ; d > 0; d -= step {
+		f.mu.Lock()
+		vms := slices.Collect(maps.Values(f.vms))
+		f.mu.Unlock()
+		for _, vm := range vms {
+			vm.grow(min(d, step))
+		}
+		for _, vm := range vms {
+			vm.ledger.TellKeepers(context.Background(), time.Now())
+			vm.ledger.Sweep(time.Now())
+			vm.quotas.Sweep(time.Now())
+		}
+	}
+}
+
+// grow makes all that a VM remembers older.
+func (vm *testVM) grow(d time.Duration) {
+	back := func(times ...*time.Time) {
+		for _, t := range times {
+			if !t.IsZero() {
+				*t = t.Add(-d)
+			}
+		}
+	}
+	vm.ledger.mu.Lock()
+	for _, a := range vm.ledger.accounts {
+		back(&a.lastUsed, &a.firstSeen, &a.toldAt, &a.borrowFailedAt)
+	}
+	for _, r := range vm.ledger.peerReservations {
+		back(&r.createdAt)
+	}
+	vm.ledger.mu.Unlock()
+	vm.quotas.mu.Lock()
+	defer vm.quotas.mu.Unlock()
+	back(&vm.quotas.withheldSeen)
+	for _, g := range vm.quotas.openGrants {
+		back(&g.grantedAt)
+	}
+	for _, kept := range vm.quotas.buckets {
+		back(&kept.grantsAfter)
+		for _, u := range kept.programs {
+			back(&u.lastRequest)
+		}
+	}
+}
--- a/internal/system/tokenbudget/home.go
+++ b/internal/system/tokenbudget/home.go
@@ -193,6 +193,8 @@
 		// Only the home writes the row: a difference is a withdrawal by this VM
 		// whose response was lost.
 		a.unused += max(0, row.Taken-a.row.Taken)
+	} else if version != 0 {
+		a.toldAt = time.Time{} // the previous home may have ended before it told the keepers
 	}
 	a.row, a.rowVersion, a.rowStale = row, version, false
 	return row, version, nil
--- /dev/null
+++ b/internal/system/tokenbudget/liveness_test.go
@@ -0,0 +1,82 @@
+package tokenbudget
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// forgettingBudget is that of the programs in these tests: eight turns.
+const forgettingBudget = 8 * maxTurnTokens
+
+// Guards against a keeper that forgets a program which goes on at its home, and grants its quota again.
+func TestQuotas_KeeperRemembersProgramsThatGoOnAtTheirHomes(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		during func(f *fleet, a *testVM)
+	}{
+		{"the keepers stay", func(*fleet, *testVM) {}},
+		{"a keeper is replaced, and what it granted is unknown", func(f *fleet, _ *testVM) {
+			f.mu.Lock()
+			old := f.vms["b"]
+			f.mu.Unlock()
+			f.kill(old)
+			f.start("b", "dc-2")
+			f.assignKeepers()
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, "dc-1", "dc-2")
+			a := f.start("a", "dc-1")
+			f.start("b", "dc-2")
+			f.assignKeepers()
+			f.store.setDown(true)
+			var used int64
+			for err := error(nil); err == nil; { // the keepers grant all that they have
+				var n int64
+				n, err = a.runTurn("p", forgettingBudget, maxTurnTokens)
+				used += n
+			}
+			is.True(used > 0)
+			f.store.setDown(false)
+			a.awaitStore()
+			tt.during(f, a)
+			turn := func(generated int64) error {
+				n, err := a.runTurn("p", forgettingBudget, generated)
+				used += n
+				return err
+			}
+			for range 12 {
+				is.NoErr(turn(1))
+				f.pass(30 * time.Second)
+			}
+			for turn(maxTurnTokens) == nil {
+			}
+			is.True(used <= forgettingBudget+maxTurnTokens)
+			is.True(used >= forgettingBudget*budgetShare/shares-maxTurnTokens) // the recorded quota is served
+		})
+	}
+}
+
+// Guards against a quota that counts as used though its keeper has known the program all the time.
+func TestQuotas_LongProgramGetsItsWholeBudget(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, "dc-1", "dc-2")
+	a := f.start("a", "dc-1")
+	f.start("b", "dc-2")
+	f.assignKeepers()
+	var used int64
+	for range 12 {
+		n, err := a.runTurn("p", forgettingBudget, 1)
+		is.NoErr(err)
+		used += n
+		f.pass(60 * time.Second)
+	}
+	more, err := runUntilRefused(a, forgettingBudget)
+	is.True(errors.Is(err, ErrSpent))
+	is.True(used+more <= forgettingBudget+maxTurnTokens)
+	is.True(used+more >= forgettingBudget-maxTurnTokens)
+}
--- a/internal/system/tokenbudget/peers.go
+++ b/internal/system/tokenbudget/peers.go
@@ -178,7 +178,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, timeout+c.Suspects.Lag.TimeoutExtension())
 	defer cancel()
 	err := c.Client.CallProcess(callCtx, addr, process, method, args, reply)
-	if err != nil && ctx.Err() == nil && !errors.Is(err, mesh.ErrOtherProcess) {
+	if err != nil && ctx.Err() == nil && !responded(err) {
 		c.Suspects.Suspect(addr, err)
 	}
 	return err
--- a/internal/system/tokenbudget/quotas.go
+++ b/internal/system/tokenbudget/quotas.go
@@ -38,7 +38,7 @@
 	// a process to exit.
 	processExitTimeout = 20 * time.Second
 	// programRetention is how long after a request a program may send another
-	// one. Keepers keep its usage that long.
+	// one.
 	programRetention = 90 * time.Second
 )
 
@@ -103,7 +103,7 @@
 // bucket is a keeper's accounting of one bucket.
 type bucket struct {
 	grantsAfter time.Time         // nothing is granted before; zero if grants may be made at once
-	programs    map[string]*usage // usage of each program that was active within programRetention
+	programs    map[string]*usage // usage of each program that was heard of within usageRetention
 	// version is that of the row that names this process or, before that is
 	// written, of the row of the keeper that handed the bucket over.
 	version uint64
@@ -293,11 +293,11 @@
 	if kept == nil {
 		return Grant{}, fmt.Errorf("%w: bucket not kept here", ErrUnavailable)
 	}
-	if time.Now().Before(kept.grantsAfter) {
+	u := kept.usageOf(req.Program)
+	if time.Now().Before(kept.grantsAfter) || !u.known() {
 		// The previous keeper may have granted the whole quota.
 		return Grant{}, errWithheld
 	}
-	u := kept.usageOf(req.Program)
 	left := quotaPerDC(req.Budget, req.Turn, len(q.DCs)) - u.used
 	if all && left > 0 {
 		u.used += left
@@ -317,11 +317,14 @@
 }
 
 // usageOf returns the usage of a program, and records that the program sends a
-// request now.
+// request now. Before grantsAfter the program may have used the previous keeper's quota.
 func (k *bucket) usageOf(program string) *usage {
 	u := k.programs[program]
 	if u == nil {
 		u = &usage{}
+		if time.Now().Before(k.grantsAfter) {
+			u.used = unknownUsage
+		}
 		k.programs[program] = u
 	}
 	u.lastRequest = time.Now()
@@ -352,7 +355,7 @@
 	q.Peers.settleGrant(keeper, id, generated)
 }
 
-// Sweep deletes the usage of programs that were idle for programRetention, and
+// Sweep deletes the usage of programs that weren't heard of for usageRetention, and
 // grants that were not settled within reservationTTL, whose tokens count as
 // used.
 func (q *Quotas) Sweep(now time.Time) {
@@ -365,7 +368,7 @@
 	}
 	for _, kept := range q.buckets {
 		for program, u := range kept.programs {
-			if now.Sub(u.lastRequest) > programRetention {
+			if now.Sub(u.lastRequest) > usageRetention {
 				delete(kept.programs, program)
 			}
 		}
--- a/internal/system/tokenbudget/tokenbudget.go
+++ b/internal/system/tokenbudget/tokenbudget.go
@@ -157,6 +157,7 @@
 	reserved       int64     // by running turns
 	lastUsed       time.Time
 	firstSeen      time.Time
+	toldAt         time.Time // when the keepers were last told that the program goes on; firstSeen at first
 	objective      time.Time // of the program, as its first request here stated it
 	hasRun         bool      // a turn of the program has reserved tokens through this VM
 }
@@ -209,7 +210,7 @@
 	}
 	a := l.accounts[program]
 	if a == nil {
-		a = &account{firstSeen: now}
+		a = &account{firstSeen: now, toldAt: now}
 		l.accounts[program] = a
 	}
 	a.lastUsed = now
