tokenbudget: a home that has forgotten an account takes no tokens back

Cause: any difference between the row and the account, also an empty one, counted as such a withdrawal; turns of other VMs that the home refused didn't count as use.

Change: each write of a row has a number in it. After a write whose outcome is unknown its number and its block are kept until the row's version changes, and only a row with that number gives the block. Refused turns count as use.

Measured: TestLedger_ProgramThatReturnsAfterItsAccountWasForgottenGetsNoTokensAgain and TestLedger_RefusedTurnsOfOtherVMsCountAsUse fail with the old condition and without the use.

--- a/internal/system/tokenbudget/home.go
+++ b/internal/system/tokenbudget/home.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"ibisstall.example/ibisstall/internal/clock"
@@ -190,22 +191,34 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if row.Home == l.ProcessID {
-		// Only the home writes the row: a difference is a withdrawal by this VM
-		// whose response was lost.
-		a.unused += max(0, row.Taken-a.row.Taken)
+		// What this process withdrew before its account was forgotten counts as used.
+		a.unused += a.doubts[row.Write]
 	} else if version != 0 {
 		a.toldAt = time.Time{} // the previous home may have ended before it told the keepers
 	}
-	a.row, a.rowVersion, a.rowStale = row, version, false
+	a.setRow(row, version)
 	return row, version, nil
 }
 
+// setRow records the row as read or written now; the ledger's mu is held. Writes under an earlier
+// version have failed, if they are not the one that made this row.
+func (a *account) setRow(row Row, version uint64) {
+	if version != a.rowVersion {
+		a.doubts = nil
+	}
+	a.row, a.rowVersion, a.rowStale = row, version, false
+}
+
+// writeIDBits is the size of Row.Write; JSON numbers of other systems hold no more.
+const writeIDBits = 52
+
 // commitBlock writes a row that records the withdrawal of a block of tokens or, if
 // block is negative, the return of tokens. A conflict is not an error: the
 // account's row is marked stale, so that currentRow reads it again. The caller
 // holds rowMu.
 func (l *Ledger) commitBlock(ctx context.Context, a *account, program string, row Row, version uint64, block int64) error {
 	row.Taken += block
+	row.Write = 1 + rand.Uint64()>>(64-writeIDBits)
 	value, err := json.Marshal(row)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrUnavailable, err)
@@ -216,7 +229,7 @@
 	defer l.mu.Unlock()
 	switch {
 	case err == nil:
-		a.row, a.rowVersion = row, committed
+		a.setRow(row, committed)
 		a.unused += block
 		return nil
 	case errors.As(err, &conflict):
@@ -224,6 +237,10 @@
 		return nil
 	case !errors.Is(err, platform.ErrUnavailable):
 		a.rowStale = true
+		if a.doubts == nil {
+			a.doubts = make(map[uint64]int64)
+		}
+		a.doubts[row.Write] = max(0, block)
 	}
 	return fmt.Errorf("%w: %w", ErrUnavailable, err)
 }
--- a/internal/system/tokenbudget/liveness_test.go
+++ b/internal/system/tokenbudget/liveness_test.go
@@ -11,6 +11,41 @@
 // forgettingBudget is that of the programs in these tests: eight turns.
 const forgettingBudget = 8 * maxTurnTokens
 
+// Guards against a home that takes all that was ever withdrawn for blocks of its own, since it has
+// forgotten the program's account.
+func TestLedger_ProgramThatReturnsAfterItsAccountWasForgottenGetsNoTokensAgain(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, "dc-1")
+	a := f.start("a", "dc-1")
+	f.assignKeepers()
+	used, err := runUntilRefused(a, forgettingBudget)
+	is.True(errors.Is(err, ErrSpent))
+	f.pass(accountRetention + time.Second)
+	is.Equal(len(a.ledger.accounts), 0)
+	again, err := runUntilRefused(a, forgettingBudget)
+	is.True(errors.Is(err, ErrSpent))
+	is.True(used+again <= forgettingBudget+maxTurnTokens)
+	is.True(used+again >= forgettingBudget-maxTurnTokens)
+}
+
+// Guards against a home that forgets a program which returns through other VMs and is refused there.
+func TestLedger_RefusedTurnsOfOtherVMsCountAsUse(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, "dc-1", "dc-2")
+	a, b := f.start("a", "dc-1"), f.start("b", "dc-2")
+	f.assignKeepers()
+	used, err := runUntilRefused(a, forgettingBudget)
+	is.True(errors.Is(err, ErrSpent))
+	for range 6 {
+		f.pass(60 * time.Second)
+		more, err := runUntilRefused(b, forgettingBudget)
+		is.True(errors.Is(err, ErrSpent))
+		used += more
+	}
+	more, _ := runUntilRefused(a, forgettingBudget)
+	is.True(used+more <= forgettingBudget+maxTurnTokens)
+}
+
 // Guards against a keeper that forgets a program which goes on at its home, and grants its quota again.
 func TestQuotas_KeeperRemembersProgramsThatGoOnAtTheirHomes(t *testing.T) {
 	for _, tt := range []struct {
--- a/internal/system/tokenbudget/tokenbudget.go
+++ b/internal/system/tokenbudget/tokenbudget.go
@@ -101,6 +101,9 @@
 	// Home is the id of the process that may withdraw blocks; "" after that
 	// process has shut down.
 	Home mesh.Process `json:"h"`
+	// Write identifies the write that made the row, so that its writer knows its own. Rows of
+	// earlier releases have none.
+	Write uint64 `json:"w,omitempty"`
 }
 
 // Peers makes and settles reservations at other VMs.
@@ -147,9 +150,12 @@
 	rowMu sync.Mutex // held while the row is read and written
 
 	// The rest is guarded by the ledger's mu.
-	row            Row       // as last read or written here
-	rowVersion     uint64    // 0 if the row was neither read nor written here
-	rowStale       bool      // the row may have changed since
+	row        Row    // as last read or written here
+	rowVersion uint64 // 0 if the row was neither read nor written here
+	rowStale   bool   // the row may have changed since
+	// doubts are the blocks of writes under the condition rowVersion whose outcome is unknown, by
+	// Row.Write.
+	doubts         map[uint64]int64
 	unused         int64     // tokens withdrawn or borrowed and not reserved; below 0 after an overrun
 	borrowed       int64     // tokens borrowed from data centres' quotas, used ones included
 	lastLoan       Loan      // the last attempt to borrow
@@ -340,6 +346,9 @@
 func (l *Ledger) reserveForPeer(ctx context.Context, req ReserveRequest) (uint64, int64, error) {
 	l.mu.Lock()
 	a := l.accounts[req.Program]
+	if a != nil {
+		a.lastUsed = time.Now() // also if it is refused: the program goes on
+	}
 	l.mu.Unlock()
 	if a == nil {
 		return 0, 0, errNotHome
