forwarder: in an outage of the store callers are told to come back later

Change: the Retry-After of such refusals is as long as the store has been away, at most 0.3 of the time that the caller has left and spread by a third. A VM that is cut off alone tells callers to come back at once.

--- a/internal/system/forwarder/authentication.go
+++ b/internal/system/forwarder/authentication.go
@@ -11,7 +11,7 @@
 	"ibisstall.example/ibisstall/internal/logging/tag"
 )
 
-// unconfirmedRetryAfter is the retry-after of refusals without a recent configuration: other
+// unconfirmedRetryAfter is the least retry-after of refusals without a recent configuration: other
 // VMs may have one.
 const unconfirmedRetryAfter = 100 * time.Millisecond
 
@@ -112,7 +112,7 @@
 	if err := x.f.Confirmer.ConfirmSince(ctx, since); err != nil {
 		x.f.Metrics.unprovenDenials.Inc()
 		x.cause = err
-		x.refuse(http.StatusServiceUnavailable, errConfigTooOld.Error(), unconfirmedRetryAfter)
+		x.refuse(http.StatusServiceUnavailable, errConfigTooOld.Error(), x.storeRetryAfter(unconfirmedRetryAfter))
 		return false
 	}
 	return x.findRoute()
@@ -176,7 +176,11 @@
 		x.w.Header().Set("WWW-Authenticate", x.f.Headers.KeyScheme)
 	}
 	x.refusedKey = true
-	x.refuse(status, reason.Error(), unconfirmedRetryAfter)
+	retryAfter := unconfirmedRetryAfter
+	if errors.Is(reason, errConfigTooOld) {
+		retryAfter = x.storeRetryAfter(retryAfter)
+	}
+	x.refuse(status, reason.Error(), retryAfter)
 }
 
 // keyFields returns the log fields that say which configuration decided a refusal for a key.
--- a/internal/system/forwarder/forwarder.go
+++ b/internal/system/forwarder/forwarder.go
@@ -124,6 +124,9 @@
 	Confirmer     ConfigConfirmer
 	Quota         QuotaKeeper
 	Conversations ConversationStore
+	// StoreOutage returns how long nobody has reached the platform's store for this VM, 0 if it is
+	// reached or if this VM alone is cut off. It may be nil.
+	StoreOutage func() time.Duration
 	// Hold accounts for bytes that are held for the request of a context, and reports false
 	// if there is no room; nil accounts for nothing.
 	Hold func(ctx context.Context, bytes int64) bool
@@ -212,7 +215,7 @@
 			return
 		case err != nil:
 			x.cause = err
-			x.refuse(http.StatusServiceUnavailable, "token budget can't be read", defaultRetryAfter)
+			x.refuse(http.StatusServiceUnavailable, "token budget can't be read", x.storeRetryAfter(defaultRetryAfter))
 			return
 		}
 	}
--- a/internal/system/forwarder/forwarder_test.go
+++ b/internal/system/forwarder/forwarder_test.go
@@ -107,3 +107,42 @@
 	_, dcs = r.excluded(now)
 	is.Equal(dcs, []string{"dc-1"})
 }
+
+// Guards against callers that have given up before an outage of the store ends, since each refusal
+// told them to come back at once.
+func TestExchange_RetryAfterOfRefusalsForWantOfTheStore(t *testing.T) {
+	const least = 100 * time.Millisecond
+	var outage time.Duration
+	after := func(left time.Duration) (shortest, longest time.Duration) {
+		x := testExchange(0, 0)
+		x.request = &forward.Request{Deadline: time.Now().Add(left)}
+		x.f.StoreOutage = func() time.Duration { return outage }
+		shortest = time.Hour
+		for range 200 {
+			d := x.storeRetryAfter(least)
+			shortest, longest = min(shortest, d), max(longest, d)
+		}
+		return shortest, longest
+	}
+	t.Run("while the store is reached, or by others, it is the least", func(t *testing.T) {
+		is := is.New(t)
+		shortest, longest := after(3 * time.Second)
+		is.True(shortest == least && longest == least)
+		is.Equal(testExchange(0, 0).storeRetryAfter(least), least)
+	})
+	t.Run("it is about as long as the outage has lasted", func(t *testing.T) {
+		is := is.New(t)
+		outage = 400 * time.Millisecond
+		shortest, longest := after(3 * time.Second)
+		is.True(shortest >= outage/2 && longest <= outage)
+	})
+	t.Run("it leaves two thirds of the caller's time, and callers come back at different times", func(t *testing.T) {
+		is := is.New(t)
+		outage = 5 * time.Second
+		shortest, longest := after(3 * time.Second)
+		is.True(longest <= time.Second && shortest >= 500*time.Millisecond)
+		is.True(longest-shortest > 100*time.Millisecond)
+		shortest, _ = after(-time.Second)
+		is.Equal(shortest, least)
+	})
+}
--- a/internal/system/forwarder/preparation.go
+++ b/internal/system/forwarder/preparation.go
@@ -167,7 +167,7 @@
 		return
 	}
 	x.cause = err
-	x.refuse(http.StatusServiceUnavailable, reason, defaultRetryAfter)
+	x.refuse(http.StatusServiceUnavailable, reason, x.storeRetryAfter(defaultRetryAfter))
 }
 
 // retained reports whether the request is a turn of a conversation that the system keeps.
--- a/internal/system/forwarder/refusal.go
+++ b/internal/system/forwarder/refusal.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -60,6 +61,24 @@
 	fmt.Fprintf(x.w, `{"error":{"type":%q,"message":%q}}`+"\n", http.StatusText(status), reason)
 }
 
+// Callers come back after at most a third of the time that they have left, and give up after few
+// refusals. Spread keeps those of an outage from coming back at once.
+const (
+	maxRetryAfterRatio = 0.3
+	retryAfterSpread   = 0.3
+)
+
+// storeRetryAfter returns the retry-after of a refusal for want of the platform's store: as long as
+// its outage has lasted, which is as long as it may be expected to last, and at least a time.
+func (x *exchange) storeRetryAfter(least time.Duration) time.Duration {
+	if x.f.StoreOutage == nil {
+		return least
+	}
+	left := float64(time.Until(x.request.Deadline))
+	wait := min(float64(x.f.StoreOutage()), left*maxRetryAfterRatio) * (1 - retryAfterSpread*rand.Float64())
+	return max(least, time.Duration(wait))
+}
+
 // fullRetryAfter is the retry-after of refusals for want of memory: other VMs may have room.
 const fullRetryAfter = 300 * time.Millisecond
 
--- a/internal/system/tokenbudget/peers.go
+++ b/internal/system/tokenbudget/peers.go
@@ -232,7 +232,8 @@
 	Log     *zap.Logger
 
 	mu         sync.Mutex
-	directDown bool // guarded by mu; direct calls fail
+	directDown bool      // guarded by mu; direct calls fail
+	downSince  time.Time // guarded by mu; valid if directDown
 }
 
 var _ platform.VersionedTable = (*RelayingStore)(nil)
@@ -328,6 +329,16 @@
 	return !r.directDown
 }
 
+// DownFor returns for how long no direct calls have been made, 0 if they are made.
+func (r *RelayingStore) DownFor() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.directDown {
+		return 0
+	}
+	return time.Since(r.downSince)
+}
+
 // isOutage reports whether an error means that the table service is
 // unreachable. A conflict is a response of the service.
 func isOutage(err error) bool {
@@ -341,7 +352,7 @@
 	if r.directDown {
 		return
 	}
-	r.directDown = true
+	r.directDown, r.downSince = true, time.Now()
 	go r.probeUntilUp(err)
 }
 
