forwarder: a stream that broke off goes on only at a version that was read after that

Cause: the version was compared with a list of endpoints that is up to half a second old.

Change: the first event of a response that goes on with a stream waits for a reading of the list, and is forwarded only if its endpoint has the stream's version then. If the list can't be read, it is forwarded from another endpoint than the one that broke off, or where the list shows one version only.

--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -61,6 +61,8 @@
 	output   heldBuffer             // data of the events forwarded, each with a line feed
 	oversize bool                   // output is incomplete, since it is longer than a request may be
 
+	slot           *dispatch.Slot  // of the last attempt
+	interruptedAt  string          // the endpoint whose response was interrupted last
 	excluded       []string        // ids of endpoints that are not tried any more
 	endedUnder     []string        // processes of endpoints that ended while they may have been running the request
 	usedSlot       bool            // the request was sent with the current slot
@@ -142,7 +144,7 @@
 func (x *exchange) useSlot(slot *dispatch.Slot) bool {
 	start := time.Now()
 	mayHaveRun := false
-	x.endpointLeaves, x.usedSlot = false, false
+	x.endpointLeaves, x.usedSlot, x.slot = false, false, slot
 	x.f.delays.recordRequest()
 	for {
 		outcome, err := x.attempt(slot)
@@ -154,6 +156,7 @@
 			}
 			err = x.diagnoseInterruption(slot, err)
 			x.recordInterruption(slot.Endpoint, err)
+			x.interruptedAt = slot.Endpoint
 		}
 		x.cause = err
 		if x.resendToSameEndpoint(outcome, err, mayHaveRun, slot) {
--- a/internal/system/forwarder/resend.go
+++ b/internal/system/forwarder/resend.go
@@ -65,7 +65,8 @@
 // case.
 func (x *exchange) resendToSameEndpoint(o outcome, err error, mayHaveRun bool, slot *dispatch.Slot) bool {
 	switch {
-	case !x.f.Endpoints.MayResend(slot.Endpoint, slot.EntryVersion, time.Now()) || x.versionOf(slot) != x.softwareVersion:
+	case !x.f.Endpoints.MayResend(slot.Endpoint, slot.EntryVersion, time.Now()) || x.versionOf(slot) != x.softwareVersion,
+		errors.Is(err, errVersionUnproven):
 		return false
 	case o == interrupted && x.mayResend() && !x.preferOtherEndpoint(err):
 		if errors.Is(err, errEndpointLost) || !slot.AllowResend(x.ctx) {
--- a/internal/system/forwarder/response.go
+++ b/internal/system/forwarder/response.go
@@ -195,6 +195,11 @@
 				lastEvent = time.Now()
 				x.observeDelay()
 			}
+			if resumed && x.events == eventsBefore {
+				if err := x.verifyVersion(); err != nil {
+					return err
+				}
+			}
 			x.recordFirstEvent()
 			if err := x.recordOutput(buf.bytes[:block.length]); err != nil {
 				return err
--- a/internal/system/forwarder/versions.go
+++ b/internal/system/forwarder/versions.go
@@ -72,6 +72,24 @@
 	return x.f.Endpoints.SoftwareVersion(slot.Endpoint, slot.Process, slot.EntryVersion, slot.SoftwareVersion)
 }
 
+// errVersionUnproven means that an endpoint whose connection broke may have started again with
+// another software version.
+var errVersionUnproven = errors.New("software version of the endpoint can't be confirmed after its connection broke")
+
+// verifyVersion returns an error if the response that is to go on with the stream may come from
+// another software version than its first events. An endpoint may have started again under its id
+// since its entry was read, most of all one whose connection broke.
+func (x *exchange) verifyVersion() error {
+	current := x.f.Streams.Current(x.ctx, x.service.Name, resumption.Horizon(x.route.Timeout))
+	if x.versionOf(x.slot) != x.stream.version {
+		return errOtherVersion
+	}
+	if !current && x.interruptedAt == x.slot.Endpoint {
+		return errVersionUnproven
+	}
+	return nil
+}
+
 // versionFields returns the log fields on the versions of the endpoint and the stream.
 func (x *exchange) versionFields() []zap.Field {
 	var fields []zap.Field
--- a/internal/system/streams/streams.go
+++ b/internal/system/streams/streams.go
@@ -186,6 +186,12 @@
 	return resumption.Resolve(own, others, everywhere)
 }
 
+// Current reads the list of endpoints up to now. It reports false if it can't and the list shows
+// several versions of a service.
+func (o *Origins) Current(ctx context.Context, service string, horizon time.Duration) bool {
+	return o.Reread(ctx) == nil || o.View(service, horizon).Sole()
+}
+
 // answer returns what this VM knows.
 func (o *Origins) answer(q Query) resumption.Answer {
 	view := o.View(q.Service, q.Horizon)
