tokenbudget: a home answers in time, however many turns wait for tokens

Cause: turns for which a home has too few tokens wait 500 ms for running ones while they hold the program's row, one after the other; the second one is answered after the 0.9 s that the other VM waits.

Change: the wait begins when the turn comes, also that for the row; a turn that doesn't get it is refused with 503.

Measured: TestLedger_TurnsThatWaitForTokensAreAnsweredInTime failed before (0.9 s).

--- a/internal/system/tokenbudget/home.go
+++ b/internal/system/tokenbudget/home.go
@@ -31,9 +31,11 @@
 	if r := l.reserveFromBalance(a, req); r != nil {
 		return r, nil
 	}
-	a.rowMu.Lock()
-	defer a.rowMu.Unlock()
 	deadline := time.Now().Add(settleTimeout)
+	if !a.lockRow(ctx, deadline) {
+		return nil, fmt.Errorf("%w: other turns of the program wait for tokens", errQuotasUnreachable)
+	}
+	defer a.rowMu.Unlock()
 	for range maxHomeAttempts {
 		if r := l.reserveFromBalance(a, req); r != nil {
 			return r, nil // another turn has withdrawn a block or settled
@@ -64,6 +66,18 @@
 	return nil, fmt.Errorf("%w: too many conflicts", ErrUnavailable)
 }
 
+// lockRow locks rowMu. It reports false if others hold it until a deadline or the end of ctx: turns
+// that wait for tokens do so one after the other, and a VM that doesn't answer in time is taken for
+// one that has ended.
+func (a *account) lockRow(ctx context.Context, deadline time.Time) bool {
+	for !a.rowMu.TryLock() {
+		if !time.Now().Before(deadline) || !clock.Sleep(ctx, lockPollInterval) {
+			return false
+		}
+	}
+	return true
+}
+
 // blockSize returns the number of tokens that a home withdraws: half of the free ones, so that
 // it needs few writes and serves the program while it can reach neither the table service nor
 // the keepers, and at least a turn and a step. A block is lost with its VM: it leaves a turn to
--- a/internal/system/tokenbudget/liveness_test.go
+++ b/internal/system/tokenbudget/liveness_test.go
@@ -1,7 +1,9 @@
 package tokenbudget
 
 import (
+	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -115,3 +117,38 @@
 	is.True(used+more <= forgettingBudget+maxTurnTokens)
 	is.True(used+more >= forgettingBudget-maxTurnTokens)
 }
+
+// Guards against a home that is taken for dead, and no longer asked for anything, since turns of a
+// program that has used up its budget wait there one after the other.
+func TestLedger_TurnsThatWaitForTokensAreAnsweredInTime(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, "dc-1")
+	a, b := f.start("a", "dc-1"), f.start("b", "dc-1")
+	f.assignKeepers()
+	const budget = 5 * maxTurnTokens
+	var running []*Reservation
+	for {
+		r, err := a.ledger.Reserve(context.Background(), reserveRequest("p", budget))
+		if err != nil {
+			break
+		}
+		running = append(running, r)
+	}
+	is.True(len(running) >= 4)
+	var wg sync.WaitGroup
+	for range 6 {
+		wg.Go(func() {
+			start := time.Now()
+			_, err := b.ledger.Reserve(context.Background(), reserveRequest("p", budget))
+			if took := time.Since(start); err == nil || took >= reserveTimeout {
+				t.Errorf("answered after %v: %v", took, err)
+			}
+		})
+	}
+	wg.Wait()
+	for _, r := range running {
+		r.Settle(0)
+	}
+	_, err := b.runTurn("p", budget, 1)
+	is.NoErr(err)
+}
--- a/internal/system/tokenbudget/tokenbudget.go
+++ b/internal/system/tokenbudget/tokenbudget.go
@@ -82,6 +82,7 @@
 	// checks.
 	settleTimeout      = 500 * time.Millisecond
 	settlePollInterval = 20 * time.Millisecond
+	lockPollInterval   = 2 * time.Millisecond
 	// borrowRetryInterval is the pause after an attempt to borrow that returned
 	// no tokens.
 	borrowRetryInterval = 100 * time.Millisecond
