dispatch: a request under which endpoints ended is assigned by one scheduler only

Change: the VM's own scheduler serves a request that the first one has no endpoint for only if none has ended under it.

--- a/internal/system/dispatch/client.go
+++ b/internal/system/dispatch/client.go
@@ -120,7 +120,7 @@
 		case errors.Is(err, errNotReady):
 			notReady++
 			c.backOff(addr, time.Now())
-		case errors.As(err, &refused) && refused.Reason == reasonNoEndpoint:
+		case errors.As(err, &refused) && refused.Reason == reasonNoEndpoint && !c.Local.Suspects(req.Fingerprint, req.PathFingerprint):
 			attempts = maxRemoteAttempts // this VM may know endpoints that the scheduler has not read yet
 		case err == nil || refused != nil || ctx.Err() != nil:
 			return slot, err
--- a/internal/system/dispatch/client_test.go
+++ b/internal/system/dispatch/client_test.go
@@ -109,4 +109,18 @@
 		is.True(errors.As(err, &refused))
 		is.Equal(refused.Reason, reasonNoEndpoint)
 	})
+	// Guards against two schedulers that each assign a request alone, as far as they know.
+	t.Run("a request under which endpoints ended is left to the scheduler that has none for it", func(t *testing.T) {
+		is := is.New(t)
+		_, first := serveScheduler(t, nil)
+		c := newTestClient(t, current, first)
+		c.Local.RecordOwnEnd("some process", deadly, deadlyPath, time.Second)
+		suspect := request
+		suspect.Fingerprint, suspect.PathFingerprint = deadly, deadlyPath
+		_, err := c.Acquire(t.Context(), suspect)
+		var refused *RefusedError
+		is.True(errors.As(err, &refused))
+		is.Equal(refused.Reason, reasonNoEndpoint)
+		is.True(refused.RetryAfter > 0)
+	})
 }
--- a/internal/system/dispatch/endings.go
+++ b/internal/system/dispatch/endings.go
@@ -213,6 +213,15 @@
 	return left
 }
 
+// Suspects reports whether endpoints have ended under a request, as far as this scheduler knows, so
+// that it may not run beside others: only one scheduler may assign it.
+func (s *Scheduler) Suspects(fingerprint, path uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	level, _ := s.quarantine.Level(fingerprint, path, s.clock.Now())
+	return fingerprint != 0 && level != quarantine.Free
+}
+
 // RecordOwnEnd records that an endpoint ended while it ran a request of this VM whose slot
 // another VM assigned: that scheduler may end before it has told anybody.
 func (s *Scheduler) RecordOwnEnd(process string, fingerprint, path uint64, ran time.Duration) {
