quarantine, dispatch: two paths that end endpoints at once are refused in time

Cause: trials alone are spaced for the whole service, by a pause that each end doubles up to 4 s, also the six ends before any trial; and a path was refused only after three different requests of it had ended an endpoint alone, so that two paths took twice as long as one.

Change: ends before a request has run alone count once for the pause. A path is refused after two different requests that ended endpoints alone, besides three ends one after the other and no served request of the path.

--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -32,8 +32,9 @@
 	aloneAfter  = 2
 	rejectAfter = 3
 	// minGuilty is the number of different requests of a group that have to end endpoints
-	// on which nothing else ran before the group is rejected.
-	minGuilty = 3
+	// on which nothing else ran before the group is rejected. That is besides rejectAfter ends
+	// one after the other.
+	minGuilty = 2
 	// firstHold is how long a request is rejected before it is tried once more, alone:
 	// schedulers that are cut off from each other may have run it beside the one that
 	// crashes endpoints. Each further hold is holdGrowth times as long, up to maxHold.
--- a/internal/system/dispatch/alone.go
+++ b/internal/system/dispatch/alone.go
@@ -78,7 +78,7 @@
 
 const (
 	// initialAlonePause is how long no request runs alone after an endpoint ended under a
-	// suspect. It doubles with each further end, up to maxAlonePause.
+	// suspect. It doubles with each further end under one that ran alone, up to maxAlonePause.
 	initialAlonePause = 500 * time.Millisecond
 	maxAlonePause     = 4 * time.Second
 )
@@ -90,8 +90,12 @@
 	length, until time.Duration
 }
 
-func (p *alonePause) recordEnd(now time.Duration) {
-	p.length = min(max(initialAlonePause, 2*p.length), maxAlonePause)
+// recordEnd records the end of an endpoint under a suspect that ran alone or beside others. Endpoints
+// that end one after the other before any request has run alone say no more than one.
+func (p *alonePause) recordEnd(alone bool, now time.Duration) {
+	if alone || p.length == 0 {
+		p.length = min(max(initialAlonePause, 2*p.length), maxAlonePause)
+	}
 	p.until = now + p.length
 }
 
--- a/internal/system/dispatch/endings.go
+++ b/internal/system/dispatch/endings.go
@@ -80,12 +80,13 @@
 func (s *Scheduler) observeEnd(e *endpoint, now time.Duration) {
 	var runs []quarantine.Run
 	var ids []string
-	underSuspect := false
+	underSuspect, alone := false, false
 	for _, r := range s.requests {
 		if r.endpoint != e {
 			continue
 		}
 		underSuspect = underSuspect || r.level != quarantine.Free
+		alone = alone || r.level == quarantine.Alone
 		if r.args.Fingerprint != 0 {
 			runs = append(runs, r.run())
 		}
@@ -100,7 +101,7 @@
 	}
 	e.recent = nil
 	if underSuspect {
-		s.poolOf(e.Service).alone.recordEnd(now)
+		s.poolOf(e.Service).alone.recordEnd(alone, now)
 	}
 	rejected := s.quarantine.RecordEnd(e.Process(), runs, now)
 	s.endSeen = s.quarantine.Version()
