--- a/internal/system/tokenbudget/fixture_test.go
+++ b/internal/system/tokenbudget/fixture_test.go
@@ -134,6 +134,8 @@
 
 	mu  sync.Mutex
 	vms map[string]*testVM // guarded by mu, by name
+	// unread holds the addresses of processes whose ends nobody has read yet; guarded by mu.
+	unread map[mesh.Process]string
 }
 
 type testVM struct {
@@ -148,7 +150,7 @@
 }
 
 func newFleet(t *testing.T, dcs ...string) *fleet {
-	return &fleet{t: t, store: newMemoryStore(), dcs: dcs, vms: make(map[string]*testVM)}
+	return &fleet{t: t, store: newMemoryStore(), dcs: dcs, vms: make(map[string]*testVM), unread: make(map[mesh.Process]string)}
 }
 
 // start starts a VM, or a new process of one that was killed.
@@ -205,7 +207,7 @@
 			return vm.addr
 		}
 	}
-	return ""
+	return f.unread[process]
 }
 
 func (f *fleet) processes(dc string) map[string]Process {
--- a/internal/system/tokenbudget/handover_test.go
+++ b/internal/system/tokenbudget/handover_test.go
@@ -386,7 +386,7 @@
 			f.kill(home)
 			next := f.startAt("home", "dc-1", home.addr)
 			f.mu.Lock()
-			f.vms["stale"] = &testVM{process: home.process, addr: home.addr} // other has not read that the process has ended
+			f.unread[home.process] = home.addr
 			f.mu.Unlock()
 			next.quotas.ApplyRows(f.store.keepers(), true)
 			next.quotas.ClaimBuckets(context.Background())
