tokenbudget: what a home that can't be reached has withdrawn isn't spent at once

Cause: tokens of a home that can't be reached count as used, though it may be alive. 402 ends a program.

Change: a VM takes a program over without enough tokens for a turn only once the home couldn't be reached for 5 s; until then keepers grant, or it is a 503.

Measured: TestLedger_TokensOfAHomeThatIsNotListedYetAreNotSpent failed before.

--- a/internal/system/tokenbudget/fixture_test.go
+++ b/internal/system/tokenbudget/fixture_test.go
@@ -311,7 +311,7 @@
 	}
 	vm.ledger.mu.Lock()
 	for _, a := range vm.ledger.accounts {
-		back(&a.lastUsed, &a.firstSeen, &a.toldAt, &a.borrowFailedAt)
+		back(&a.lastUsed, &a.firstSeen, &a.toldAt, &a.borrowFailedAt, &a.lostHomeAt)
 	}
 	for _, r := range vm.ledger.peerReservations {
 		back(&r.createdAt)
--- a/internal/system/tokenbudget/home.go
+++ b/internal/system/tokenbudget/home.go
@@ -49,11 +49,14 @@
 		}
 		recorded := recordedQuota(row.Budget, req.Turn)
 		free := recorded - row.Taken
+		unused, _ := l.balance(a)
+		if row.Home != l.ProcessID && row.Home != "" && unused+max(0, free) < req.Turn && l.mayReturn(a, row.Home) {
+			return nil, errHomeUnreachable
+		}
 		if free <= 0 {
 			return l.borrowOrWait(ctx, a, req, deadline)
 		}
 		row.Home = l.ProcessID
-		unused, _ := l.balance(a)
 		block := blockSize(free, unused, req)
 		if l.Quotas.withheld() {
 			// While the table service is out of reach nothing else is left to the program.
@@ -66,6 +69,17 @@
 	return nil, fmt.Errorf("%w: too many conflicts", ErrUnavailable)
 }
 
+// mayReturn reports whether a home that can't be reached may be reached soon: it is too early to
+// count what it has withdrawn as used.
+func (l *Ledger) mayReturn(a *account, home mesh.Process) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a.lostHome != home {
+		a.lostHome, a.lostHomeAt = home, time.Now()
+	}
+	return time.Since(a.lostHomeAt) < homeReturnTime
+}
+
 // lockRow locks rowMu. It reports false if others hold it until a deadline or the end of ctx: turns
 // that wait for tokens do so one after the other, and a VM that doesn't answer in time is taken for
 // one that has ended.
--- a/internal/system/tokenbudget/liveness_test.go
+++ b/internal/system/tokenbudget/liveness_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"ibisstall.example/ibisstall/internal/mesh"
 )
 
 // forgettingBudget is that of the programs in these tests: eight turns.
@@ -152,3 +154,33 @@
 	_, err := b.runTurn("p", budget, 1)
 	is.NoErr(err)
 }
+
+// Guards against 402 for a program whose home has just started: its entry isn't in the list of VMs
+// yet, and what it has withdrawn counted as used.
+func TestLedger_TokensOfAHomeThatIsNotListedYetAreNotSpent(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, "dc-1")
+	a, b := f.start("a", "dc-1"), f.start("b", "dc-1")
+	const budget = 500
+	_, err := a.runTurn("p", budget, 1)
+	is.NoErr(err)
+	list := func(process mesh.Process) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		a.process = process
+	}
+	list("unlisted")
+	for range 3 {
+		_, err = b.runTurn("p", budget, 1)
+		is.True(errors.Is(err, ErrUnavailable) && !errors.Is(err, ErrSpent))
+	}
+	list(a.ledger.ProcessID)
+	_, err = b.runTurn("p", budget, 1)
+	is.NoErr(err)
+	list("unlisted")
+	_, err = b.runTurn("p", budget, 1)
+	is.True(!errors.Is(err, ErrSpent))
+	b.grow(homeReturnTime)
+	_, err = b.runTurn("p", budget, 1)
+	is.True(errors.Is(err, ErrSpent)) // the home has ended, for all that is known
+}
--- a/internal/system/tokenbudget/tokenbudget.go
+++ b/internal/system/tokenbudget/tokenbudget.go
@@ -64,6 +64,10 @@
 // while: its previous keeper died, and nobody knows what that granted.
 var errWithheld = fmt.Errorf("%w: the quota counts as used since its keeper died", ErrUnavailable)
 
+// errHomeUnreachable means that the home can't be reached, and that what it hasn't withdrawn doesn't
+// cover a turn.
+var errHomeUnreachable = fmt.Errorf("%w: the home can't be reached", ErrUnavailable)
+
 // errNotHome means that another VM is the program's home.
 var errNotHome = errors.New("program has another home")
 
@@ -86,6 +90,9 @@
 	// borrowRetryInterval is the pause after an attempt to borrow that returned
 	// no tokens.
 	borrowRetryInterval = 100 * time.Millisecond
+	// homeReturnTime is how long a home that can't be reached may take to be reached again: it may
+	// have started a moment ago, and its entry in the list of VMs not be read yet.
+	homeReturnTime = 5 * time.Second
 	// accountRetention is how long an account without reservations is kept.
 	accountRetention = 90 * time.Second
 	// reservationTTL is how long an unsettled reservation of another VM, or an
@@ -156,7 +163,11 @@
 	rowStale   bool   // the row may have changed since
 	// doubts are the blocks of writes under the condition rowVersion whose outcome is unknown, by
 	// Row.Write.
-	doubts         map[uint64]int64
+	doubts map[uint64]int64
+	// lostHome is a home that couldn't be reached, since lostHomeAt at the latest, and whose program
+	// has too few tokens left elsewhere.
+	lostHome       mesh.Process
+	lostHomeAt     time.Time
 	unused         int64     // tokens withdrawn or borrowed and not reserved; below 0 after an overrun
 	borrowed       int64     // tokens borrowed from data centres' quotas, used ones included
 	lastLoan       Loan      // the last attempt to borrow
