quota: requests of a small workspace may come in clusters of 20

Change: the shares of a workspace hold at least 20 requests together. In a window of 5 s at most 5.5 times the rate and the larger of 20 and the burst are sent, whoever dies; the users allow (5 times the rate + burst) x 1.1 + 20.

--- a/internal/policy/quota/quota_test.go
+++ b/internal/policy/quota/quota_test.go
@@ -354,3 +354,22 @@
 	is.True(p.Take(time.Second + Validity))
 	is.True(!p.Take(time.Second + Validity + 1))
 }
+
+// Guards against programs of small workspaces that are refused while their workspace uses a third of
+// its quota: the turns of their sub-agents and their tools come at the same time.
+func TestShare_RequestsOfASmallWorkspaceMayComeInClusters(t *testing.T) {
+	is := is.New(t)
+	const dcs = 3
+	limit := Limit{PerSecond: 5, Burst: 5}
+	var shares []*Share
+	for range dcs {
+		shares = append(shares, NewShare(limit, dcs, 0, 0))
+	}
+	for now := window; now <= 4*window; now += window { // 18 of the 30 requests of a window at once
+		granted := 0
+		for _, s := range shares {
+			granted += s.Grant(limit, dcs, Ask{Others: 18 - granted}, now).Others
+		}
+		is.Equal(granted, 18)
+	}
+}
--- a/internal/policy/quota/share.go
+++ b/internal/policy/quota/share.go
@@ -35,7 +35,7 @@
 	Validity = 500 * time.Millisecond
 	// minCapacity is the least capacity of all shares of a quota together, in requests: the
 	// requests of a small workspace come in clusters. A share holds at least one.
-	minCapacity = 12
+	minCapacity = 20
 	// maxRate bounds the quota, in requests a second, and maxBurst its burst.
 	maxRate, maxBurst = 1e6, 1e7
 	// reservedTime times the rate at which programs under way send is what is left for them in
