httpconn: the end of a connection that was lost under an upload is an error

Callers got the part of an answer that had arrived as a whole one if the answer had no length and its endpoint reset the connection, or stalled until the kernel gave it up, while the request was still being written.

Cause: the kernel reports the error of a connection once, to whoever uses the socket first. A large body is written by a goroutine of its own; if that got the error, the reader got an end of file, which ends a body without a length.

Change: httpcheck.Conn, through which requests are written and responses read. At an end of file it stops a write that waits, and takes the end for the peer's only if no write has failed or the kernel has counted the peer's end as a byte received. The second is needed for whole answers whose upload fails after their end: by a reset, or as the peer never reads it.

Evidence: the new stand-in answers before it has read the body.

--- /dev/null
+++ b/internal/httpconn/early_test.go
@@ -0,0 +1,99 @@
+package httpconn
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ibisstall.example/ibisstall/internal/standin/early"
+)
+
+// uploadBytes is more than the buffers of a connection hold.
+const uploadBytes = 16 << 20
+
+// upload sends a request with a large body and returns the body of the response. It reads that a
+// pause after the server has sent its last byte, or at once.
+func upload(t *testing.T, s *early.Server, pause time.Duration) (string, error) {
+	is := is.New(t)
+	ended := s.Ended()
+	c, err := (&Pool{}).Get(context.Background(), s.Addr(), false)
+	is.NoErr(err)
+	defer c.Close()
+	r := request("1")
+	r.Body = make([]byte, uploadBytes)
+	is.NoErr(c.Send(r))
+	resp, err := c.Receive("POST", accept("1"))
+	if err != nil {
+		return "", err
+	}
+	if pause > atOnce {
+		for s.Ended() == ended {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(pause)
+	}
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+func answerAtOnce(text string) func(*http.Request) string {
+	return func(r *http.Request) string { return strings.ReplaceAll(text, "ID", r.Header.Get("Id")) }
+}
+
+const (
+	atOnce  = 0                     // the response is read while the server still sends
+	settled = 50 * time.Millisecond // after it the error of a reset connection is known
+)
+
+// The goroutine that wrote the request got the error of the connection, and the one that read the
+// response an end in its place: the part that had arrived was passed on as whole.
+func TestConn_ResponseOfAConnectionLostUnderItsUploadIsNotWhole(t *testing.T) {
+	pauses := map[early.End][]time.Duration{early.Reset: {atOnce, settled}, early.Stall: {atOnce, tcpUserTimeout + time.Second}}
+	for end, pauses := range pauses {
+		for _, pause := range pauses {
+			for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
+				t.Run(fmt.Sprintf("%s, read after %v, %s", end, pause, protocol), func(t *testing.T) {
+					t.Parallel()
+					is := is.New(t)
+					s, err := early.Listen(end, answerAtOnce(protocol+" 200 OK\r\nId: ID\r\n\r\na part"))
+					is.NoErr(err)
+					t.Cleanup(s.Close)
+					uploads := 20
+					if end == early.Stall {
+						uploads = 1
+					}
+					for range uploads {
+						body, err := upload(t, s, pause)
+						if err == nil {
+							t.Fatalf("whole: %q", body)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// A response may end before the request has been read.
+func TestConn_EarlyResponseThatEndsInOrderIsWhole(t *testing.T) {
+	for _, end := range early.InOrder {
+		for _, pause := range []time.Duration{atOnce, settled, tcpUserTimeout + time.Second} {
+			t.Run(fmt.Sprintf("%s, read after %v", end, pause), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				s, err := early.Listen(end, answerAtOnce("HTTP/1.1 200 OK\r\nId: ID\r\n\r\nall of it"))
+				is.NoErr(err)
+				t.Cleanup(s.Close)
+				body, err := upload(t, s, pause)
+				is.NoErr(err)
+				is.Equal(body, "all of it")
+			})
+		}
+	}
+}
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -23,6 +23,7 @@
 	"golang.org/x/sys/unix"
 
 	"ibisstall.example/ibisstall/internal/clock"
+	"ibisstall.example/ibisstall/internal/httpcheck"
 )
 
 // Limits of connections.
@@ -99,6 +100,7 @@
 // Conn is one connection. It serves one exchange at a time.
 type Conn struct {
 	net.Conn
+	tcp          *net.TCPConn // the connection of Conn; nil if it isn't one of TCP
 	pool         *Pool
 	addr         string
 	reader       *bufio.Reader
@@ -187,8 +189,8 @@
 // orderly close the kernel would go on sending the request, which could reach a peer behind
 // a partition seconds after it was given up.
 func (c *Conn) Close() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.inFlight.Load() {
-		_ = tcp.SetLinger(0) // fails only if the connection is closed already
+	if c.tcp != nil && c.inFlight.Load() {
+		_ = c.tcp.SetLinger(0) // fails only if the connection is closed already
 	}
 	return c.Conn.Close()
 }
@@ -232,7 +234,8 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	c := &Conn{Conn: raw, pool: p, addr: addr}
+	c := &Conn{Conn: httpcheck.NewConn(raw), pool: p, addr: addr}
+	c.tcp, _ = raw.(*net.TCPConn)
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
@@ -298,11 +301,10 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(*net.TCPConn)
-	if !ok {
+	if c.tcp == nil {
 		return true
 	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.tcp.SyscallConn()
 	if err != nil {
 		return false
 	}
