httpconn: a status that is none of HTTP is an error

Callers got an answer that wasn't their endpoint's: a status below 100, as 000 or +20, passed for that of an interim answer, so whatever came behind its head was taken for the answer. A status above 599 was passed on.

Cause: net/http takes any three characters that are an integer of zero or more, and Receive skipped all below 200.

Change: httpcheck.Status accepts 100 to 599 (RFC 9110, section 15), for answers that are skipped as well. Callers get 502, or another endpoint's answer where the request may be repeated.

--- /dev/null
+++ b/internal/httpcheck/status.go
@@ -0,0 +1,18 @@
+package httpcheck
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// Status codes are those from http.StatusContinue to this one (RFC 9110, section 15).
+const maxStatus = 599
+
+// Status returns an error unless a status code is one of HTTP. net/http accepts any three characters
+// that are an integer of zero or more.
+func Status(code int) error {
+	if code < http.StatusContinue || code > maxStatus {
+		return fmt.Errorf("response has the invalid status code %d", code)
+	}
+	return nil
+}
--- a/internal/httpconn/brokenanswers_test.go
+++ b/internal/httpconn/brokenanswers_test.go
@@ -139,3 +139,30 @@
 		is.Equal(body, text)
 	})
 }
+
+// A status below 100 passed for that of an interim answer, and what came behind it for the answer.
+// One above 599 was passed on.
+func TestConn_StatusThatIsNoneOfHTTPIsAnError(t *testing.T) {
+	const head, body = "Id: 1\r\nContent-Length: 12\r\n\r\n", "all or none."
+	for _, status := range []string{"000", "-00", "001", "+20", "099", "600", "999"} {
+		for name, answer := range map[string]string{
+			"alone":                   "HTTP/1.1 " + status + " X\r\n" + head + body,
+			"without a reason":        "HTTP/1.1 " + status + "\r\n" + head + body,
+			"of HTTP/1.0":             "HTTP/1.0 " + status + " X\r\n" + head + body,
+			"before an answer":        "HTTP/1.1 " + status + " X\r\nId: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + head + body,
+			"of an answer to another": "HTTP/1.1 " + status + " X\r\nId: 0\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 OK\r\n" + head + body,
+		} {
+			resp, got, err := receive(&answerConn{answer: answer, step: readBufferBytes, end: io.EOF})
+			if err == nil {
+				t.Errorf("%s %s: status %d, body %q", status, name, resp.StatusCode, got)
+			}
+		}
+	}
+	for _, status := range []int{200, 299, 404, 500, 599} {
+		is := is.New(t)
+		resp, got, err := receive(&answerConn{answer: fmt.Sprintf("HTTP/1.1 %d X\r\n", status) + head + body, step: readBufferBytes, end: io.EOF})
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, status)
+		is.Equal(got, body)
+	}
+}
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -471,6 +471,9 @@
 		}
 		resp, err := http.ReadResponse(c.reader, request)
 		c.limited, c.inHead = false, false
+		if err == nil {
+			err = httpcheck.Status(resp.StatusCode)
+		}
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
