httpconn: a name of a field that is no token is an error

Callers got an answer in whose head the name of a field held a blank, with that line passed on. Where it hid the framing ("Content-Length :", "Transfer-Encoding :") they got another body than the endpoint's: what followed it, or the sizes of the chunks within it.

Cause: net/http accepts blanks in names, for names in trailers as well, and keeps such a name as it came, so it isn't the one of the framing.

Change: httpcheck.Names refuses names that are no tokens, in the heads of the answer itself, of interim answers and of those that are skipped; CheckTrailer does so at the end of a body in chunks. Control bytes, folded names and lines without a name were errors before; the tests keep them.

--- a/internal/httpconn/brokenanswers_test.go
+++ b/internal/httpconn/brokenanswers_test.go
@@ -166,3 +166,73 @@
 		is.Equal(got, body)
 	}
 }
+
+// strangeNames are the beginnings of lines of a head, up to their colon, in which the name of a field
+// is no token.
+var strangeNames = []string{
+	"Content-Length ", "Transfer-Encoding ", "X ", "X y", "HTTP/1.1 500 X", "", "X\t", "X\x00", "X\x01y", "\x0bX", "X\x7f", "\x80", "X\u00a0", "X\ry", "\r",
+	"X(", "\"X\"", "X\r\n ", "X\r\n\t", "X\n Content-Length ",
+}
+
+// A line of the head in whose name there is a blank was passed on, also if it hid the framing of the
+// body.
+func TestConn_NameThatIsNoTokenIsAnError(t *testing.T) {
+	const body, length = "all or none.", "Content-Length: 12\r\n"
+	long := "Y: " + strings.Repeat("y", 2*readBufferBytes) + "\r\n"
+	for _, name := range strangeNames {
+		line := name + ": 5\r\n"
+		for where, answer := range map[string]string{
+			"first":                   "HTTP/1.1 200 OK\r\n" + line + "Id: 1\r\n" + length + "\r\n" + body,
+			"last":                    "HTTP/1.1 200 OK\r\nId: 1\r\n" + length + line + "\r\n" + body,
+			"without a framing":       "HTTP/1.1 200 OK\r\nId: 1\r\n" + line + "\r\n" + body,
+			"of HTTP/1.0":             "HTTP/1.0 200 OK\r\nId: 1\r\n" + line + "\r\n" + body,
+			"of a failure":            "HTTP/1.1 500 X\r\nId: 1\r\n" + length + line + "\r\n" + body,
+			"in a large head":         "HTTP/1.1 200 OK\r\nId: 1\r\n" + length + long + line + "\r\n" + body,
+			"of an interim answer":    "HTTP/1.1 103 X\r\n" + line + "\r\nHTTP/1.1 200 OK\r\nId: 1\r\n" + length + "\r\n" + body,
+			"after an interim answer": "HTTP/1.1 103 X\r\nY: y\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\n" + length + line + "\r\n" + body,
+			"of an answer to another": "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 3\r\n" + line + "\r\noldHTTP/1.1 200 OK\r\nId: 1\r\n" + length + "\r\n" + body,
+		} {
+			for _, newline := range []string{"\r\n", "\n"} {
+				for _, step := range []int{1, readBufferBytes} {
+					text := strings.ReplaceAll(answer, "\r\n", newline)
+					resp, got, err := receive(&answerConn{answer: text, step: step, end: io.EOF})
+					if err == nil {
+						t.Errorf("%q %s, %d bytes at once: header %v, body %q", name, where, step, resp.Header, got)
+					}
+				}
+			}
+		}
+	}
+	t.Run("other lines are no fields", func(t *testing.T) {
+		for _, answer := range []string{
+			"HTTP/1.1 200 O K : \r\nId: 1\r\nX: a b: c\r\n" + length + "\r\n" + body,
+			"HTTP/1.1 200 OK\r\nId: 1\r\nX: a\r\n y z: b\r\n\t: c\r\n" + length + "\r\n" + body,
+			"HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\n!#$%&'*+-.^_`|~09: a\r\nX:\r\n" + length + "\r\n" + body,
+		} {
+			for _, step := range []int{1, readBufferBytes} {
+				is := is.New(t)
+				_, got, err := receive(&answerConn{answer: answer, step: step, end: io.EOF})
+				is.NoErr(err)
+				is.Equal(got, body)
+			}
+		}
+		is := is.New(t)
+		const stream = ": wait\n\n a b: c\n\n"
+		_, got, err := receive(&answerConn{answer: "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n" + stream, step: readBufferBytes, end: io.EOF})
+		is.NoErr(err)
+		is.Equal(got, stream)
+	})
+	t.Run("in a trailer", func(t *testing.T) {
+		const chunks = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\nC\r\nall or none.\r\n0\r\n"
+		for _, name := range []string{"Content-Length ", "X y", "X\x00"} {
+			_, got, err := receive(&answerConn{answer: chunks + "Y: y\r\n" + name + ": 5\r\n\r\n", step: readBufferBytes, end: io.EOF})
+			if err == nil {
+				t.Errorf("%q: body %q", name, got)
+			}
+		}
+		is := is.New(t)
+		_, got, err := receive(&answerConn{answer: chunks + "Y: y\r\n\r\n", step: readBufferBytes, end: io.EOF})
+		is.NoErr(err)
+		is.Equal(got, body)
+	})
+}
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -472,7 +472,7 @@
 		resp, err := http.ReadResponse(c.reader, request)
 		c.limited, c.inHead = false, false
 		if err == nil {
-			err = httpcheck.Status(resp.StatusCode)
+			err = errors.Join(httpcheck.Status(resp.StatusCode), httpcheck.Names(resp.Header))
 		}
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
@@ -483,6 +483,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue // an interim (1xx) response
 		}
+		httpcheck.CheckTrailer(resp)
 		if accept(resp) {
 			return resp, nil
 		}
