endpoint: a failure whose connection was lost under its call is no answer

Programs got the part of an error response that had arrived as a whole one if it had no length and its endpoint reset the connection while the call was still being written. Successes weren't affected: without a length only whole JSON counts, and a stream only with its end mark.

Change: httpcheck.NewTransport returns a transport whose connections are each an httpcheck.Conn; the clients of endpoints use it.

Evidence: before, each of the four cases of TestServiceClient_FailureResetUnderTheCallIsNoAnswer fails, in three runs of three; now 20 calls of each are ErrUnanswered. The test of early answers that end in order passes before and after.

--- a/internal/endpoint/transport.go
+++ b/internal/endpoint/transport.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"ibisstall.example/ibisstall/internal/httpcheck"
 )
 
 // Defaults and limits.
@@ -79,12 +81,13 @@
 func newHTTPClients(hc *http.Client) httpClients {
 	reused := *hc
 	reused.CheckRedirect = doNotFollowRedirects
+	reused.Transport = httpcheck.NewTransport(hc.Transport)
 	fresh := sync.OnceValue(func() *http.Client {
 		c := reused
 		if t, ok := transportOf(hc); ok {
 			t = t.Clone()
 			t.DisableKeepAlives = true
-			c.Transport = t
+			c.Transport = httpcheck.NewTransport(t)
 		}
 		return &c
 	})
