endpoint: an answer with a status that is none of HTTP is no answer

A program got an answer with the status 000 as the success of its call, and it was recorded as a turn. The same went for a switch to another protocol (101), which no call asks for.

Cause: net/http takes any three characters that are an integer of zero or more, and the client took each status below 400 for a success.

Change: the transport of httpcheck fails requests whose response has such a status.

--- a/internal/httpcheck/status.go
+++ b/internal/httpcheck/status.go
@@ -1,10 +1,14 @@
 package httpcheck
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 )
 
+// ErrUpgraded means that the peer switched to another protocol, which no request asks for.
+var ErrUpgraded = errors.New("peer switched protocols")
+
 // Status codes are those from http.StatusContinue to this one (RFC 9110, section 15).
 const maxStatus = 599
 
--- a/internal/httpcheck/transport.go
+++ b/internal/httpcheck/transport.go
@@ -40,7 +40,26 @@
 }
 
 // RoundTrip implements http.RoundTripper.
-func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) { return t.base.RoundTrip(r) }
+func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.base.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(resp); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// checkHead returns an error if the head of a response is malformed. No request asks for another
+// protocol.
+func checkHead(resp *http.Response) error {
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		return ErrUpgraded
+	}
+	return Status(resp.StatusCode)
+}
 
 // CloseIdleConnections closes the connections that serve no request.
 func (t *transport) CloseIdleConnections() {
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -415,9 +415,6 @@
 	}
 }
 
-// errUpgraded means that the peer switched to another protocol, which no request asks for.
-var errUpgraded = errors.New("peer switched protocols")
-
 // errChunksInHTTP10 means that a response of HTTP/1.0 has a Transfer-Encoding, which that doesn't
 // know: the end of its body is uncertain (RFC 9112, section 6.1).
 var errChunksInHTTP10 = errors.New("response of HTTP/1.0 has a transfer encoding")
@@ -478,7 +475,7 @@
 			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, fmt.Errorf("%w: %w", ErrBroken, errUpgraded)
+			return nil, fmt.Errorf("%w: %w", ErrBroken, httpcheck.ErrUpgraded)
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue // an interim (1xx) response
