endpoint: an answer with a name that is no token is no answer

A program got an answer in whose head or trailer the name of a field held a blank, also where that hid the framing ("Content-Length :").

Cause: net/http accepts blanks in names.

Change: the transport of httpcheck checks the names of answers, of interim ones and of trailers. net/http no longer bounds interim answers while they are observed, so at most 16 come before an answer. Names with control bytes and lines without a name were errors before.

Without the bound the client reads interim answers without end (TestServiceClient_BytesWithoutEnd runs into its timeout).

--- a/internal/endpoint/endless_test.go
+++ b/internal/endpoint/endless_test.go
@@ -21,6 +21,7 @@
 		{"that are no response", "", "x"},
 		{"in a line of the header", "HTTP/1.1 200 OK\r\nA: ", "x"},
 		{"in lines of the header", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		{"in interim answers", "", "HTTP/1.1 103 X\r\n\r\n"},
 		{"in the body", "HTTP/1.1 200 OK\r\n\r\n", "x"},
 		{"in chunks of the body", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
 		{"in the body of a failure", "HTTP/1.1 500 X\r\n\r\n", "x"},
--- a/internal/httpcheck/transport.go
+++ b/internal/httpcheck/transport.go
@@ -2,10 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 )
 
+// maxInterimResponses is the number of interim (1xx) responses that are read before a request fails.
+// net/http doesn't bound them while a trace observes them.
+const maxInterimResponses = 16
+
+var errInterimResponses = errors.New("too many interim responses")
+
 // transport is an http.RoundTripper with connections of its own, each a Conn.
 type transport struct{ base http.RoundTripper }
 
@@ -41,7 +50,14 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.base.RoundTrip(r)
+	interim := 0
+	trace := &httptrace.ClientTrace{Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
+		if interim++; interim > maxInterimResponses {
+			return errInterimResponses
+		}
+		return Names(http.Header(h))
+	}}
+	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
@@ -49,6 +65,7 @@
 		resp.Body.Close()
 		return nil, err
 	}
+	CheckTrailer(resp)
 	return resp, nil
 }
 
@@ -58,7 +75,7 @@
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return ErrUpgraded
 	}
-	return Status(resp.StatusCode)
+	return errors.Join(Status(resp.StatusCode), Names(resp.Header))
 }
 
 // CloseIdleConnections closes the connections that serve no request.
