httpclient: broken answers of the platform's services are no answers

An object passed for stored if its service answered the upload early, without a length, and the connection was reset under the rest. A commit answered with the status 000, or with a switch of protocols, passed for refused, which proves that it had no effect; one answered with a blank in a name passed for done.

Cause: net/http, as in the clients of endpoints.

Change: the client uses the transport of httpcheck. The outcome of such writes is unknown; reads are unavailable.

Evidence: before, TestClient_AnswerResetUnderAnUploadIsNoAnswer fails, and four of six cases of TestClient_MalformedAnswerIsNoAnswer; now none does.

--- a/internal/platform/httpclient/call.go
+++ b/internal/platform/httpclient/call.go
@@ -18,6 +18,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"ibisstall.example/ibisstall/internal/httpcheck"
 	"ibisstall.example/ibisstall/internal/platform"
 	"ibisstall.example/ibisstall/internal/platform/breaker"
 	"ibisstall.example/ibisstall/internal/platform/wire"
@@ -37,15 +38,15 @@
 )
 
 // newTransport returns a transport whose dials take at most dialTimeout.
-func newTransport(dialTimeout time.Duration) *http.Transport {
+func newTransport(dialTimeout time.Duration) http.RoundTripper {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return httpcheck.NewTransport(&http.Transport{
 		DialContext:            dialer.DialContext,
 		MaxIdleConns:           maxIdleConns,
 		MaxIdleConnsPerHost:    maxIdleConns,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	})
 }
 
 // call is one request to a service.
