client: malformed answers are errors

An operator's command passed for done if it was answered with the status 000, a switch of protocols or a blank in the name of a field; with the status 999 it was given up instead of sent again.

Cause: net/http, as in the clients of endpoints.

Change: the client uses the transport of httpcheck. Answers whose connection is lost under the request were handled: each is one JSON document. A test keeps that.

Evidence: before, four of five cases of TestClient_MalformedAnswerIsAnError fail; now none does.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"ibisstall.example/ibisstall/internal/httpcheck"
 	"ibisstall.example/ibisstall/internal/settings"
 )
 
@@ -77,7 +78,7 @@
 	return &Client{
 		baseURL: strings.TrimRight(baseURL, "/"),
 		key:     key,
-		http:    &http.Client{Transport: transport, Timeout: timeout},
+		http:    &http.Client{Transport: httpcheck.NewTransport(transport), Timeout: timeout},
 	}, nil
 }
 
