load: malformed answers are errors

A report counted a call as done or refused that was answered with the status 000, a switch of protocols or a blank in the name of a field.

Cause: net/http, as in the clients of endpoints.

Change: the target for running systems uses a copy of its client with the transport of httpcheck; that of simulated engines uses the clients of endpoints, which do so.

--- a/internal/load/remote.go
+++ b/internal/load/remote.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"ibisstall.example/ibisstall/internal/entity"
+	"ibisstall.example/ibisstall/internal/httpcheck"
 )
 
 // RemoteTarget is a Target that calls a running system as one workspace. Callers
@@ -27,9 +28,12 @@
 }
 
 // NewRemoteTarget returns a target for a system. The URL is that of a VM or of a
-// load balancer in front of the VMs; the key is a workspace's.
+// load balancer in front of the VMs; the key is a workspace's. The transport of
+// client is copied.
 func NewRemoteTarget(url, apiKey, model string, client *http.Client) *RemoteTarget {
-	return &RemoteTarget{url: strings.TrimSuffix(url, "/"), apiKey: apiKey, model: model, runID: fmt.Sprintf("%016x", rand.Uint64()), client: client}
+	checked := *client
+	checked.Transport = httpcheck.NewTransport(client.Transport)
+	return &RemoteTarget{url: strings.TrimSuffix(url, "/"), apiKey: apiKey, model: model, runID: fmt.Sprintf("%016x", rand.Uint64()), client: &checked}
 }
 
 // budgetBody is the budget of a new program.
