httpclient: an object larger than a response may be is an error

An object of more than 64 MiB was returned without its end, as if it were whole.

Cause: the body was read through a limit whose end looks like that of the body.

Change: one byte more is read, and then the response is too large.

Evidence: TestClient_ObjectLargerThanAResponseIsNotCut fails before and passes now. JSON answers were errors already, as were those of endpoints.

--- a/internal/platform/httpclient/call.go
+++ b/internal/platform/httpclient/call.go
@@ -37,6 +37,8 @@
 	maxHeaderBytes = 64 << 10
 )
 
+var errTooLarge = errors.New("response exceeds its maximum size")
+
 // newTransport returns a transport whose dials take at most dialTimeout.
 func newTransport(dialTimeout time.Duration) http.RoundTripper {
 	dialer := &net.Dialer{Timeout: dialTimeout}
@@ -164,7 +166,10 @@
 		return nil, outcomeError(q.isWrite && maybeSent.Load(), err)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err == nil && len(body) > maxResponseBytes {
+		err = errTooLarge
+	}
 	if err != nil {
 		return nil, outcomeError(q.isWrite, err)
 	}
--- a/internal/platform/httpclient/early_test.go
+++ b/internal/platform/httpclient/early_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -66,3 +67,22 @@
 		})
 	}
 }
+
+// An object larger than a response may be was returned without its end.
+func TestClient_ObjectLargerThanAResponseIsNotCut(t *testing.T) {
+	is := is.New(t)
+	for _, size := range []int{maxResponseBytes, maxResponseBytes + 1} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			block := make([]byte, 1<<20)
+			for left := size; left > 0; left -= len(block) {
+				_, _ = w.Write(block[:min(left, len(block))]) // may be cut by the client
+			}
+		}))
+		c := New(Options{BaseURL: server.URL, MaxAttempts: 1, Timeout: time.Minute, AttemptTimeout: time.Minute})
+		data, err := c.Objects().Get(t.Context(), "o")
+		is.Equal(err == nil, size <= maxResponseBytes)
+		is.True(err != nil || len(data) == size)
+		c.Close()
+		server.Close()
+	}
+}
