--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -34,7 +34,8 @@
 	options Options
 }
 
-// NewEngineClient returns a client of an engine that uses the transport of hc.
+// NewEngineClient returns a client of an engine that uses a copy of the
+// transport of hc.
 func NewEngineClient(ep entity.Endpoint, hc *http.Client, o Options) *EngineClient {
 	o.setDefaults()
 	return &EngineClient{ep: ep, clients: newHTTPClients(hc), options: o}
--- a/internal/endpoint/service.go
+++ b/internal/endpoint/service.go
@@ -23,8 +23,8 @@
 	options Options
 }
 
-// NewServiceClient returns a client of an endpoint that uses the transport of
-// hc.
+// NewServiceClient returns a client of an endpoint that uses a copy of the
+// transport of hc.
 func NewServiceClient(ep entity.Endpoint, hc *http.Client, o Options) *ServiceClient {
 	o.setDefaults()
 	return &ServiceClient{ep: ep, clients: newHTTPClients(hc), options: o}
--- a/internal/httpconn/early_test.go
+++ b/internal/httpconn/early_test.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// A response that a slow reader takes longer for than the kernel keeps a connection on which nothing
-// of the request is read.
+// A slow reader loses a long response of a server that reads nothing of the request: the kernel gives
+// the connection up after tcpUserTimeout.
 func TestConn_LongEarlyResponseOfAServerThatReadsNothingIsWhole(t *testing.T) {
 	is := is.New(t)
 	body := strings.Repeat("x", uploadBytes)
