httpconn: a long early response of a server that reads nothing of the request is whole

Cause: TCP_USER_TIMEOUT is 3 s, and the kernel counts the time in which a peer's window is closed as well, though the peer acknowledges each probe.

Change: the limit is lifted once the response to a request that is still being written has begun, and set again before the connection is used for another one. A peer that is gone is found by its silence then, where the request may be sent again, else at the deadline.

The tests of stalled servers end at a deadline now.

--- a/internal/httpconn/early_test.go
+++ b/internal/httpconn/early_test.go
@@ -1,15 +1,18 @@
 package httpconn
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 
 	"ibisstall.example/ibisstall/internal/standin/early"
 )
@@ -25,6 +28,7 @@
 	c, err := (&Pool{}).Get(context.Background(), s.Addr(), false)
 	is.NoErr(err)
 	defer c.Close()
+	is.NoErr(c.SetReadDeadline(time.Now().Add(4 * tcpUserTimeout)))
 	r := request("1")
 	r.Body = make([]byte, uploadBytes)
 	is.NoErr(c.Send(r))
@@ -98,9 +102,10 @@
 	}
 }
 
-// A slow reader loses a long response of a server that reads nothing of the request: the kernel gives
-// the connection up after tcpUserTimeout.
+// A slow reader lost a long response of a server that read nothing of the request: the kernel gave the
+// connection up after tcpUserTimeout.
 func TestConn_LongEarlyResponseOfAServerThatReadsNothingIsWhole(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	body := strings.Repeat("x", uploadBytes)
 	s, err := early.Listen(early.Hold, answerAtOnce("HTTP/1.1 200 OK\r\nId: ID\r\n\r\n"+body))
@@ -119,3 +124,39 @@
 	is.NoErr(err)
 	is.Equal(len(got), len(body))
 }
+
+// A connection that serves another request is given up in time again.
+func TestConn_ReusedAfterAnEarlyResponseHasItsTimeoutAgain(t *testing.T) {
+	is := is.New(t)
+	addr := serve(t, func(c net.Conn) {
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		io.WriteString(c, responseTo("1"))
+		time.Sleep(settled)
+		_, _ = io.Copy(io.Discard, req.Body) // ends with the request
+	})
+	p := &Pool{}
+	c, err := p.Get(t.Context(), addr, false)
+	is.NoErr(err)
+	r := request("1")
+	r.Body = make([]byte, uploadBytes)
+	is.NoErr(c.Send(r))
+	resp, err := c.Receive("POST", accept("1"))
+	is.NoErr(err)
+	is.Equal(c.userTimeout, time.Duration(0))
+	_, err = io.ReadAll(resp.Body)
+	is.NoErr(err)
+	for c.writesBody() {
+		time.Sleep(time.Millisecond)
+	}
+	c.Release(resp)
+	is.Equal(len(p.idle[addr]), 1)
+	raw, err := c.tcp.SyscallConn()
+	is.NoErr(err)
+	ms := 0
+	is.NoErr(raw.Control(func(fd uintptr) { ms, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) }))
+	is.NoErr(err)
+	is.Equal(time.Duration(ms)*time.Millisecond, tcpUserTimeout)
+}
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -110,8 +110,9 @@
 	reused       bool        // the connection has served another exchange before
 	limited      bool        // reads fail with errTooLarge after bytesLeft
 	bytesLeft    int
-	inHead       bool  // the head of a response is being read
-	readErr      error // of the first read that failed
+	inHead       bool          // the head of a response is being read
+	readErr      error         // of the first read that failed
+	userTimeout  time.Duration // as set by setUserTimeout
 
 	// A read calls OnInactive whenever no byte arrives for InactivityTimeout; 0
 	// disables this. The argument is the time since the start of the read. If
@@ -230,12 +231,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	setUserTimeout(raw)
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
 	c := &Conn{Conn: httpcheck.NewConn(raw), pool: p, addr: addr}
 	c.tcp, _ = raw.(*net.TCPConn)
+	c.setUserTimeout(tcpUserTimeout)
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
@@ -318,19 +319,21 @@
 	return err == nil && open
 }
 
-func setUserTimeout(conn net.Conn) {
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
+// setUserTimeout sets the time that written bytes may remain unacknowledged before the kernel closes
+// the connection; 0 is the kernel's default, of some minutes.
+func (c *Conn) setUserTimeout(d time.Duration) {
+	if c.tcp == nil {
 		return
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := c.tcp.SyscallConn()
 	if err != nil {
-		return // the connection is closed; its first use returns the error
+		return // the connection is closed; its next use returns the error
 	}
 	// Without the option, only the keep-alive probes detect a dead peer.
 	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout/time.Millisecond))
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d/time.Millisecond))
 	})
+	c.userTimeout = d
 }
 
 // Send writes a request. An error that wraps ErrNotSent means that no byte of it
@@ -482,6 +485,11 @@
 		}
 		httpcheck.CheckTrailer(resp)
 		if accept(resp) {
+			if c.writesBody() {
+				// The peer may read nothing of the request while it sends the response, which the kernel
+				// doesn't tell from a peer that is gone.
+				c.setUserTimeout(0)
+			}
 			return resp, nil
 		}
 		if err := c.Discard(resp, maxStaleBodyBytes); err != nil {
@@ -513,6 +521,9 @@
 	}
 	_ = c.SetDeadline(time.Time{}) // a closed connection fails on its next use
 	c.InactivityTimeout, c.OnInactive, c.Deadline, c.HoldHead = 0, nil, time.Time{}, nil
+	if c.userTimeout != tcpUserTimeout {
+		c.setUserTimeout(tcpUserTimeout)
+	}
 	c.idleDeadline = time.Now().Add(idle)
 	p := c.pool
 	p.mu.Lock()
@@ -529,6 +540,9 @@
 	}
 }
 
+// writesBody reports whether the body of the request is still being written.
+func (c *Conn) writesBody() bool { return c.bodyWritten != nil && len(c.bodyWritten) == 0 }
+
 // requestWritten reports whether the whole request was written.
 func (c *Conn) requestWritten() bool {
 	if c.bodyWritten == nil {
