--- a/review/standins-3/case-return/main.go
+++ b/review/standins-3/case-return/main.go
@@ -1,10 +1,12 @@
 // Command case-return kills all processes at once after a program has spent its token budget, and
-// starts them again. The program returns later, within the retention of its route.
+// starts them again. The program goes on with calls of a tool for a minute and a half, and then
+// with turns.
 package main
 
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"syscall"
@@ -17,10 +19,10 @@
 	budget         = 3000 // tokens
 	mostOfTurn     = 288  // tokens
 	tokensPerEvent = 12
-	retention      = 300 * time.Second
 	downTime       = 500 * time.Millisecond
-	away           = 96 * time.Second // from the restart to the return of the program
-	returnTime     = 6 * time.Second  // for which it goes on then
+	toolTime       = 96 * time.Second // for which the program calls the tool after the restart
+	toolPause      = 1500 * time.Millisecond
+	lastTurns      = 6 * time.Second // for which it sends turns then
 	deadline       = 3 * time.Second
 	pause          = 100 * time.Millisecond // between two turns
 	stops          = 3                      // answers 402 in a row after which the program has been stopped
@@ -33,10 +35,16 @@
 		"version": 3,
 		"routes": []map[string]any{{
 			"name": "r-turns", "host": "a.example", "prefix": "/turns/", "kind": "streaming", "timeout_ms": 3000, "target_latency_ms": 200, "priority": 0,
-			"service": "models", "max_attempts": 1, "retain": false, "retention_s": retention.Seconds(), "sticky": true, "resumable": true, "gap_target_ms": 200,
+			"service": "models", "max_attempts": 1, "retain": false, "retention_s": 60.0, "sticky": true, "resumable": true, "gap_target_ms": 200,
+		}, {
+			"name": "r-tool", "host": "a.example", "prefix": "/tool/", "kind": "idempotent", "timeout_ms": 1200, "target_latency_ms": 80, "priority": 2,
+			"service": "app", "max_attempts": 2,
 		}},
-		"services": []map[string]any{{"name": "models", "health_path": "/health", "engine": map[string]any{"slots": 12, "kv_capacity": 112077, "tokens_per_event": tokensPerEvent}}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"services": []map[string]any{
+			{"name": "models", "health_path": "/health", "engine": map[string]any{"slots": 12, "kv_capacity": 112077, "tokens_per_event": tokensPerEvent}},
+			{"name": "app", "health_path": "/health"},
+		},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}
 }
 
@@ -50,10 +58,16 @@
 	defer fleet.End()
 	handle := func(r *stand.Runner, c net.Conn, req *http.Request, _ []byte) bool {
 		record.Add("runner %s runs %s", r.ID, req.Header.Get("Attempt-Id"))
+		if r.Service == "app" {
+			return stand.Answer(c, req, http.StatusOK, "done")
+		}
 		return stand.StreamEvents(c, req, mostOfTurn/tokensPerEvent, time.Millisecond, func(n int) string { return fmt.Sprintf("token-%d", n) })
 	}
-	for n := range 3 {
-		r := &stand.Runner{ID: fmt.Sprintf("i-%02d", n), Service: "models", Zone: fleet.Zones[n], Slots: 12, Store: store, Record: record, Handle: handle}
+	for n := range 6 {
+		r := &stand.Runner{ID: fmt.Sprintf("i-%02d", n), Service: "models", Zone: fleet.Zones[n%3], Slots: 12, Store: store, Record: record, Handle: handle}
+		if n >= 3 {
+			r.Service, r.Slots = "app", 6
+		}
 		if err := r.Start("v1"); err != nil {
 			return false, err
 		}
@@ -76,11 +90,11 @@
 	tokens := 0
 	program := "p-" + stand.NewAttempt()
 	turn := 0
-	// turns sends turns until the program has been stopped or a time has passed. It returns whether
-	// it has been stopped.
-	turns := func(limit time.Duration) bool {
+	// turns sends turns until the program has been stopped, has got more than a number of tokens, or a
+	// time has passed.
+	turns := func(limit time.Duration, enough int) {
 		refused := 0
-		for end := time.Now().Add(limit); time.Now().Before(end) && refused < stops; time.Sleep(pause) {
+		for end := time.Now().Add(limit); time.Now().Before(end) && refused < stops && tokens <= enough; time.Sleep(pause) {
 			turn++
 			vm := vms[turn%len(vms)]
 			p := stand.Send(vm.Front, stand.Request{
@@ -98,12 +112,12 @@
 				refused = 0
 			}
 		}
-		return refused == stops
 	}
-	if !turns(8*time.Second) || tokens < budget-mostOfTurn {
-		return false, errors.New("the program was not stopped at its budget at first")
+	turns(8*time.Second, budget)
+	if tokens <= budget || tokens > budget+mostOfTurn {
+		return false, errors.New("the program did not spend its budget at first")
 	}
-	record.Add("the program has been stopped after %d tokens; its budget is %d, the most of a turn %d", tokens, budget, mostOfTurn)
+	record.Add("the program has got %d tokens; its budget is %d, the most of a turn %d", tokens, budget, mostOfTurn)
 	if stand.Trouble() {
 		for _, vm := range vms {
 			vm.Signal(syscall.SIGKILL)
@@ -121,9 +135,21 @@
 			return false, err
 		}
 	}
-	time.Sleep(away)
-	record.Add("the program returns")
-	turns(returnTime)
+	called, answered := 0, 0
+	for end := time.Now().Add(toolTime); time.Now().Before(end); time.Sleep(toolPause) {
+		vm := vms[called%len(vms)]
+		called++
+		p := stand.Send(vm.Front, stand.Request{
+			Method: "GET", Host: "a.example", Path: "/tool/a", Deadline: 1200 * time.Millisecond,
+			Header: map[string]string{"Program-Id": program, "Session-Id": "s", "Finish-Ms": "9000"},
+		})
+		record.Add("call of the tool as %s through %s: status %d", p.Attempt, vm.Name, p.Status)
+		if p.Status == http.StatusOK {
+			answered++
+		}
+	}
+	record.Add("%d of %d calls of the tool were answered; the program goes on with turns", answered, called)
+	turns(lastTurns, math.MaxInt)
 	record.Add("%d tokens in all; %d are allowed", tokens, budget+mostOfTurn)
 	return tokens > budget+mostOfTurn, nil
 }
