streams: a stream is remembered for as long as its caller waits

The same under load: 32,768 newer streams displaced it within seconds.

Cause: one retention of a minute for all records, and a bound of 32,768 records of 128 B each. How long a caller may come back follows from its own deadline, which no route bounds.

Change: a record carries how long its caller waits. Those of more than a minute are kept for an hour, apart from the short ones, so that many of these don't displace them. Records hold a hash (seeded for each process) in place of two strings.

TestMemory_KeepsAStreamForAsLongAsItsCallerWaits fails before: with the memory of one class a stream of ten minutes is gone. TestMemory_IsBounded... asked for the bounds of the former fields; it asks the same of the new ones, and in addition that records survive one change of the generation.

--- a/internal/system/forwarder/versions.go
+++ b/internal/system/forwarder/versions.go
@@ -63,10 +63,13 @@
 	if attempt == "" {
 		return
 	}
-	r := streams.Record{Service: x.service.Name, Attempt: attempt, Version: x.stream.version}
+	r := streams.Record{Service: x.service.Name, Attempt: attempt, Version: x.stream.version, Wait: x.wait()}
 	x.f.Streams.Record(r, resumption.Horizon(x.route.Timeout))
 }
 
+// wait returns for how long the caller said that it waits.
+func (x *exchange) wait() time.Duration { return x.request.Deadline.Sub(x.request.Arrived) }
+
 // versionOf returns the software version of a slot's endpoint, empty if unknown.
 func (x *exchange) versionOf(slot *dispatch.Slot) string {
 	return x.f.Endpoints.SoftwareVersion(slot.Endpoint, slot.Process, slot.EntryVersion, slot.SoftwareVersion)
--- a/internal/system/streams/bench_test.go
+++ b/internal/system/streams/bench_test.go
@@ -20,17 +20,17 @@
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	for _, a := range attempts {
-		m.put(Record{testService, a, "v1"}, 0)
+		m.put(Record{Service: testService, Attempt: a, Version: "v1"}, 0)
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&after)
 	held := float64(after.HeapAlloc-before.HeapAlloc) / float64(len(attempts))
 	i := 0
 	for b.Loop() {
-		m.put(Record{testService, attempts[i%len(attempts)], "v1"}, time.Duration(i))
+		m.put(Record{Service: testService, Attempt: attempts[i%len(attempts)], Version: "v1"}, time.Duration(i))
 		i++
 	}
-	b.ReportMetric(held+16, "bytes/record") // and the attempt's id
+	b.ReportMetric(held, "bytes/record")
 	b.ReportMetric(float64(encodedSize(b)), "bytes/message")
 }
 
@@ -40,7 +40,7 @@
 	encoder := gob.NewEncoder(&encoded)
 	for range 2 { // the first one describes the type
 		encoded.Reset()
-		if err := encoder.Encode([]Record{{testService, "0123456789abcdef", "v1.2"}}); err != nil {
+		if err := encoder.Encode([]Record{{testService, "0123456789abcdef", "v1.2", 3 * time.Second}}); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/system/streams/memory.go
+++ b/internal/system/streams/memory.go
@@ -1,56 +1,89 @@
 package streams
 
-import "time"
+import (
+	"hash/maphash"
+	"time"
+)
 
 const (
-	// Retention is how long a version is remembered at least. A stream that lasts longer
-	// has to be recorded again.
+	// Retention is how long a version is remembered at least. A stream whose caller may come
+	// back later than that is remembered for longRetention.
 	Retention = time.Minute
-	// maxGeneration bounds the records of one generation, and so those of a VM.
-	maxGeneration = 1 << 15
+	// longRetention is the longest time for which a caller waits.
+	longRetention = time.Hour
+	// maxGeneration bounds the records of one generation.
+	maxGeneration = 1 << 17
+	// maxNames bounds the different versions of one generation.
+	maxNames = 1 << 12
 )
 
-// memory keeps versions by attempt in two generations: when the newer one is old or large, it
-// becomes the older one, whose records are dropped. Its zero value is empty.
+// memory keeps versions by attempt until the callers no longer wait. Its zero value is empty.
 type memory struct {
-	newer, older map[attemptKey]string
+	short, long generations
+}
+
+// put keeps a record for as long as its caller may come back.
+func (m *memory) put(r Record, now time.Duration) {
+	if r.Wait > Retention {
+		m.long.put(r, now, longRetention)
+		return
+	}
+	m.short.put(r, now, Retention)
+}
+
+func (m *memory) get(service, attempt string, now time.Duration) (version string, known bool) {
+	if version, known = m.short.get(service, attempt, now, Retention); known {
+		return version, true
+	}
+	return m.long.get(service, attempt, now, longRetention)
+}
+
+// generations keeps records in two generations: when the newer one is old or large, it becomes
+// the older one, whose records are dropped.
+type generations struct {
+	newer, older generation
 	rotated      time.Duration
-	names        map[string]string // services and versions that occur, each stored once
 }
 
-type attemptKey struct{ service, attempt string }
+// generation holds versions by the hash of service and attempt: at two bytes for each version
+// and without the ids, since there may be hundreds of records a second.
+type generation struct {
+	records map[uint64]uint16 // index in names
+	names   []string
+	indexes map[string]uint16 // in names
+}
 
-// maxNames bounds the names that are stored once.
-const maxNames = 256
+// seed differs in each process, so that nobody can choose attempts with the same hash.
+var seed = maphash.MakeSeed()
 
-// name returns the stored copy of a service or version.
-func (m *memory) name(s string) string {
-	if stored, ok := m.names[s]; ok {
-		return stored
-	}
-	if m.names == nil || len(m.names) >= maxNames {
-		m.names = make(map[string]string)
-	}
-	m.names[s] = s
-	return s
+func attemptHash(service, attempt string) uint64 {
+	return maphash.Comparable(seed, [2]string{service, attempt})
 }
 
-func (m *memory) rotate(now time.Duration) {
-	if m.newer == nil || now-m.rotated >= Retention || len(m.newer) >= maxGeneration {
-		m.newer, m.older, m.rotated = make(map[attemptKey]string), m.newer, now
+func (g *generations) rotate(now, retention time.Duration) {
+	if g.newer.records == nil || now-g.rotated >= retention || len(g.newer.records) >= maxGeneration || len(g.newer.names) >= maxNames {
+		g.newer, g.older, g.rotated = generation{records: make(map[uint64]uint16), indexes: make(map[string]uint16)}, g.newer, now
 	}
 }
 
-func (m *memory) put(r Record, now time.Duration) {
-	m.rotate(now)
-	m.newer[attemptKey{m.name(r.Service), r.Attempt}] = m.name(r.Version)
+func (g *generations) put(r Record, now, retention time.Duration) {
+	g.rotate(now, retention)
+	index, ok := g.newer.indexes[r.Version]
+	if !ok {
+		index = uint16(len(g.newer.names))
+		g.newer.names = append(g.newer.names, r.Version)
+		g.newer.indexes[r.Version] = index
+	}
+	g.newer.records[attemptHash(r.Service, r.Attempt)] = index
 }
 
-func (m *memory) get(service, attempt string, now time.Duration) (version string, known bool) {
-	m.rotate(now)
-	key := attemptKey{service, attempt}
-	if version, known = m.newer[key]; !known {
-		version, known = m.older[key]
+func (g *generations) get(service, attempt string, now, retention time.Duration) (version string, known bool) {
+	g.rotate(now, retention)
+	key := attemptHash(service, attempt)
+	for _, generation := range []*generation{&g.newer, &g.older} {
+		if index, ok := generation.records[key]; ok {
+			return generation.names[index], true
+		}
 	}
-	return version, known
+	return "", false
 }
--- a/internal/system/streams/streams.go
+++ b/internal/system/streams/streams.go
@@ -43,7 +43,8 @@
 // Record says which software version made the first event of a stream.
 type Record struct {
 	Service, Attempt string
-	Version          string // empty if unknown
+	Version          string        // empty if unknown
+	Wait             time.Duration // for which the caller waits; 0 from VMs of the previous release
 }
 
 // Query asks what a VM knows about a stream.
--- a/internal/system/streams/streams_test.go
+++ b/internal/system/streams/streams_test.go
@@ -83,7 +83,7 @@
 	front, near, far, back := newTestVM(t), newTestVM(t), newTestVM(t), newTestVM(t)
 	front.directory.dcs = [][]string{{near.address}, {far.address, back.address}}
 	back.directory.dcs = [][]string{{far.address}, {front.address, near.address}}
-	front.Record(Record{testService, "a1", "v2"}, horizon)
+	front.Record(Record{Service: testService, Attempt: "a1", Version: "v2"}, horizon)
 	near.eventually(t, "a1")
 	far.eventually(t, "a1")
 	front.stop()
@@ -103,9 +103,9 @@
 	front, witness := newTestVM(t), newTestVM(t)
 	front.directory.dcs = [][]string{{witness.address}}
 	front.view = soleView
-	front.Record(Record{testService, "a1", "v1"}, horizon)
+	front.Record(Record{Service: testService, Attempt: "a1", Version: "v1"}, horizon)
 	front.view = mixedView
-	front.Record(Record{testService, "a2", "v1"}, horizon)
+	front.Record(Record{Service: testService, Attempt: "a2", Version: "v1"}, horizon)
 	witness.eventually(t, "a2")
 	is.True(!witness.answer(Query{Service: testService, Attempt: "a1"}).Known)
 	is.True(front.answer(Query{Service: testService, Attempt: "a1"}).Known)
@@ -158,23 +158,48 @@
 func TestMemory_IsBoundedInTimeAndSize(t *testing.T) {
 	is := is.New(t)
 	var m memory
-	put := func(attempt string, now time.Duration) { m.put(Record{testService, attempt, "v1"}, now) }
+	put := func(attempt string, wait, now time.Duration) {
+		m.put(Record{testService, attempt, "v1", wait}, now)
+	}
 	known := func(attempt string, now time.Duration) bool {
 		_, ok := m.get(testService, attempt, now)
 		return ok
 	}
-	put("a", 0)
-	put("b", Retention-1)
+	put("a", 0, 0)
+	put("b", 0, Retention-1)
 	is.True(known("a", Retention-1))
 	is.True(known("b", 2*Retention-2))
 	is.True(!known("a", 3*Retention))
 	for i := range 5 * maxGeneration {
-		put(fmt.Sprint(i), 4*Retention)
+		put(fmt.Sprint(i), 0, 4*Retention)
 	}
-	is.True(len(m.newer)+len(m.older) <= 2*maxGeneration)
+	is.True(len(m.short.newer.records)+len(m.short.older.records) <= 2*maxGeneration)
 	is.True(known(fmt.Sprint(5*maxGeneration-1), 4*Retention))
+	is.True(known(fmt.Sprint(4*maxGeneration), 4*Retention))
 	for i := range 3 * maxNames {
-		m.put(Record{fmt.Sprint("s", i), "a", fmt.Sprint("v", i)}, 4*Retention)
+		m.put(Record{testService, fmt.Sprint("n", i), fmt.Sprint("v", i), 0}, 4*Retention)
+	}
+	is.True(len(m.short.newer.names)+len(m.short.older.names) <= 2*maxNames)
+	version, _ := m.get(testService, fmt.Sprint("n", 2*maxNames), 4*Retention)
+	is.Equal(version, fmt.Sprint("v", 2*maxNames))
+}
+
+// Guards against streams that are forgotten after a minute though their callers wait longer, and
+// against many short ones that displace them.
+func TestMemory_KeepsAStreamForAsLongAsItsCallerWaits(t *testing.T) {
+	is := is.New(t)
+	var m memory
+	waits := []time.Duration{time.Second, Retention, 10 * time.Minute, longRetention}
+	for i, wait := range waits {
+		m.put(Record{testService, fmt.Sprint(i), "v1", wait}, 0)
+	}
+	for i := range 3 * maxGeneration {
+		m.put(Record{testService, fmt.Sprint("short-", i), "v1", time.Second}, Retention/2)
+	}
+	for i, wait := range waits[2:] {
+		version, _ := m.get(testService, fmt.Sprint(2+i), wait)
+		is.Equal(version, "v1")
 	}
-	is.True(len(m.names) <= maxNames)
+	_, known := m.get(testService, "3", 3*longRetention)
+	is.True(!known)
 }
