streams: before a take-up is refused, all VMs are asked for its stream

What callers saw: a stream was refused with 503 though a live VM knew its version: that which had begun it, or a former witness. VMs that are added or replaced rank before the VMs that were told, and only the two that rank first in each data centre were asked.

Change: an attempt that no witness knows and the list can't decide is searched for at all VMs. Attempts that wait at the same time share a search, and a VM starts one each 10 ms times the number of VMs at most: 100 calls a second to and from each VM at any size, and only while callers take up streams that no witness knows. The list is read again only if no witness knows the stream: one store call less for nearly every take-up.

TestOrigins_AllVMsAreAskedForAStreamThatNoWitnessKnows fails without the search ("unknown"); TestOrigins_SearchesAreSharedAndSeldom bounds its cost.

--- a/internal/system/streams/memory.go
+++ b/internal/system/streams/memory.go
@@ -57,7 +57,7 @@
 var seed = maphash.MakeSeed()
 
 func attemptHash(service, attempt string) uint64 {
-	return maphash.Comparable(seed, [2]string{service, attempt})
+	return maphash.Comparable(seed, attemptKey{service, attempt})
 }
 
 func (g *generations) rotate(now, retention time.Duration) {
--- a/internal/system/streams/streams.go
+++ b/internal/system/streams/streams.go
@@ -7,7 +7,7 @@
 // VMs. It does so also while a service has only one version, since another one may come before
 // the caller comes back. A VM where a caller takes a stream up asks the witnesses of all data
 // centres. A version never changes once recorded, so any answer is right; if none is known,
-// policy/resumption decides.
+// policy/resumption decides, and if that can't either, all VMs are asked.
 package streams
 
 import (
@@ -62,6 +62,8 @@
 	Witnesses(key string) [][]string
 	// Size returns the number of VMs, including this one.
 	Size() int
+	// Peers returns the mesh addresses of all other VMs, in an order that a key determines.
+	Peers(key string) []string
 }
 
 // Origins remembers the first versions of streams. It is safe for concurrent use.
@@ -80,6 +82,8 @@
 	memory   memory              // guarded by mu
 	pending  map[string][]Record // guarded by mu; by address of the witness
 	flushing map[string]bool     // guarded by mu; whether flush runs, by address
+
+	search search
 }
 
 // Record records a stream's first event, before it is sent to the caller.
@@ -169,10 +173,22 @@
 	if own := o.answer(q); own.Known && own.Version != "" {
 		return own.Version, resumption.Remembered
 	}
-	reread := make(chan error, 1)
-	go func() { reread <- o.Reread(ctx) }()
+	version, origin := o.resolveByWitnesses(ctx, q)
+	if origin == resumption.Unknown && q.Attempt != "" {
+		if found, ok := o.findAnywhere(ctx, q.Service, q.Attempt); ok {
+			return found, resumption.Remembered
+		}
+	}
+	return version, origin
+}
+
+// resolveByWitnesses is Resolve by what this VM and the witnesses know.
+func (o *Origins) resolveByWitnesses(ctx context.Context, q Query) (string, resumption.Origin) {
 	others, everywhere := o.ask(ctx, q)
-	rereadErr := <-reread
+	if version, known := remembered(others); known {
+		return version, resumption.Remembered
+	}
+	rereadErr := o.Reread(ctx)
 	own := o.answer(q)
 	own.View.Reread = rereadErr == nil
 	version, origin := resumption.Resolve(own, others, everywhere)
@@ -184,6 +200,16 @@
 	return resumption.Resolve(own, others, everywhere)
 }
 
+// remembered returns the version that one of the answers remembers.
+func remembered(answers []resumption.Answer) (version string, known bool) {
+	for _, a := range answers {
+		if a.Known && a.Version != "" {
+			return a.Version, true
+		}
+	}
+	return "", false
+}
+
 // Current reads the list of endpoints up to now. It reports false if it can't and the list shows
 // several versions of a service.
 func (o *Origins) Current(ctx context.Context, service string, horizon time.Duration) bool {
--- a/internal/system/streams/streams_test.go
+++ b/internal/system/streams/streams_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,11 +17,16 @@
 	"ibisstall.example/ibisstall/internal/policy/resumption"
 )
 
-// testDirectory is a list of the VMs of each data centre, the own one first.
-type testDirectory struct{ dcs [][]string }
+// testDirectory is a list of the VMs of each data centre, the own one first. peers are all other
+// VMs.
+type testDirectory struct {
+	dcs   [][]string
+	peers []string
+}
 
 func (d *testDirectory) Witnesses(string) [][]string { return d.dcs }
-func (d *testDirectory) Size() int                   { return 100 }
+func (d *testDirectory) Size() int                   { return 10 }
+func (d *testDirectory) Peers(string) []string       { return d.peers }
 
 // testVM is the Origins of a VM with a mesh server.
 type testVM struct {
@@ -113,6 +119,45 @@
 	}
 }
 
+// Guards against the refusal of streams that a VM still knows, after others were replaced and rank
+// before it.
+func TestOrigins_AllVMsAreAskedForAStreamThatNoWitnessKnows(t *testing.T) {
+	is := is.New(t)
+	own, replaced, holder, silent := newTestVM(t), newTestVM(t), newTestVM(t), newTestVM(t)
+	own.directory.dcs = [][]string{{replaced.address}}
+	own.directory.peers = []string{silent.address, replaced.address, holder.address}
+	silent.stop()
+	holder.Record(Record{Service: testService, Attempt: "a1", Version: "v2"})
+	version, origin := own.resolve(t, "a1")
+	is.Equal(version, "v2")
+	is.Equal(origin, resumption.Remembered)
+	holder.stop()
+	_, origin = own.resolve(t, "a1") // without asking anybody
+	is.Equal(origin, resumption.Remembered)
+	_, origin = own.resolve(t, "a2")
+	is.Equal(origin, resumption.Unknown)
+	_, origin = own.resolve(t, "") // of a caller that names no attempt
+	is.Equal(origin, resumption.Unknown)
+}
+
+// However many callers take up streams that nobody knows, the VMs are asked together and seldom.
+func TestOrigins_SearchesAreSharedAndSeldom(t *testing.T) {
+	is := is.New(t)
+	own, other := newTestVM(t), newTestVM(t)
+	own.directory.peers = []string{other.address}
+	began := time.Now()
+	var wg sync.WaitGroup
+	for i := range 50 {
+		wg.Go(func() { own.resolve(t, fmt.Sprint("unknown-", i)) })
+	}
+	wg.Wait()
+	took := time.Since(began)
+	interval := time.Duration(own.directory.Size()) * searchIntervalPerVM
+	own.search.mu.Lock()
+	defer own.search.mu.Unlock()
+	is.True(own.search.count <= 1+int(took/interval))
+}
+
 // A VM that had not read of a second version took the only one that it knew for that of any stream.
 func TestOrigins_AVMThatKnowsOneVersionBelievesAnotherThatKnowsTwo(t *testing.T) {
 	is := is.New(t)
