versionhistory, resumption: the proof that one version served rests on how long callers wait

On a route without a timeout, and for two timeouts after the loss of all VMs, the opposite: streams of a service that never had another version were refused.

Cause: a stream that nobody remembers counted as one of the only version that served within twice the route's timeout + 2 s. The route bounds one attempt; a caller comes back for as long as its own deadline says, which no route bounds. Without a timeout the horizon was longer than versions are remembered, and a VM that starts remembers none at all.

Change: the horizon is that of the callers: twice the longest deadline that streams of the service have had (in classes: 4 s, 8 s .. 1 h), at least that of the caller who asks, + 2 s. Readings of the list prove as before, for the new horizon. The same horizon holds where a response is resumed (verifyVersion); `ibisstall serve` resumes a call by its id at the engine that holds it, and judges by no horizon.

--- a/internal/forward/versions.go
+++ b/internal/forward/versions.go
@@ -7,8 +7,8 @@
 )
 
 // versionRetention is how long the registry remembers a software version after its last
-// endpoint left.
-const versionRetention = time.Hour
+// endpoint left. It exceeds all horizons.
+const versionRetention = 3 * time.Hour
 
 // softwareVersions remembers the software versions whose endpoints have left.
 type softwareVersions struct {
--- a/internal/policy/resumption/resumption.go
+++ b/internal/policy/resumption/resumption.go
@@ -1,8 +1,8 @@
 // Package resumption decides at which software version of a service a stream that a caller
 // takes up again may go on: only at that of the endpoint that made its first event. The
 // caller names the attempt that brought that event, but not the version; VMs remember it, and
-// otherwise it is certain only if the service has had one version for long enough. All
-// functions are pure.
+// otherwise it is certain only if the service has had one version for as long as a caller may
+// come back. All functions are pure.
 package resumption
 
 import (
@@ -13,30 +13,62 @@
 // listLag is how old a VM's list of endpoints may be while it can read changes.
 const listLag = 2 * time.Second
 
-// maxStreamTime is how long streams last at most on a route without a timeout.
-const maxStreamTime = time.Hour
+// Bounds of the deadlines that Horizon is given.
+const (
+	minDeadline   = 4 * time.Second
+	maxStreamTime = time.Hour // also for a caller without a deadline
+)
+
+// DeadlineClass returns the least power of two of minDeadline that is not below a caller's
+// deadline, at most maxStreamTime. There are few classes, so that they seldom have to be told.
+func DeadlineClass(deadline time.Duration) time.Duration {
+	if deadline <= 0 {
+		return maxStreamTime
+	}
+	class := minDeadline
+	for class < deadline && class < maxStreamTime {
+		class *= 2
+	}
+	return min(class, maxStreamTime)
+}
 
-// Horizon returns for how long only one version must have served for a stream of unknown
-// beginning to be of that version: the stream's first response and the one that is resumed
-// each last no longer than the route's timeout, which is 0 if there is none.
-func Horizon(routeTimeout time.Duration) time.Duration {
-	if routeTimeout <= 0 {
-		routeTimeout = maxStreamTime
+// Horizon returns how long after the last endpoint of a version left the list a stream that
+// began there may still be taken up. deadline is the longest one of the callers of such streams,
+// 0 if it is unknown: a caller's first attempt and the one that takes the stream up may each
+// state it in full. How long the route lets an attempt take doesn't bound it.
+func Horizon(deadline time.Duration) time.Duration {
+	if deadline <= 0 {
+		deadline = maxStreamTime
 	}
-	return 2*routeTimeout + listLag
+	return 2*deadline + listLag
 }
 
 // View is what a VM knows about the software versions of a service.
 type View struct {
-	Versions int    // different versions that were listed within the horizon
+	Versions int    // different versions that served within the horizon, some counted twice if there are several
 	Version  string // the only one if Versions is 1; empty if unknown
-	Whole    bool   // the VM has read the list since the start of the horizon
+	Whole    bool   // no other version can have served since the start of the horizon
 	Reread   bool   // the VM has read the list since it was asked, after the stream began
 }
 
 // Sole reports whether only one known version is listed.
 func (v View) Sole() bool { return v.Versions == 1 && v.Version != "" }
 
+// Include returns the view with versions that are known from elsewhere to have served within the
+// horizon. whole reports whether no other one can have.
+func (v View) Include(versions []string, whole bool) View {
+	for _, version := range versions {
+		switch {
+		case v.Versions == 0:
+			v.Versions, v.Version = 1, version
+		case v.Versions > 1 || version != v.Version:
+			v.Versions, v.Version = v.Versions+1, ""
+		}
+	}
+	v.Whole = v.Whole || whole
+	return v
+}
+
 // Answer is what a VM knows about a stream.
 type Answer struct {
 	Known   bool   // Version is that of its first event
--- a/internal/policy/resumption/resumption_test.go
+++ b/internal/policy/resumption/resumption_test.go
@@ -91,3 +91,40 @@
 	is.True(Horizon(3*time.Second) >= 6*time.Second)
 	is.True(Horizon(0) >= 2*maxStreamTime)
 }
+
+// Guards against a horizon that rests on the route: a caller that waits for 30 s took a stream
+// up at newer software 11 s after its VM was lost, on a route with a timeout of 3 s.
+func TestHorizon_RestsOnHowLongCallersWait(t *testing.T) {
+	is := is.New(t)
+	for _, deadline := range []time.Duration{time.Second, 3 * time.Second, 30 * time.Second, 50 * time.Minute, maxStreamTime} {
+		class := DeadlineClass(deadline)
+		is.True(class >= deadline)
+		is.True(class <= max(minDeadline, 2*deadline))
+		is.True(Horizon(class) >= 2*deadline)
+		is.Equal(DeadlineClass(class), class)
+	}
+	is.Equal(DeadlineClass(0), maxStreamTime) // a caller that doesn't say
+	is.Equal(DeadlineClass(24*time.Hour), maxStreamTime)
+}
+
+func TestView_IncludesVersionsThatServedBefore(t *testing.T) {
+	one := View{Versions: 1, Version: "v1"}
+	for _, tt := range []struct {
+		name     string
+		view     View
+		versions []string
+		whole    bool
+		want     View
+	}{
+		{"the same one", one, []string{"v1"}, true, View{Versions: 1, Version: "v1", Whole: true}},
+		{"another one", one, []string{"v0", "v1"}, true, View{Versions: 3, Whole: true}},
+		{"none is listed now", View{}, []string{"v1"}, true, View{Versions: 1, Version: "v1", Whole: true}},
+		{"nothing is known of before", one, nil, false, one},
+		{"what the list proves holds", View{Versions: 1, Version: "v1", Whole: true}, nil, false, View{Versions: 1, Version: "v1", Whole: true}},
+		{"one without a name", one, []string{""}, true, View{Versions: 2, Whole: true}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is.New(t).Equal(tt.view.Include(tt.versions, tt.whole), tt.want)
+		})
+	}
+}
--- a/internal/system/forwarder/forwarder.go
+++ b/internal/system/forwarder/forwarder.go
@@ -108,7 +108,7 @@
 	Resolve(ctx context.Context, q streams.Query) (version string, origin resumption.Origin)
 	// Current makes sure that the software versions of a service's endpoints, as this VM knows them,
 	// are those of the call or later. It reports false if they may be outdated.
-	Current(ctx context.Context, service string, horizon time.Duration) bool
+	Current(ctx context.Context, service string) bool
 }
 
 // Forwarder forwards requests. It is safe for concurrent use.
--- a/internal/system/forwarder/versions.go
+++ b/internal/system/forwarder/versions.go
@@ -29,7 +29,7 @@
 // pinToOrigin finds out which version began the stream that the caller takes up. It refuses
 // the request if that is unknown.
 func (x *exchange) pinToOrigin() bool {
-	query := streams.Query{Service: x.service.Name, Attempt: x.request.FirstAttempt, Horizon: resumption.Horizon(x.route.Timeout)}
+	query := streams.Query{Service: x.service.Name, Attempt: x.request.FirstAttempt, Wait: x.wait()}
 	version, origin := x.f.Streams.Resolve(x.drain.startCtx, query)
 	x.stream = streamVersion{begun: true, version: version, origin: origin}
 	x.f.Metrics.resumedStreams.With(string(origin)).Inc()
@@ -60,9 +60,6 @@
 		attempt = x.request.FirstAttempt
 	}
 	x.stream.recordedAt = time.Now()
-	if attempt == "" {
-		return
-	}
 	x.f.Streams.Record(streams.Record{Service: x.service.Name, Attempt: attempt, Version: x.stream.version, Wait: x.wait()})
 }
 
@@ -82,7 +79,7 @@
 // another software version than its first events. An endpoint may have started again under its id
 // since its entry was read, most of all one whose connection broke.
 func (x *exchange) verifyVersion() error {
-	current := x.f.Streams.Current(x.ctx, x.service.Name, resumption.Horizon(x.route.Timeout))
+	current := x.f.Streams.Current(x.ctx, x.service.Name)
 	if x.versionOf(x.slot) != x.stream.version {
 		return errOtherVersion
 	}
--- a/internal/system/streams/streams.go
+++ b/internal/system/streams/streams.go
@@ -50,9 +50,10 @@
 
 // Query asks what a VM knows about a stream.
 type Query struct {
-	Service, Attempt string // Attempt is empty if the caller doesn't name it
-	Horizon          time.Duration
-	Reread           bool // read the list of endpoints before the answer
+	Service, Attempt string        // Attempt is empty if the caller doesn't name it
+	Wait             time.Duration // for which the caller says that it waits
+	Horizon          time.Duration // for which callers of the service may come back, as the VM that asks knows it
+	Reread           bool          // read the list of endpoints before the answer
 }
 
 // Directory knows the other VMs.
@@ -66,15 +67,26 @@
 	Peers(key string) []string
 }
 
+// History knows for how long callers may take up the streams of a service.
+type History interface {
+	// Observe records how long the caller of a stream waits that a version begins or goes on with.
+	Observe(service, version string, deadline time.Duration)
+	// Horizon returns for how long the callers of a service may come back.
+	Horizon(service string) time.Duration
+}
+
 // Origins remembers the first versions of streams. It is safe for concurrent use.
 type Origins struct {
 	Mesh      *mesh.Client
 	Suspects  *mesh.Suspects
 	Directory Directory
-	// View returns what this VM knows about the software versions of a service.
+	// View returns what this VM knows about the software versions of a service within a
+	// horizon, at least that of History.
 	View func(service string, horizon time.Duration) resumption.View
-	// Reread reads the changes of the list of endpoints up to now. It fails if the list
-	// can't be read.
+	// History knows how long the callers of services wait.
+	History History
+	// Reread reads the changes of the list of endpoints and of the history up to now. It fails
+	// if one of them can't be read.
 	Reread func(ctx context.Context) error
 	Clock  clock.Clock
 
@@ -88,6 +100,10 @@
 
 // Record records a stream's first event, before it is sent to the caller.
 func (o *Origins) Record(r Record) {
+	o.History.Observe(r.Service, r.Version, r.Wait)
+	if r.Attempt == "" {
+		return
+	}
 	o.store([]Record{r})
 	for _, address := range o.recipients(r.Attempt) {
 		o.send(address, r)
@@ -170,6 +186,7 @@
 // it was found out. Whoever began the stream had read the endpoint's entry before the caller
 // came back, so that a reading of the list from now on shows its version.
 func (o *Origins) Resolve(ctx context.Context, q Query) (string, resumption.Origin) {
+	q.Horizon = o.horizon(q)
 	if own := o.answer(q); own.Known && own.Version != "" {
 		return own.Version, resumption.Remembered
 	}
@@ -182,6 +199,11 @@
 	return version, origin
 }
 
+// horizon returns for how long the callers of a service may come back, the one that asks included.
+func (o *Origins) horizon(q Query) time.Duration {
+	return max(o.History.Horizon(q.Service), resumption.Horizon(resumption.DeadlineClass(q.Wait)))
+}
+
 // resolveByWitnesses is Resolve by what this VM and the witnesses know.
 func (o *Origins) resolveByWitnesses(ctx context.Context, q Query) (string, resumption.Origin) {
 	others, everywhere := o.ask(ctx, q)
@@ -189,6 +211,7 @@
 		return version, resumption.Remembered
 	}
 	rereadErr := o.Reread(ctx)
+	q.Horizon = o.horizon(q)
 	own := o.answer(q)
 	own.View.Reread = rereadErr == nil
 	version, origin := resumption.Resolve(own, others, everywhere)
@@ -210,10 +233,10 @@
 	return "", false
 }
 
-// Current reads the list of endpoints up to now. It reports false if it can't and the list shows
-// several versions of a service.
-func (o *Origins) Current(ctx context.Context, service string, horizon time.Duration) bool {
-	return o.Reread(ctx) == nil || o.View(service, horizon).Sole()
+// Current reads the list of endpoints up to now. It reports false if it can't and several versions
+// of a service have served.
+func (o *Origins) Current(ctx context.Context, service string) bool {
+	return o.Reread(ctx) == nil || o.View(service, o.History.Horizon(service)).Sole()
 }
 
 // answer returns what this VM knows.
--- a/internal/system/streams/streams_test.go
+++ b/internal/system/streams/streams_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,10 +29,20 @@
 func (d *testDirectory) Size() int                   { return 10 }
 func (d *testDirectory) Peers(string) []string       { return d.peers }
 
+// testHistory is a history in which the longest wait of the callers is known.
+type testHistory struct{ longest time.Duration }
+
+func (h *testHistory) Observe(_, _ string, deadline time.Duration) {
+	h.longest = max(h.longest, deadline)
+}
+func (h *testHistory) Horizon(string) time.Duration { return resumption.Horizon(h.longest) }
+
 // testVM is the Origins of a VM with a mesh server.
 type testVM struct {
 	*Origins
 	directory testDirectory
+	history   testHistory
+	horizon   atomic.Int64 // nanoseconds, that the view was asked for last
 	view      resumption.View
 	unread    error // of Reread
 	address   string
@@ -51,7 +62,11 @@
 	vm := &testVM{view: mixedView}
 	vm.Origins = &Origins{
 		Mesh: client, Suspects: &mesh.Suspects{Client: client, Lag: &clock.Lag{}, Log: zap.NewNop()}, Directory: &vm.directory,
-		View: func(string, time.Duration) resumption.View { return vm.view }, Clock: clock.System{},
+		View: func(_ string, horizon time.Duration) resumption.View {
+			vm.horizon.Store(int64(horizon))
+			return vm.view
+		},
+		History: &vm.history, Clock: clock.System{},
 		Reread: func(context.Context) error { return vm.unread },
 	}
 	server, err := mesh.Listen(mesh.ServerOptions{Addr: "127.0.0.1:0", SilenceTimeout: time.Minute})
@@ -63,13 +78,10 @@
 	return vm
 }
 
-const (
-	testService = "model"
-	horizon     = time.Second
-)
+const testService = "model"
 
 func (vm *testVM) resolve(t *testing.T, attempt string) (string, resumption.Origin) {
-	return vm.Resolve(t.Context(), Query{Service: testService, Attempt: attempt, Horizon: horizon})
+	return vm.Resolve(t.Context(), Query{Service: testService, Attempt: attempt, Wait: time.Second})
 }
 
 // eventually waits until a VM remembers an attempt.
@@ -119,6 +131,25 @@
 	}
 }
 
+// Guards against a proof that rests on the route's timeout: the list is asked for as long as the
+// callers of the service wait.
+func TestOrigins_AskForTheVersionsOfAsLongAsCallersWait(t *testing.T) {
+	is := is.New(t)
+	own, other := newTestVM(t), newTestVM(t)
+	own.directory.dcs = [][]string{{other.address}}
+	own.view, other.view = soleView, soleView
+	own.Record(Record{Service: testService, Attempt: "a1", Version: "v1", Wait: 30 * time.Second})
+	_, origin := own.resolve(t, "a2")
+	is.Equal(origin, resumption.OnlyOne)
+	is.True(own.horizon.Load() >= int64(time.Minute))
+	is.True(other.horizon.Load() >= int64(time.Minute))
+	own.Record(Record{Service: testService, Version: "v1", Wait: time.Hour}) // of a caller that names no attempt
+	own.resolve(t, "a2")
+	is.True(own.horizon.Load() >= int64(2*time.Hour))
+	other.Resolve(t.Context(), Query{Service: testService, Attempt: "a2", Wait: 10 * time.Minute}) // as its caller says
+	is.True(other.horizon.Load() >= int64(20*time.Minute))
+}
+
 // Guards against the refusal of streams that a VM still knows, after others were replaced and rank
 // before it.
 func TestOrigins_AllVMsAreAskedForAStreamThatNoWitnessKnows(t *testing.T) {
