forwarder: no VM remembers the streams of turns that are kept

Since witnesses are told of every stream, each turn of a kept conversation cost two messages and three records, though its stream is never taken up: that is refused, since the turn would lack the events before.

Change: such a stream is recorded without its attempt, so that the history still learns how long callers wait. Where a route stops keeping its turns meanwhile, the take-up is decided by the list and the history, as for any stream that nobody remembers.

TestProcess_StreamOfAKeptTurnIsNotTakenUp asks for it; it failed before.

--- a/internal/system/forwarder/versions.go
+++ b/internal/system/forwarder/versions.go
@@ -53,10 +53,14 @@
 	}
 }
 
-// recordVersion records the version of the stream under the attempt that began it.
+// recordVersion records the version of the stream under the attempt that began it. The stream of
+// a turn that is kept has no attempt, since it can't be taken up.
 func (x *exchange) recordVersion() {
 	attempt := x.request.ID
-	if x.request.LastEventID != "" {
+	switch {
+	case x.retained():
+		attempt = ""
+	case x.request.LastEventID != "":
 		attempt = x.request.FirstAttempt
 	}
 	x.stream.recordedAt = time.Now()
