forwarder, conversations: what a caller may send doesn't bound what the system puts together

Clients don't repeat after a 413, so the conversations were lost.

Cause: startPreparation bounded the history with the input by the operators' limit for what a caller sends, and recordOutput the output, with 4 MiB if there is no limit.

Change: both are bounded by memory. What a turn takes is accounted for as before (held bytes of the request); the record of a turn that repeats its conversation is made with one copy instead of two, its rows count as well, and the endpoint's body is given back before. Without room the turn is refused with 503 and Retry-After before it runs. A conversation is refused for good, with 413 and at the first row that is read, only if four times its length is more than any VM of the fleet may hold for one request: VMs tell that in their entries (largest_request), an entry without it means that nobody is told 413, and VMs that have left count. On VMs of 120 MB that is 12 MB. An output that makes its conversation that long is no longer recorded but passed on whole. A VM is not asked to write a turn of more than 4 MiB of data for another one: it would hold it unasked.

--- a/internal/policy/callermemory/callermemory.go
+++ b/internal/policy/callermemory/callermemory.go
@@ -91,6 +91,10 @@
 	return l
 }
 
+// Largest returns the number of bytes that may be held for one request if no other one holds
+// much, 0 without a limit.
+func (l Limits) Largest() int64 { return max(0, l.Bytes*aloneShare-ConnectionBytes) }
+
 // Holder is one connection.
 type Holder struct {
 	source   string
--- a/internal/system/conversations/conversations.go
+++ b/internal/system/conversations/conversations.go
@@ -38,7 +38,7 @@
 var (
 	// ErrNotFound means that the workspace has no such turn.
 	ErrNotFound = errors.New("no such turn")
-	// ErrTooLarge means that the conversation is longer than a request may be.
+	// ErrTooLarge means that the conversation is longer than any VM has room for.
 	ErrTooLarge = errors.New("conversation too long")
 	// ErrNoRoom means that this VM has no room for the bytes now; also an error of Keep.
 	ErrNoRoom = errors.New("no room for the conversation")
@@ -91,7 +91,7 @@
 	History   *History // what it goes on from; nil at the start of a conversation
 	Input     []byte
 	Output    []byte        // the data of each event, followed by a line feed
-	Oversize  bool          // Output is incomplete, since it is longer than a request may be
+	Oversize  bool          // Output is incomplete: no VM has room to go on from it
 	Retention time.Duration // for which the turn can be gone on from
 	// Hold accounts for bytes that are held until the turn is kept, and reports whether there is
 	// room. It may be nil.
@@ -106,9 +106,12 @@
 	Source Source
 }
 
-// Len returns the number of bytes of the history.
+// Len returns the number of bytes of the history, which may be nil.
 func (h *History) Len() int {
 	n := 0
+	if h == nil {
+		return n
+	}
 	for _, t := range h.turns {
 		n += len(t.data)
 	}
@@ -117,11 +120,18 @@
 
 // Append returns the history followed by an input.
 func (h *History) Append(input []byte) []byte {
-	b := make([]byte, 0, h.Len()+len(input))
+	return append(h.appendTo(make([]byte, 0, h.Len()+len(input))), input...)
+}
+
+// appendTo appends the history, which may be nil, to a buffer.
+func (h *History) appendTo(b []byte) []byte {
+	if h == nil {
+		return b
+	}
 	for _, t := range h.turns {
 		b = append(b, t.data...)
 	}
-	return append(b, input...)
+	return b
 }
 
 // Source says where a turn was found.
@@ -488,29 +498,32 @@
 		return r, 0, nil
 	}
 	hold := func(bytes int) bool { return t.Hold == nil || t.Hold(bytes) }
-	var history []byte
+	var earlier *History // that the record contains
 	if h := t.History; h != nil {
 		last := h.turns[len(h.turns)-1]
 		r.total += last.total
 		restarted := last.written > now+lifetimeSlack // the clock of the table service
 		if r.total <= inlineBytes || last.chainExpires < now+t.Retention+lifetimeSlack || restarted {
-			if !hold(h.Len()) {
-				return nil, 0, ErrNoRoom
-			}
-			history = h.Append(nil)
+			earlier = h
 			r.previous = h.last
 		} else {
 			r.chainExpires = min(r.chainExpires, last.chainExpires)
 			r.ancestors = followedBy(last.ancestors, h.last)
 		}
 	}
-	if !hold(len(history) + len(t.Input) + len(t.Output)) {
+	length := earlier.Len() + len(t.Input) + len(t.Output)
+	if !hold(length + earlier.Len()) { // the rows of what the caller sent take little beside it
 		return nil, 0, ErrNoRoom
 	}
-	r.data = slices.Concat(history, t.Input, t.Output)
-	return r, len(history), nil
+	r.data = append(append(earlier.appendTo(make([]byte, 0, length)), t.Input...), t.Output...)
+	return r, earlier.Len(), nil
 }
 
+// HeldRatio is what a request takes at most while a turn is served and kept, times the
+// conversation: what it goes on from, the body for the endpoint or the record, the record's rows,
+// and one of them as it is sent.
+const HeldRatio = 4
+
 // followedBy returns the last of the ancestors of a turn, followed by the turn.
 func followedBy(ancestors []id, i id) []id {
 	return append(slices.Clone(ancestors[max(0, len(ancestors)+1-maxAncestors):]), i)
--- a/internal/system/conversations/write.go
+++ b/internal/system/conversations/write.go
@@ -151,6 +151,10 @@
 	}
 }
 
+// maxRelayedBytes bounds the data of a turn that another VM is asked to write: it has to hold it
+// without having been asked.
+const maxRelayedBytes = 4 << 20
+
 // encodedRatio is what an encoded turn takes while it is written, times its data.
 const encodedRatio = 4
 
@@ -170,6 +174,9 @@
 // write a turn to its next location. It reports whether the VM did. The error is errOtherContent if
 // another turn has the name.
 func (k *Keeper) relay(ctx context.Context, i id, t *turn, next func() int) (stored bool, err error) {
+	if len(t.data) > maxRelayedBytes {
+		return false, nil
+	}
 	own, others := k.Peers.Relays(i.relayKey())
 	for _, address := range append(slices.Concat(others...), own...) {
 		if ctx.Err() != nil {
--- a/internal/system/dispatch/directory.go
+++ b/internal/system/dispatch/directory.go
@@ -20,6 +20,8 @@
 	Draining bool   // schedules no more services
 	// Capacity is its processor capacity in cores, 0 if unknown.
 	Capacity float64
+	// LargestRequest is the number of bytes that it may hold for one request, 0 if unknown.
+	LargestRequest int64
 }
 
 // minCapacityShare is the share of the strongest VM's capacity that a VM needs to
@@ -36,6 +38,8 @@
 	fleetCache map[string]Fleet      // guarded by mu, by service
 	witnesses  map[string][][]string // guarded by mu, by key
 	schedulers map[string][][]string // guarded by mu, by service
+	largest    int64                 // guarded by mu, largest LargestRequest so far
+	unknown    bool                  // guarded by mu, a VM was listed whose LargestRequest is unknown
 }
 
 // Replace replaces the whole list.
@@ -44,11 +48,29 @@
 	defer d.mu.Unlock()
 	d.vms = make(map[string]VM, len(list))
 	for _, vm := range list {
-		d.vms[vm.Name] = vm
+		d.put(vm)
 	}
 	d.dropCaches()
 }
 
+// put stores a VM. The caller holds mu.
+func (d *Directory) put(vm VM) {
+	d.vms[vm.Name] = vm
+	d.largest = max(d.largest, vm.LargestRequest)
+	d.unknown = d.unknown || vm.LargestRequest == 0
+}
+
+// LargestRequest returns the number of bytes that any VM may hold for one request, 0 if unknown.
+// VMs that have left count, since they may be back soon.
+func (d *Directory) LargestRequest() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.unknown || d.Self.LargestRequest == 0 {
+		return 0
+	}
+	return max(d.largest, d.Self.LargestRequest)
+}
+
 // dropCaches drops what follows from the list of VMs. The caller holds mu.
 func (d *Directory) dropCaches() {
 	d.orderCache, d.fleetCache, d.witnesses, d.schedulers = nil, nil, nil, nil
@@ -62,7 +84,7 @@
 		d.vms = make(map[string]VM)
 	}
 	for _, vm := range list {
-		d.vms[vm.Name] = vm
+		d.put(vm)
 	}
 	for _, name := range removed {
 		delete(d.vms, name)
--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -47,7 +47,6 @@
 	config     *forward.Config    // with which the request was authenticated last
 	refusedKey bool               // refused for its key
 	hideKey    bool               // the configuration has workspaces; also true on its public routes
-	maxBody    int64              // bytes of a request to an endpoint; 0 if the operators set no limit
 	deadline   time.Time          // the earlier of the caller's deadline and the route's timeout
 	lateFinish time.Time          // time after which finishing the program has no more value; zero without an objective
 	received   time.Time          // when Serve was called, on the clock that stops while the VM is suspended
@@ -59,7 +58,7 @@
 	history  *conversations.History // what it goes on from; nil at the start of a conversation
 	input    []byte                 // the caller's body of a turn with a history; nil for others
 	output   heldBuffer             // data of the events forwarded, each with a line feed
-	oversize bool                   // output is incomplete, since it is longer than a request may be
+	oversize bool                   // output is incomplete: no VM has room to go on from it
 
 	slot           *dispatch.Slot  // of the last attempt
 	interruptedAt  string          // the endpoint whose response was interrupted last
--- a/internal/system/forwarder/forwarder.go
+++ b/internal/system/forwarder/forwarder.go
@@ -135,8 +135,11 @@
 	Hold func(ctx context.Context, bytes int64) bool
 	// Release gives back bytes that were held; it may be nil if Hold is.
 	Release func(ctx context.Context, bytes int64)
-	Log     *zap.Logger
-	Metrics *Metrics
+	// LargestRequest returns the number of bytes that any VM may hold for one request, 0 if that
+	// is unknown; it may be nil.
+	LargestRequest func() int64
+	Log            *zap.Logger
+	Metrics        *Metrics
 
 	inFlight     inFlight
 	plan         atomic.Pointer[draining.Plan] // nil until BeginDrain is called
@@ -154,7 +157,6 @@
 	if !x.authenticate(ctx) {
 		return
 	}
-	x.maxBody = x.config.Limits.MaxBodyBytes
 	x.service = x.config.Services[x.route.PickService(splitKey(req))]
 	if x.service == nil {
 		x.refuse(http.StatusServiceUnavailable, "no service", defaultRetryAfter)
--- a/internal/system/forwarder/preparation.go
+++ b/internal/system/forwarder/preparation.go
@@ -91,10 +91,7 @@
 	if x.retained() && x.request.PreviousTurn != "" {
 		p.history = make(chan error, 1)
 		key := conversations.Key{Workspace: x.workspaceName(), Turn: x.request.PreviousTurn}
-		maxBytes := int64(math.MaxInt64 - 1)
-		if x.maxBody > 0 {
-			maxBytes = x.maxBody - int64(len(x.request.Body))
-		}
+		maxBytes := x.longestConversation() - int64(len(x.request.Body))
 		go func() {
 			var err error
 			p.loaded, err = x.f.Conversations.Load(ctx, key, maxBytes, x.hold)
@@ -104,6 +101,17 @@
 	return p
 }
 
+// longestConversation returns the length up to which some VM can go on with a conversation. The
+// operators' limits don't bound it: they are for what a caller sends.
+func (x *exchange) longestConversation() int64 {
+	if x.f.LargestRequest != nil {
+		if largest := x.f.LargestRequest(); largest > 0 {
+			return largest / conversations.HeldRatio
+		}
+	}
+	return math.MaxInt64 - 1
+}
+
 // admitTurn returns an error if a turn that is to be kept may not run now.
 func (x *exchange) admitTurn() error {
 	if x.request.LastEventID != "" {
@@ -192,6 +200,10 @@
 		Key:     conversations.Key{Workspace: x.workspaceName(), Turn: x.request.ID},
 		History: x.history, Input: input, Output: x.output.bytes, Oversize: x.oversize, Retention: x.route.Retention, Hold: x.hold,
 	}
+	if x.history != nil {
+		x.release(len(x.request.Body)) // no endpoint needs it any more
+		x.request.Body = x.input
+	}
 	if err := x.f.Conversations.Keep(x.ctx, turn); err != nil {
 		x.cause, x.complete, x.failureReason = err, false, "turn not kept"
 	}
--- a/internal/system/forwarder/response.go
+++ b/internal/system/forwarder/response.go
@@ -24,8 +24,6 @@
 	maxBufferedBody = 64 << 10
 	// maxEventSize bounds one event of a stream.
 	maxEventSize = 256 << 10
-	// maxRecordedOutput bounds the recorded output of a turn if the operators don't bound requests.
-	maxRecordedOutput = 4 << 20
 	// maxRejectionBody bounds the body of a rejection, which is discarded.
 	maxRejectionBody = 16 << 10
 )
@@ -267,7 +265,7 @@
 		return err
 	}
 	x.output.bytes = appendEventData(x.output.bytes, events)
-	if n := len(x.output.bytes); n > maxRecordedOutput || x.maxBody > 0 && int64(n) > x.maxBody {
+	if int64(len(x.request.Body)+len(x.output.bytes)) > x.longestConversation() {
 		x.oversize = true
 		x.output.free()
 	}
