forwarder: a stream of a split route is taken up at its own service

Change: a take-up is split as the attempt that it names in Resumes.

TestSplitKey_OfAStreamThatIsTakenUpIsThatOfItsBeginning failed before.

--- a/internal/system/forwarder/exchange.go
+++ b/internal/system/forwarder/exchange.go
@@ -102,11 +102,14 @@
 }
 
 // splitKey returns the key that selects a service of a split route. All requests
-// of a program go to the same service.
+// of a program go to the same service, and so does a stream that is taken up.
 func splitKey(req *forward.Request) uint64 {
-	key := req.Program
-	if key == "" {
-		key = req.ID
+	key := req.ID
+	switch {
+	case req.Program != "":
+		key = req.Program
+	case req.LastEventID != "" && req.FirstAttempt != "":
+		key = req.FirstAttempt
 	}
 	return xxhash.Sum64String(key)
 }
--- a/internal/system/forwarder/forwarder_test.go
+++ b/internal/system/forwarder/forwarder_test.go
@@ -146,3 +146,14 @@
 		is.Equal(shortest, least)
 	})
 }
+
+// Guards against streams of a split route that callers take up at the other service.
+func TestSplitKey_OfAStreamThatIsTakenUpIsThatOfItsBeginning(t *testing.T) {
+	is := is.New(t)
+	for _, program := range []string{"", "p"} {
+		begun := &forward.Request{ID: "a1", Program: program}
+		takenUp := &forward.Request{ID: "a2", Program: program, LastEventID: "3", FirstAttempt: "a1"}
+		is.Equal(splitKey(takenUp), splitKey(begun))
+	}
+	is.True(splitKey(&forward.Request{ID: "a2", FirstAttempt: "a1"}) != splitKey(&forward.Request{ID: "a1"})) // it resumes nothing
+}
