streams: a stream that began at another service has no version of this one

Change: records are looked up by the attempt. One of another service says that no version of this one fits, and the take-up is refused.

TestOrigins_StreamOfAnotherServiceIsOfNoVersionOfThisOne fails before (only one).

--- a/internal/system/streams/memory.go
+++ b/internal/system/streams/memory.go
@@ -13,7 +13,7 @@
 	longRetention = time.Hour
 	// maxGeneration bounds the records of one generation.
 	maxGeneration = 1 << 17
-	// maxNames bounds the different versions of one generation.
+	// maxNames bounds the different versions of all services in one generation.
 	maxNames = 1 << 12
 )
 
@@ -31,6 +31,8 @@
 	m.short.put(r, now, Retention)
 }
 
+// get returns the version of a stream of a service. It is empty if the stream is known to have
+// begun at another service: no version of this one fits.
 func (m *memory) get(service, attempt string, now time.Duration) (version string, known bool) {
 	if version, known = m.short.get(service, attempt, now, Retention); known {
 		return version, true
@@ -45,44 +47,50 @@
 	rotated      time.Duration
 }
 
-// generation holds versions by the hash of service and attempt: at two bytes for each version
-// and without the ids, since there may be hundreds of records a second.
+// generation holds versions by the hash of the attempt: at two bytes for each version and without
+// the ids, since there may be hundreds of records a second.
 type generation struct {
 	records map[uint64]uint16 // index in names
-	names   []string
-	indexes map[string]uint16 // in names
+	names   []serviceVersion
+	indexes map[serviceVersion]uint16 // in names
 }
 
+type serviceVersion struct{ service, version string }
+
 // seed differs in each process, so that nobody can choose attempts with the same hash.
 var seed = maphash.MakeSeed()
 
-func attemptHash(service, attempt string) uint64 {
-	return maphash.Comparable(seed, attemptKey{service, attempt})
-}
+func attemptHash(attempt string) uint64 { return maphash.String(seed, attempt) }
 
 func (g *generations) rotate(now, retention time.Duration) {
 	if g.newer.records == nil || now-g.rotated >= retention || len(g.newer.records) >= maxGeneration || len(g.newer.names) >= maxNames {
-		g.newer, g.older, g.rotated = generation{records: make(map[uint64]uint16), indexes: make(map[string]uint16)}, g.newer, now
+		g.newer, g.older, g.rotated = generation{records: make(map[uint64]uint16), indexes: make(map[serviceVersion]uint16)}, g.newer, now
 	}
 }
 
 func (g *generations) put(r Record, now, retention time.Duration) {
 	g.rotate(now, retention)
-	index, ok := g.newer.indexes[r.Version]
+	name := serviceVersion{r.Service, r.Version}
+	index, ok := g.newer.indexes[name]
 	if !ok {
 		index = uint16(len(g.newer.names))
-		g.newer.names = append(g.newer.names, r.Version)
-		g.newer.indexes[r.Version] = index
+		g.newer.names = append(g.newer.names, name)
+		g.newer.indexes[name] = index
 	}
-	g.newer.records[attemptHash(r.Service, r.Attempt)] = index
+	g.newer.records[attemptHash(r.Attempt)] = index
 }
 
 func (g *generations) get(service, attempt string, now, retention time.Duration) (version string, known bool) {
 	g.rotate(now, retention)
-	key := attemptHash(service, attempt)
+	key := attemptHash(attempt)
 	for _, generation := range []*generation{&g.newer, &g.older} {
-		if index, ok := generation.records[key]; ok {
-			return generation.names[index], true
+		index, ok := generation.records[key]
+		switch {
+		case !ok:
+		case generation.names[index].service != service:
+			return "", true
+		default:
+			return generation.names[index].version, true
 		}
 	}
 	return "", false
