tokenbudget: keepers hear of programs that only call tools

Cause: the successor of a keeper that died grants nothing for 90 s, and then takes a program that it hasn't heard of for a new one. Only homes told keepers which programs go on; after the kill nobody was the home of a program without a turn.

Change: each VM tells of the programs whose requests it has had.

--- a/internal/system/tokenbudget/liveness.go
+++ b/internal/system/tokenbudget/liveness.go
@@ -11,7 +11,9 @@
 
 // A keeper hears of a program only when tokens of its quota are asked for, but the program may go on
 // at its home for long. A keeper that took a program that it has forgotten for a new one would grant
-// its quota once more. So homes tell the keepers of all data centres which programs go on.
+// its quota once more. So each VM tells the keepers of all data centres which programs go on there,
+// whether with turns or with other requests: the home may have ended, or be unknown since the end of
+// all VMs.
 
 const (
 	// tellInterval is the pause between two messages about a program that goes on. Most programs
@@ -28,12 +30,12 @@
 // known reports whether the usage is not merely a bound.
 func (u *usage) known() bool { return u.used < unknownUsage/2 }
 
-// TellKeepers tells the keepers which programs of this home go on. It is called periodically.
+// TellKeepers tells the keepers which programs go on at this VM. It is called periodically.
 func (l *Ledger) TellKeepers(ctx context.Context, now time.Time) {
 	l.mu.Lock()
 	var programs []string
 	for program, a := range l.accounts {
-		if a.row.Home == l.ProcessID && now.Sub(a.toldAt) >= tellInterval && a.lastUsed.After(a.toldAt) {
+		if now.Sub(a.toldAt) >= tellInterval && a.lastUsed.After(a.toldAt) {
 			programs = append(programs, program)
 		}
 	}
--- a/internal/system/tokenbudget/liveness_test.go
+++ b/internal/system/tokenbudget/liveness_test.go
@@ -100,6 +100,32 @@
 	}
 }
 
+// Guards against keepers that take a program for a new one after the end of all VMs, and grant their
+// quotas again, since it has only called tools for longer than they wait.
+func TestQuotas_KeepersHearOfProgramsThatOnlyCallTools(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, "dc-1", "dc-2")
+	vms := []*testVM{f.start("a", "dc-1"), f.start("b", "dc-2")}
+	f.assignKeepers()
+	used, err := runUntilRefused(vms[0], forgettingBudget)
+	is.True(errors.Is(err, ErrSpent))
+	for _, vm := range vms {
+		f.kill(vm)
+	}
+	vms = []*testVM{f.start("a", "dc-1"), f.start("b", "dc-2")}
+	f.assignKeepers()
+	const pause = 6 * time.Second
+	for at := time.Duration(0); at < usageRetention+programRetention; at += pause {
+		vms[int(at/pause)%2].ledger.ObserveRequest("loop", time.Now(), time.Now().Add(time.Hour))
+		f.pass(pause)
+	}
+	for _, vm := range vms {
+		more, _ := runUntilRefused(vm, forgettingBudget)
+		used += more
+	}
+	is.True(used <= forgettingBudget+maxTurnTokens)
+}
+
 // Guards against a quota that counts as used though its keeper has known the program all the time.
 func TestQuotas_LongProgramGetsItsWholeBudget(t *testing.T) {
 	is := is.New(t)
