streams: a search leaves no connections and no ranks behind

By reading: the connections of a mesh client stay, each with a heartbeat a second, so that a search would have connected a VM to all others for good; and the directory keeps the order of VMs for each key that it is asked by, which was an attempt. A search uses a client of its own, which it closes, and one key.

TestOrigins_SearchesAreSharedAndSeldom asks for one key; with an attempt as the key it fails (2 keys for 2 searches). That the connections end isn't tested.

--- a/internal/system/streams/search.go
+++ b/internal/system/streams/search.go
@@ -12,6 +12,8 @@
 	searchIntervalPerVM = 10 * time.Millisecond
 	// searchWait is how long a request waits for a search to begin and to find something.
 	searchWait = 400 * time.Millisecond
+	// searchRank ranks the VMs that are asked; all are.
+	searchRank = "streams"
 	// maxSearched bounds the attempts of one search, and maxSearchCalls its simultaneous calls.
 	maxSearched    = 256
 	maxSearchCalls = 32
@@ -120,9 +122,12 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), searchWait)
 	defer cancel()
+	// Its connections end with the search: a VM isn't connected to all others otherwise.
+	client := o.NewMesh()
+	defer client.Close()
 	calls := make(chan struct{}, maxSearchCalls)
 	var wg sync.WaitGroup
-	for _, address := range o.Directory.Peers(keys[0].Attempt) {
+	for _, address := range o.Directory.Peers(searchRank) {
 		if o.Suspects.Suspected(address) {
 			continue
 		}
@@ -130,7 +135,7 @@
 		wg.Go(func() {
 			defer func() { <-calls }()
 			var versions []string
-			if err := o.Mesh.Call(ctx, address, serviceName+".Search", keys, &versions); err != nil || len(versions) != len(keys) {
+			if err := client.Call(ctx, address, serviceName+".Search", keys, &versions); err != nil || len(versions) != len(keys) {
 				return // without suspicion: VMs of the previous release don't know the call
 			}
 			for i, version := range versions {
--- a/internal/system/streams/streams.go
+++ b/internal/system/streams/streams.go
@@ -77,7 +77,9 @@
 
 // Origins remembers the first versions of streams. It is safe for concurrent use.
 type Origins struct {
-	Mesh      *mesh.Client
+	Mesh *mesh.Client
+	// NewMesh returns another client, for calls to VMs that are seldom called.
+	NewMesh   func() *mesh.Client
 	Suspects  *mesh.Suspects
 	Directory Directory
 	// View returns what this VM knows about the software versions of a service within a
--- a/internal/system/streams/streams_test.go
+++ b/internal/system/streams/streams_test.go
@@ -23,11 +23,16 @@
 type testDirectory struct {
 	dcs   [][]string
 	peers []string
+	ranks sync.Map // keys that peers were ranked by
 }
 
 func (d *testDirectory) Witnesses(string) [][]string { return d.dcs }
 func (d *testDirectory) Size() int                   { return 10 }
-func (d *testDirectory) Peers(string) []string       { return d.peers }
+
+func (d *testDirectory) Peers(key string) []string {
+	d.ranks.Store(key, true) // the directory remembers the order for each key
+	return d.peers
+}
 
 // testHistory is a history in which the longest wait of the callers is known.
 type testHistory struct{ longest time.Duration }
@@ -57,11 +62,14 @@
 func newTestVM(t *testing.T) *testVM {
 	t.Helper()
 	is := is.New(t)
-	client := mesh.NewClient(mesh.ClientOptions{LocalIP: net.IPv4(127, 0, 0, 1), SilenceTimeout: time.Minute, DialTimeout: time.Minute})
+	newClient := func() *mesh.Client {
+		return mesh.NewClient(mesh.ClientOptions{LocalIP: net.IPv4(127, 0, 0, 1), SilenceTimeout: time.Minute, DialTimeout: time.Minute})
+	}
+	client := newClient()
 	t.Cleanup(func() { client.Close() })
 	vm := &testVM{view: mixedView}
 	vm.Origins = &Origins{
-		Mesh: client, Suspects: &mesh.Suspects{Client: client, Lag: &clock.Lag{}, Log: zap.NewNop()}, Directory: &vm.directory,
+		Mesh: client, NewMesh: newClient, Suspects: &mesh.Suspects{Client: client, Lag: &clock.Lag{}, Log: zap.NewNop()}, Directory: &vm.directory,
 		View: func(_ string, horizon time.Duration) resumption.View {
 			vm.horizon.Store(int64(horizon))
 			return vm.view
@@ -199,6 +207,12 @@
 	wg.Wait()
 	took := time.Since(began)
 	interval := time.Duration(own.directory.Size()) * searchIntervalPerVM
+	ranks := 0
+	own.directory.ranks.Range(func(any, any) bool {
+		ranks++
+		return true
+	})
+	is.Equal(ranks, 1)
 	own.search.mu.Lock()
 	defer own.search.mu.Unlock()
 	is.True(own.search.count <= 1+int(took/interval))
