dispatch: a VM of the previous release that was updated no longer hides the largest request

By reading: a process that had once listed a VM whose entry doesn't tell its largest request told nobody for good that a request is too large, until its own end. It looks at the VMs that are listed now, but for itself.

TestDirectory_LargestRequestOfAnyVM failed before.

--- a/internal/system/dispatch/directory.go
+++ b/internal/system/dispatch/directory.go
@@ -39,7 +39,7 @@
 	witnesses  map[string][][]string // guarded by mu, by key
 	schedulers map[string][][]string // guarded by mu, by service
 	largest    int64                 // guarded by mu, largest LargestRequest so far
-	unknown    bool                  // guarded by mu, a VM was listed whose LargestRequest is unknown
+	unknown    bool                  // guarded by mu, a VM is listed whose LargestRequest is unknown
 }
 
 // Replace replaces the whole list.
@@ -57,7 +57,6 @@
 func (d *Directory) put(vm VM) {
 	d.vms[vm.Name] = vm
 	d.largest = max(d.largest, vm.LargestRequest)
-	d.unknown = d.unknown || vm.LargestRequest == 0
 }
 
 // LargestRequest returns the number of bytes that any VM may hold for one request, 0 if unknown.
@@ -71,9 +70,13 @@
 	return max(d.largest, d.Self.LargestRequest)
 }
 
-// dropCaches drops what follows from the list of VMs. The caller holds mu.
+// dropCaches drops or updates what follows from the list of VMs. The caller holds mu.
 func (d *Directory) dropCaches() {
 	d.orderCache, d.fleetCache, d.witnesses, d.schedulers = nil, nil, nil, nil
+	d.unknown = false
+	for _, vm := range d.vms {
+		d.unknown = d.unknown || vm.LargestRequest == 0 && vm.Name != d.Self.Name
+	}
 }
 
 // Update adds or replaces VMs and deletes the removed ones by name.
--- a/internal/system/dispatch/versions_test.go
+++ b/internal/system/dispatch/versions_test.go
@@ -99,3 +99,20 @@
 	}
 	return ""
 }
+
+// A request may be refused for good only if it is too large for each VM, also for one that may be
+// back soon, and if all of them tell.
+func TestDirectory_LargestRequestOfAnyVM(t *testing.T) {
+	is := is.New(t)
+	d := &Directory{Self: VM{Name: "self", LargestRequest: 10}}
+	is.Equal(d.LargestRequest(), int64(10))
+	d.Replace([]VM{{Name: "self"}, {Name: "a", LargestRequest: 30}, {Name: "b", LargestRequest: 20}})
+	is.Equal(d.LargestRequest(), int64(30))
+	d.Update(nil, []string{"a"})
+	is.Equal(d.LargestRequest(), int64(30))
+	d.Update([]VM{{Name: "earlier-release"}}, nil)
+	is.Equal(d.LargestRequest(), int64(0))
+	d.Update([]VM{{Name: "earlier-release", LargestRequest: 40}}, nil) // it was updated
+	is.Equal(d.LargestRequest(), int64(40))
+	is.Equal((&Directory{}).LargestRequest(), int64(0))
+}
