forwarder: a take-up's endpoint is verified as its first event arrives

Cause: the list was read again only for responses that are resumed. For take-ups it had been read while witnesses were asked, which stopped with where a witness knows the stream.

Change: verifyVersion looks at each response that goes on with a stream, as its first event arrives.

TestProcess_StreamIsTakenUpAtAnEndpointThatStartedAgainOnlyWithItsVersion fails before (200 for 502).

--- a/internal/system/forwarder/response.go
+++ b/internal/system/forwarder/response.go
@@ -193,7 +193,7 @@
 				lastEvent = time.Now()
 				x.observeDelay()
 			}
-			if resumed && x.events == eventsBefore {
+			if x.stream.begun && x.events == eventsBefore {
 				if err := x.verifyVersion(); err != nil {
 					return err
 				}
